--- /dev/null
+++ b/src/choice.rs
@@ -0,0 +1,562 @@
+//! Every decision of one instance. Make a `Choice` from the decoded terms and a seed, tell it what happens
+//! (`arrival`, `outcome`, `hangup`, `list_*`, `probed`, `wake`), then pull `next_decision` until there is none.
+//! `lib.rs` defines the decisions and the words they are made of, `terms.rs` the terms.
+//!
+//! The ordinary way of a req is the design's: the drop chance from a rolling window on arrival, fractions
+//! from inverse smoothed served latency, weighted draws that pass over an endpoint with much in flight.
+//! Mechanisms beside the design (six at most):
+//! 1. Distrust: a score per endpoint that failures raise and time fades; traffic follows it.
+//! 2. Cold share: a started endpoint gets its stated part of the mean, held by a budget per window.
+//! 3. Further write-outs: only as effects permit, and from a purse that arrivals fill.
+//! 4. Criticality: the more a req is worth, the greater its K.
+//! 5. Following the list: subscribe, and ask again after a failure with a jittered wait.
+
+use std::collections::VecDeque;
+
+use oorandom::Rand64;
+
+use crate::terms::{Effect, Group, Method, Terms};
+use crate::units::{Moment, Span};
+use crate::{Decision, Outcome, Standing};
+
+/// Times accepts, for the least and the most critical req: the ends of the design's range.
+const K_LEAST: f64 = 1.1;
+const K_MOST: f64 = 2.0;
+/// Requests that may fail in a window before any is refused: the design's start.
+const PROTECTION: f64 = 5.0;
+/// Length of a bucket and their number; together the design's 10 s window.
+const BUCKET: Span = Span::from_millis(250);
+const BUCKETS: usize = 40;
+/// Between two solves of the fractions: the design's start.
+const SOLVE_EVERY: Span = Span::from_millis(1000);
+/// Part of a new latency sample in the smoothed one: about the last ten samples count.
+const SMOOTHING: f64 = 0.1;
+/// In flight beyond this multiple of the mean, plus this many, is well above it: half a write-out decides
+/// for instances with a trickle, the multiple for busy ones.
+const MARGIN_TIMES: f64 = 1.25;
+const MARGIN_PLUS: f64 = 0.5;
+/// Distrust that one failure adds (halvings of traffic), and what a satisfied write-out leaves of it.
+const DISTRUST_STEP: f64 = 1.0;
+const DISTRUST_KEPT: f64 = 0.8;
+/// Most distrust: a thousandth of the traffic is a trickle that can still tell of recovery.
+const DISTRUST_MOST: f64 = 10.0;
+/// Time in which distrust fades to half: a few solves, so that a short fault does not cost an endpoint.
+const DISTRUST_HALF: Span = Span::from_millis(4000);
+/// Further write-outs that one arrival pays for, and the most that may be saved up.
+const PURSE_SHARE: f64 = 0.2;
+const PURSE_MOST: f64 = 10.0;
+/// Part of the latency budget that a req without an endpoint to go to may wait for one.
+const HOLD_SHARE: f64 = 0.25;
+/// Between two looks at held reqs: short against any latency budget.
+const HOLD_LOOK: Span = Span::from_millis(20);
+/// Told to a nacked client, times one to two by chance: long enough for part of the window to roll on.
+const COME_BACK: Span = Span::from_millis(400);
+/// Part of the stated asking time to wait before subscribing (at start at most this, by chance) or asking again.
+const ASK_SHARE: f64 = 0.5;
+/// How long an endpoint that is gone stays known after its last write-out: it may yet come back.
+const GONE_KEPT: Span = Span::from_millis(60_000);
+
+/// For one write-out.
+struct WriteOut {
+    endpoint: usize,
+    sent: Moment,
+    ended: Option<Outcome>,
+}
+
+/// For one req.
+struct Req {
+    method: usize,
+    arrived: Moment,
+    deadline: Moment,
+    write_outs: Vec<WriteOut>,
+    admitted: bool,
+    held: bool,
+    streaming: bool,
+    closed: bool,
+}
+
+/// For one endpoint.
+struct Endpoint {
+    standing: Standing,
+    zone: usize,
+    cell: u64,
+    started: Option<Moment>,
+    listed: bool,
+    /// Smoothed served latency, as a multiple of what its methods usually take here.
+    latency: Option<f64>,
+    fraction: f64,
+    distrust: f64,
+    distrust_at: Moment,
+    in_flight: usize,
+    /// Sends within the fall window, kept only while the endpoint is cold.
+    cold_sends: VecDeque<Moment>,
+    gone_at: Moment,
+}
+
+/// Rolling counts of requests and accepts.
+struct Window {
+    buckets: [(f64, f64); BUCKETS],
+    newest: u64,
+}
+
+impl Window {
+    fn roll(&mut self, now: Moment) -> usize {
+        let bucket = now.nanos() / BUCKET.nanos();
+        for passed in (self.newest + 1..=bucket).rev().take(BUCKETS) {
+            self.buckets[passed as usize % BUCKETS] = (0.0, 0.0);
+        }
+        self.newest = self.newest.max(bucket);
+        self.newest as usize % BUCKETS
+    }
+
+    fn book(&mut self, now: Moment, accepted: bool) {
+        let at = self.roll(now);
+        self.buckets[at].0 += 1.0;
+        self.buckets[at].1 += f64::from(u8::from(accepted));
+    }
+
+    fn drop_chance(&mut self, now: Moment, k: f64) -> f64 {
+        self.roll(now);
+        let (requests, accepts) = self.buckets.iter().fold((0.0, 0.0), |(r, a), b| (r + b.0, a + b.1));
+        ((requests - PROTECTION - k * accepts) / (requests + 1.0)).max(0.0)
+    }
+}
+
+/// For the instance.
+pub struct Choice {
+    terms: Terms,
+    chance: Rand64,
+    reqs: Vec<Option<Req>>,
+    endpoints: Vec<Option<Endpoint>>,
+    due: VecDeque<usize>,
+    held: Vec<usize>,
+    out: VecDeque<Decision>,
+    window: Window,
+    /// Usual served latency of each method here, in seconds.
+    usual: Vec<Option<f64>>,
+    /// Sends counted in whole fall windows: the running one and the last full one.
+    sends: (f64, f64),
+    sends_since: Moment,
+    solved: Option<Moment>,
+    purse: f64,
+    ask_at: Option<Moment>,
+}
+
+impl Choice {
+    pub fn new(now: Moment, terms: Terms, seed: u64) -> Choice {
+        let mut chance = Rand64::new(u128::from(seed));
+        // Danger: all instances that start together would fall on the list's service at once.
+        let ask_at = terms.ask_within.map(|within| now + within * (ASK_SHARE * chance.rand_float()));
+        let mut choice = Choice {
+            usual: vec![None; terms.methods.len()],
+            terms,
+            chance,
+            reqs: Vec::new(),
+            endpoints: Vec::new(),
+            due: VecDeque::new(),
+            held: Vec::new(),
+            out: VecDeque::new(),
+            window: Window { buckets: [(0.0, 0.0); BUCKETS], newest: now.nanos() / BUCKET.nanos() },
+            sends: (0.0, 0.0),
+            sends_since: now,
+            solved: None,
+            purse: PURSE_MOST,
+            ask_at: None,
+        };
+        choice.ask_later(ask_at);
+        choice
+    }
+
+    pub fn terms(&self) -> &Terms {
+        &self.terms
+    }
+
+    // What is heard.
+
+    pub fn arrival(&mut self, now: Moment, req: usize, method: usize, left: Span) {
+        if self.reqs.len() <= req {
+            self.reqs.resize_with(req + 1, || None);
+        }
+        self.reqs[req] = Some(Req {
+            method,
+            arrived: now,
+            deadline: now + left,
+            write_outs: Vec::new(),
+            admitted: false,
+            held: false,
+            streaming: false,
+            closed: false,
+        });
+        self.due.push_back(req);
+    }
+
+    pub fn outcome(&mut self, now: Moment, req: usize, write_out: usize, outcome: Outcome, closed: bool) {
+        let Some(Some(r)) = self.reqs.get_mut(req) else { return };
+        let Some(w) = r.write_outs.get_mut(write_out).filter(|w| w.ended.is_none()) else { return };
+        w.ended = Some(outcome);
+        r.closed |= closed;
+        let (endpoint, sent, method, late) = (w.endpoint, w.sent, r.method, now.since(r.arrived));
+        self.due.push_back(req);
+        let e = self.endpoints[endpoint].as_mut().expect("an endpoint with a write-out is kept");
+        e.in_flight -= 1;
+        if matches!(outcome, Outcome::Recalled | Outcome::NeverSent) {
+            return;
+        }
+        let satisfied = outcome == Outcome::Satisfied;
+        e.fade(now);
+        if satisfied {
+            let took = now.since(sent).secs().max(1e-6);
+            let usual = smoothed(self.usual[method], took);
+            self.usual[method] = Some(usual);
+            e.latency = Some(smoothed(e.latency, took / usual));
+            e.distrust *= DISTRUST_KEPT;
+        } else {
+            e.distrust = (e.distrust + DISTRUST_STEP).min(DISTRUST_MOST);
+        }
+        // Danger: a queue that answers late never fails, so the window would not see the overload in it.
+        self.window.book(now, satisfied && late <= self.terms.methods[method].latency_budget);
+    }
+
+    pub fn streaming(&mut self, req: usize) {
+        if let Some(Some(r)) = self.reqs.get_mut(req) {
+            r.streaming = true;
+        }
+    }
+
+    pub fn hangup(&mut self, req: usize) {
+        if let Some(Some(r)) = self.reqs.get_mut(req) {
+            r.closed = true;
+            self.due.push_back(req);
+        }
+    }
+
+    /// A list follows: all of it, or only what changed.
+    pub fn list_opens(&mut self, complete: bool) {
+        for e in self.endpoints.iter_mut().flatten() {
+            e.listed = !complete;
+        }
+    }
+
+    pub fn listed(
+        &mut self,
+        now: Moment,
+        endpoint: usize,
+        (zone, cell): (usize, u64),
+        standing: Standing,
+        started: Option<Moment>,
+    ) {
+        if self.endpoints.len() <= endpoint {
+            self.endpoints.resize_with(endpoint + 1, || None);
+        }
+        let fresh = || Endpoint {
+            standing,
+            zone,
+            cell,
+            started,
+            listed: true,
+            latency: None,
+            fraction: 0.0,
+            distrust: 0.0,
+            distrust_at: now,
+            in_flight: 0,
+            cold_sends: VecDeque::new(),
+            gone_at: now,
+        };
+        let e = self.endpoints[endpoint].get_or_insert_with(fresh);
+        if started > e.started {
+            // A new process: what the old one earned or lost says nothing of it.
+            (e.started, e.latency, e.distrust) = (started, None, 0.0);
+            e.cold_sends.clear();
+        }
+        (e.standing, e.zone, e.cell, e.listed, e.gone_at) = (standing, zone, cell, true, now);
+        self.solved = None;
+    }
+
+    pub fn list_closes(&mut self, now: Moment) {
+        for e in self.endpoints.iter_mut().flatten().filter(|e| !e.listed && e.standing != Standing::Gone) {
+            (e.standing, e.gone_at) = (Standing::Gone, now);
+        }
+        self.solved = None;
+        self.due.append(&mut VecDeque::from(std::mem::take(&mut self.held)));
+    }
+
+    pub fn list_failed(&mut self, now: Moment) {
+        // Danger: a list service that is down or full stays so if everyone asks again at once.
+        let wait = ASK_SHARE * (0.5 + self.chance.rand_float());
+        self.ask_later(self.terms.ask_within.map(|within| now + within * wait));
+    }
+
+    pub fn probed(&mut self, _now: Moment, _endpoint: usize, _completed: bool) {}
+
+    pub fn wake(&mut self, now: Moment) {
+        if self.ask_at.is_some_and(|at| at <= now) {
+            self.ask_at = None;
+            self.out.push_back(Decision::Subscribe);
+        }
+        self.due.append(&mut VecDeque::from(std::mem::take(&mut self.held)));
+    }
+
+    // What is decided.
+
+    pub fn next_decision(&mut self, now: Moment) -> Option<Decision> {
+        while self.out.is_empty() {
+            let req = self.due.pop_front()?;
+            self.decide(now, req);
+        }
+        self.out.pop_front()
+    }
+
+    fn decide(&mut self, now: Moment, req: usize) {
+        let Some(r) = self.reqs[req].as_mut() else { return };
+        if r.closed {
+            return self.settle(req);
+        }
+        if r.streaming || r.write_outs.iter().any(|w| w.ended.is_none()) {
+            return;
+        }
+        // Danger: a batch may come after the deadline; nothing is sent for what is over.
+        if now >= r.deadline {
+            return self.end(now, req);
+        }
+        if !r.admitted {
+            r.admitted = true;
+            let k = self.k(self.reqs[req].as_ref().map_or(0, |r| r.method));
+            self.purse = (self.purse + PURSE_SHARE).min(PURSE_MOST);
+            if self.chance.rand_float() < self.window.drop_chance(now, k) {
+                return self.end(now, req);
+            }
+        }
+        let r = self.reqs[req].as_ref().expect("looked up above");
+        let further = !r.write_outs.is_empty();
+        if further && (self.purse < 1.0 || r.write_outs.len() >= self.terms.most_write_outs) {
+            return self.end(now, req);
+        }
+        match self.pick(now, req) {
+            Some(endpoint) => self.send(now, req, endpoint, further),
+            None => self.hold(now, req),
+        }
+    }
+
+    /// The drop chance's K: the least critical req has the least.
+    fn k(&self, method: usize) -> f64 {
+        let most = self.terms.methods.iter().map(|m| m.criticality).fold(f64::MIN_POSITIVE, f64::max);
+        K_LEAST + (K_MOST - K_LEAST) * self.terms.methods[method].criticality / most
+    }
+
+    fn send(&mut self, now: Moment, req: usize, endpoint: usize, further: bool) {
+        let r = self.reqs[req].as_mut().expect("only open reqs are sent");
+        let e = self.endpoints[endpoint].as_mut().expect("only known endpoints are picked");
+        r.write_outs.push(WriteOut { endpoint, sent: now, ended: None });
+        r.held = false;
+        let m = &self.terms.methods[r.method];
+        let mut give_up = r.deadline;
+        if m.overdue_criticality == 0.0 {
+            // Late is worth nothing: leave room to say so while it is not yet late.
+            give_up = give_up.min(r.arrived + m.latency_budget.less(self.terms.tick * 2.0));
+        }
+        let give_up = give_up.max(now + self.terms.tick);
+        e.in_flight += 1;
+        if e.cold(now, &self.terms) {
+            e.cold_sends.push_back(now);
+        }
+        self.sends.0 += 1.0;
+        if further {
+            self.purse -= 1.0;
+        }
+        self.out.push_back(Decision::Send { req, endpoint, give_up });
+    }
+
+    /// Nothing can take the req now: wait a little, then answer.
+    fn hold(&mut self, now: Moment, req: usize) {
+        let r = self.reqs[req].as_mut().expect("only open reqs are held");
+        let until = r.arrived + self.terms.methods[r.method].latency_budget * HOLD_SHARE;
+        if now + HOLD_LOOK >= until.min(r.deadline) {
+            return self.end(now, req);
+        }
+        r.held = true;
+        if self.held.is_empty() {
+            self.out.push_back(Decision::Wake { at: now + HOLD_LOOK });
+        }
+        self.held.push(req);
+    }
+
+    /// The final answer of a req that is given up: nacked where a repeat does no harm, else failed.
+    fn end(&mut self, _now: Moment, req: usize) {
+        let r = self.reqs[req].as_mut().expect("only open reqs are ended");
+        let m = &self.terms.methods[r.method];
+        let never_ran = r.write_outs.iter().all(|w| w.ended.is_some_and(Outcome::never_ran));
+        r.closed = true;
+        // Danger: a nack invites a repeat, so it must not follow what may have run, unless repeats are safe.
+        let harmless = match m.effect {
+            Effect::Retryable => true,
+            Effect::Deduplicated => never_ran || m.group == Group::All,
+            Effect::NonRetryable => never_ran,
+        };
+        let wait = COME_BACK * (1.0 + self.chance.rand_float());
+        self.out.push_back(match harmless {
+            true => Decision::Nack { req, come_back: self.terms.longest_come_back.map(|most| wait.min(most)) },
+            false => Decision::Fail { req },
+        });
+        self.settle(req);
+    }
+
+    /// Withdraws what a closed req still has out, and forgets it when nothing more can be heard of it.
+    fn settle(&mut self, req: usize) {
+        let Some(r) = self.reqs[req].as_ref() else { return };
+        let mut out = false;
+        for (write_out, _) in r.write_outs.iter().enumerate().filter(|(_, w)| w.ended.is_none()) {
+            out = true;
+            if self.terms.may_revoke {
+                self.out.push_back(Decision::Revoke { req, write_out });
+            }
+        }
+        if !out {
+            self.reqs[req] = None;
+            self.held.retain(|held| *held != req);
+            self.out.push_back(Decision::ForgetReq { req });
+        }
+    }
+
+    /// The weighted draw among the endpoints that may take the req now.
+    fn pick(&mut self, now: Moment, req: usize) -> Option<usize> {
+        self.solve(now);
+        let r = self.reqs[req].as_ref()?;
+        let m = &self.terms.methods[r.method];
+        let ready = || self.endpoints.iter().flatten().filter(|e| e.standing == Standing::Ready);
+        let count = ready().count().max(1) as f64;
+        let mean = ready().map(|e| e.in_flight).sum::<usize>() as f64 / count;
+        let usual_sends = self.sends.1.max(self.sends.0) / count;
+        let mut weights: Vec<(usize, f64, bool, bool)> = Vec::new();
+        for (at, e) in self.endpoints.iter().enumerate() {
+            let Some(e) = e.as_ref().filter(|e| e.standing == Standing::Ready) else { continue };
+            let share = e.cold_share(now, &self.terms);
+            if !self.may_repeat(now, r, m, e) {
+                continue;
+            }
+            // Danger: a burst onto a started endpoint can spend its budget before the window has passed.
+            let window_opened = |sent: &&Moment| now.since(**sent) < self.terms.fall_window;
+            let spent = e.cold_sends.iter().filter(window_opened).count() as f64;
+            if share < 1.0 && spent >= (share * usual_sends).max(1.0) {
+                continue;
+            }
+            let tried = r.write_outs.iter().any(|w| w.endpoint == at);
+            let above = e.in_flight as f64 > share * (MARGIN_TIMES * mean + MARGIN_PLUS);
+            weights.push((at, e.fraction * share * e.trust(now), tried, above));
+        }
+        // Each round is content with less: an untried endpoint not well above the mean, then an untried one,
+        // then any. With all distrusted, weights stay above nought and the draw still falls somewhere.
+        for (may_be_tried, may_be_above) in [(false, false), (false, true), (true, false), (true, true)] {
+            let open = |w: &&(usize, f64, bool, bool)| (may_be_tried || !w.2) && (may_be_above || !w.3);
+            let total: f64 = weights.iter().filter(open).map(|w| w.1).sum();
+            let mut left = self.chance.rand_float() * total;
+            let mut last = None;
+            for w in weights.iter().filter(open) {
+                last = Some(w.0);
+                left -= w.1;
+                if left < 0.0 {
+                    break;
+                }
+            }
+            if last.is_some() {
+                return last;
+            }
+        }
+        None
+    }
+
+    /// Whether an effect could happen twice if the req went to this endpoint now.
+    fn may_repeat(&self, now: Moment, r: &Req, m: &Method, e: &Endpoint) -> bool {
+        let mut may_have_run = r.write_outs.iter().filter(|w| !w.ended.is_some_and(Outcome::never_ran)).peekable();
+        let Some(first) = may_have_run.peek() else { return true };
+        match m.effect {
+            Effect::Retryable => true,
+            Effect::NonRetryable => false,
+            // Danger: outside the group, or after its memory has passed, the repeat is a second effect.
+            // The memory runs from the first write-out that may have run; arrival adds a little on top.
+            Effect::Deduplicated if now.since(first.sent) + self.terms.tick * 4.0 >= m.window => false,
+            Effect::Deduplicated => may_have_run.all(|w| match (m.group, &self.endpoints[w.endpoint]) {
+                (Group::All, _) => true,
+                (Group::Zone, Some(earlier)) => earlier.zone == e.zone,
+                (Group::Cell, Some(earlier)) => earlier.cell == e.cell,
+                (_, None) => false,
+            }),
+        }
+    }
+
+    /// Sets the fractions anew, once every solve interval or when the list has changed.
+    fn solve(&mut self, now: Moment) {
+        if now.since(self.sends_since) >= self.terms.fall_window {
+            (self.sends, self.sends_since) = ((0.0, self.sends.0), now);
+        }
+        if self.solved.is_some_and(|at| now.since(at) < SOLVE_EVERY) {
+            return;
+        }
+        self.solved = Some(now);
+        // Danger: an endpoint that stops answering would keep its old good latency, so what is still out
+        // counts with its age.
+        let mut oldest = vec![0.0_f64; self.endpoints.len()];
+        for r in self.reqs.iter().flatten() {
+            let usual = self.usual[r.method].unwrap_or(f64::MAX);
+            for w in r.write_outs.iter().filter(|w| w.ended.is_none()) {
+                oldest[w.endpoint] = oldest[w.endpoint].max(now.since(w.sent).secs() / usual);
+            }
+        }
+        let mut heard = (0.0, 0.0);
+        for (e, age) in self.endpoints.iter_mut().zip(&oldest) {
+            let Some(e) = e.as_mut().filter(|e| e.standing == Standing::Ready) else { continue };
+            if let Some(latency) = e.latency {
+                e.fraction = 1.0 / latency.max(*age).max(1e-3);
+                heard = (heard.0 + e.fraction, heard.1 + 1.0);
+            }
+        }
+        let mean = if heard.1 > 0.0 { heard.0 / heard.1 } else { 1.0 };
+        for (at, slot) in self.endpoints.iter_mut().enumerate() {
+            let Some(e) = slot else { continue };
+            if e.latency.is_none() {
+                e.fraction = mean;
+            }
+            e.cold_sends.retain(|sent| now.since(*sent) < self.terms.fall_window);
+            let over = e.standing == Standing::Gone && e.in_flight == 0 && now.since(e.gone_at) > GONE_KEPT;
+            if over && !self.reqs.iter().flatten().any(|r| r.write_outs.iter().any(|w| w.endpoint == at)) {
+                *slot = None;
+                self.out.push_back(Decision::ForgetEndpoint { endpoint: at });
+            }
+        }
+    }
+
+    fn ask_later(&mut self, at: Option<Moment>) {
+        self.ask_at = at;
+        self.out.extend(at.map(|at| Decision::Wake { at }));
+    }
+}
+
+impl Endpoint {
+    fn fade(&mut self, now: Moment) {
+        self.distrust *= 0.5_f64.powf(now.since(self.distrust_at).secs() / DISTRUST_HALF.secs());
+        self.distrust_at = now;
+    }
+
+    fn trust(&self, now: Moment) -> f64 {
+        let faded = 0.5_f64.powf(now.since(self.distrust_at).secs() / DISTRUST_HALF.secs());
+        0.5_f64.powf(self.distrust * faded)
+    }
+
+    fn cold(&self, now: Moment, terms: &Terms) -> bool {
+        self.started.is_some_and(|at| now.since(at) < terms.cold_for)
+    }
+
+    /// The part of its full capacity that an endpoint has at least, by the stated rise.
+    fn cold_share(&self, now: Moment, terms: &Terms) -> f64 {
+        match self.started {
+            Some(at) if self.cold(now, terms) => {
+                let risen = now.since(at).secs() / terms.cold_for.secs().max(1e-9);
+                terms.cold_start + (1.0 - terms.cold_start) * risen
+            }
+            _ => 1.0,
+        }
+    }
+}
+
+fn smoothed(old: Option<f64>, sample: f64) -> f64 {
+    old.map_or(sample, |old| old + SMOOTHING * (sample - old))
+}
--- /dev/null
+++ b/src/ids.rs
@@ -0,0 +1,48 @@
+//! Names to small indices, at the door: inside, reqs and endpoints are numbers that are used again.
+
+use std::collections::HashMap;
+
+/// Hands out the lowest-cost free index for a name and takes it back when the name is done with.
+///
+/// ```
+/// let mut names = appledyke::ids::Names::default();
+/// let first = names.index("first");
+/// assert_eq!((names.index("first"), names.name(first)), (first, "first"));
+/// names.release(first);
+/// assert_eq!((names.find("first"), names.index("second")), (None, first));
+/// ```
+#[derive(Default)]
+pub struct Names {
+    by_name: HashMap<String, usize>,
+    by_index: Vec<String>,
+    free: Vec<usize>,
+}
+
+impl Names {
+    pub fn find(&self, name: &str) -> Option<usize> {
+        self.by_name.get(name).copied()
+    }
+
+    pub fn name(&self, index: usize) -> &str {
+        &self.by_index[index]
+    }
+
+    pub fn index(&mut self, name: &str) -> usize {
+        if let Some(index) = self.find(name) {
+            return index;
+        }
+        let index = self.free.pop().unwrap_or(self.by_index.len());
+        if index == self.by_index.len() {
+            self.by_index.push(String::new());
+        }
+        self.by_index[index] = name.to_string();
+        self.by_name.insert(name.to_string(), index);
+        index
+    }
+
+    pub fn release(&mut self, index: usize) {
+        if self.by_name.remove(&self.by_index[index]).is_some() {
+            self.free.push(index);
+        }
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,62 @@
+//! Decisions of a load balancer for services that call services.
+//!
+//! A host feeds an instance ([`choice::Choice`]) what it hears and then pulls [`Decision`]s one by one until
+//! there is none. This file defines that interface; `choice` holds every decision.
+
+pub mod choice;
+pub mod ids;
+pub mod terms;
+pub mod units;
+
+use units::{Moment, Span};
+
+/// How a write-out ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Satisfied,
+    Errored,
+    Saturated,
+    Overdue,
+    RefusedConnection,
+    Severed,
+    Recalled,
+    NeverSent,
+}
+
+impl Outcome {
+    /// Whether this outcome proves that the req had no effect at the endpoint.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Outcome::Saturated | Outcome::RefusedConnection | Outcome::NeverSent)
+    }
+}
+
+/// What the list says of an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// What the host is to do next. Indices are the host's own, as it passed them in.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Decision {
+    /// Start the req's next write-out; its number follows from the order of sends. Abandon it at `give_up`.
+    Send { req: usize, endpoint: usize, give_up: Moment },
+    /// Final answer: nacked. The client may come back after the span.
+    Nack { req: usize, come_back: Option<Span> },
+    /// Final answer: failed.
+    Fail { req: usize },
+    /// Stop waiting for a write-out.
+    Revoke { req: usize, write_out: usize },
+    /// Nothing more will be said of this req: its index may be used again.
+    ForgetReq { req: usize },
+    /// The endpoint is gone and nothing is out to it: its index may be used again.
+    ForgetEndpoint { endpoint: usize },
+    /// Ask an endpoint whether it is well.
+    Probe { endpoint: usize },
+    /// Call `wake` at this moment.
+    Wake { at: Moment },
+    /// Ask the list for all changes from now on.
+    Subscribe,
+}
--- /dev/null
+++ b/src/terms.rs
@@ -0,0 +1,148 @@
+//! The terms that a deployment sets for an instance, decoded once at its start; only those that are read.
+
+use std::collections::HashMap;
+use std::str::FromStr;
+
+use crate::units::Span;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    Retryable,
+    Deduplicated,
+    NonRetryable,
+}
+
+/// Which endpoints discard each other's repeats of a deduplicated req.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Clone, Debug)]
+pub struct Method {
+    pub name: String,
+    pub effect: Effect,
+    pub group: Group,
+    pub window: Span,
+    pub latency_budget: Span,
+    pub overdue_criticality: f64,
+    pub criticality: f64,
+}
+
+#[derive(Clone, Debug)]
+pub struct Tenant {
+    pub name: String,
+    pub quota_per_s: f64,
+}
+
+#[derive(Clone, Debug)]
+pub struct Terms {
+    pub instances: f64,
+    pub zone: String,
+    pub tick: Span,
+    pub methods: Vec<Method>,
+    pub tenants: Vec<Tenant>,
+    pub excess_criticality: f64,
+    pub most_write_outs: usize,
+    pub second_copies: bool,
+    pub may_revoke: bool,
+    pub may_probe: bool,
+    pub longest_come_back: Option<Span>,
+    /// Where the list answers only when asked: how soon an instance that has not asked counts as informed.
+    pub ask_within: Option<Span>,
+    pub cold_start: f64,
+    pub cold_for: Span,
+    pub fall_multiple: f64,
+    pub fall_window: Span,
+}
+
+struct Pairs<'a>(HashMap<&'a str, &'a str>);
+
+impl<'a> Pairs<'a> {
+    fn text(&self, path: &str) -> Result<&'a str, String> {
+        self.0.get(path).copied().ok_or_else(|| format!("setting {path} is missing"))
+    }
+
+    fn read<T: FromStr>(&self, path: &str) -> Result<T, String> {
+        let text = self.text(path)?;
+        text.parse().map_err(|_| format!("setting {path} has the unreadable value '{text}'"))
+    }
+
+    fn span(&self, path: &str) -> Result<Span, String> {
+        self.read(path).map(Span::from_nanos)
+    }
+
+    fn flag(&self, path: &str) -> Result<bool, String> {
+        match self.text(path)? {
+            "true" | "1" => Ok(true),
+            "false" | "0" => Ok(false),
+            other => Err(format!("setting {path} has the unreadable value '{other}'")),
+        }
+    }
+
+    fn count(&self, list: &str) -> Result<usize, String> {
+        let path = format!("{list}.count");
+        if self.0.contains_key(path.as_str()) { self.read(&path) } else { Ok(0) }
+    }
+
+    fn method(&self, at: &str) -> Result<Method, String> {
+        let key = |name: &str| format!("{at}.{name}");
+        let effect = match self.text(&key("effect"))? {
+            "retryable" => Effect::Retryable,
+            "dedup" => Effect::Deduplicated,
+            "fragile" => Effect::NonRetryable,
+            other => return Err(format!("setting {at}.effect has the unknown value '{other}'")),
+        };
+        let group = match self.text(&key("group"))? {
+            "all" => Group::All,
+            "zone" => Group::Zone,
+            "cell" => Group::Cell,
+            other => return Err(format!("setting {at}.group has the unknown value '{other}'")),
+        };
+        Ok(Method {
+            name: self.text(&key("name"))?.to_string(),
+            effect,
+            group,
+            window: self.span(&key("windowNs"))?,
+            latency_budget: self.span(&key("latencyBudgetNs"))?,
+            overdue_criticality: self.read(&key("overdueCriticality"))?,
+            criticality: self.read(&key("criticality"))?,
+        })
+    }
+}
+
+impl Terms {
+    /// Reads the terms from path and value pairs; paths that it does not know are passed over.
+    pub fn decode<'a>(pairs: impl Iterator<Item = (&'a str, &'a str)>) -> Result<Terms, String> {
+        let p = Pairs(pairs.collect());
+        let methods = (0..p.count("methods")?).map(|i| p.method(&format!("methods.{i}")));
+        let tenants = (0..p.count("customers")?).map(|i| {
+            Ok(Tenant {
+                name: p.text(&format!("customers.{i}.name"))?.to_string(),
+                quota_per_s: p.read(&format!("customers.{i}.quotaPerS"))?,
+            })
+        });
+        let asked = p.text("discovery")? == "subscribe";
+        let come_back = p.flag("ceilings.retryAfter")?;
+        Ok(Terms {
+            instances: p.read("nInstances")?,
+            zone: p.text("zone")?.to_string(),
+            tick: p.span("tickNs")?,
+            methods: methods.collect::<Result<_, String>>()?,
+            tenants: tenants.collect::<Result<_, String>>()?,
+            excess_criticality: p.read("excessCriticality")?,
+            most_write_outs: p.read("ceilings.mostWriteOuts")?,
+            second_copies: p.flag("ceilings.secondCopies")?,
+            may_revoke: p.flag("ceilings.cancel")?,
+            may_probe: p.flag("ceilings.probes")?,
+            longest_come_back: if come_back { Some(p.span("ceilings.maxRetryAfterNs")?) } else { None },
+            ask_within: if asked { Some(p.span("rules.askWithinNs")?) } else { None },
+            cold_start: p.read("rules.startCapacity")?,
+            cold_for: p.span("rules.coldNs")?,
+            fall_multiple: p.read("rules.fallMultiple")?,
+            fall_window: p.span("rules.overloadForNs")?,
+        })
+    }
+}
