Bound what an endpoint holds, learned from latency against its budget

The breaker alone saw it too late, as late answers counted. Change: a learned bound per endpoint with a short hold, the most critical first.

--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -129,7 +129,11 @@
             match decision {
                 Decision::Send { req, endpoint, give_up } => {
                     let (req, endpoint) = (self.reqs.name(req), self.endpoints.name(endpoint));
-                    writeln!(out, "call_out requestId={req} endpoint={endpoint} cutAtNs={}", give_up.nanos())?;
+                    writeln!(
+                        out,
+                        "call_out requestId={req} endpoint={endpoint} cutAtNs={}",
+                        give_up.nanos()
+                    )?;
                 }
                 Decision::Nack { req, come_back } => {
                     write!(out, "busy requestId={}", self.reqs.name(req))?;
@@ -190,7 +194,8 @@
                 "X" => instance.choice.list_failed(now),
                 kind @ ("C" | "D" | "F") => {
                     let number = fields.read("rosterId")?;
-                    let entries = self.lists.get(&number).ok_or_else(|| format!("there is no list {number}"))?;
+                    let entries =
+                        self.lists.get(&number).ok_or_else(|| format!("there is no list {number}"))?;
                     instance.sync(now, kind, entries)?;
                 }
                 other => return Err(format!("unknown kind of sync '{other}'")),
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -10,6 +10,8 @@
 //! 3. Further write-outs: only as effects permit, and from a purse that arrivals fill.
 //! 4. Criticality: the more a req is worth, the greater its K.
 //! 5. Following the list: subscribe, and ask again after a failure with a jittered wait.
+//! 6. Bound: the most that any endpoint may hold from here, learned from latency against its budget; beyond
+//!    it reqs wait a little, the most critical first, and are nacked when the wait would be long.
 
 use std::collections::VecDeque;
 
@@ -45,6 +47,18 @@
 /// Further write-outs that one arrival pays for, and the most that may be saved up.
 const PURSE_SHARE: f64 = 0.2;
 const PURSE_MOST: f64 = 10.0;
+/// Part of its latency budget that a write-out may take in the mean: leaves room for a wait before it, and for
+/// the spread of latencies.
+const BOUND_AIM: f64 = 0.4;
+/// Relative change of the bound by one answer that is a whole budget off the aim.
+const BOUND_GAIN: f64 = 0.03;
+/// Least, first and greatest bound, in write-outs: one must always be possible; the greatest only keeps the
+/// figure finite where it is never reached.
+const BOUND_LEAST: f64 = 1.0;
+const BOUND_FIRST: f64 = 4.0;
+const BOUND_MOST: f64 = 64.0;
+/// Reqs that may be held whatever the recent rate of sends.
+const HELD_FLOOR: f64 = 4.0;
 /// Part of the latency budget that a req without an endpoint to go to may wait for one.
 const HOLD_SHARE: f64 = 0.25;
 /// Between two looks at held reqs: short against any latency budget.
@@ -70,7 +84,6 @@
     deadline: Moment,
     write_outs: Vec<WriteOut>,
     admitted: bool,
-    held: bool,
     streaming: bool,
     closed: bool,
 }
@@ -129,7 +142,9 @@
     reqs: Vec<Option<Req>>,
     endpoints: Vec<Option<Endpoint>>,
     due: VecDeque<usize>,
+    /// Reqs that wait for an endpoint, the most critical first.
     held: Vec<usize>,
+    look_at_held: bool,
     out: VecDeque<Decision>,
     window: Window,
     /// Usual served latency of each method here, in seconds.
@@ -139,6 +154,7 @@
     sends_since: Moment,
     solved: Option<Moment>,
     purse: f64,
+    bound: f64,
     ask_at: Option<Moment>,
 }
 
@@ -155,12 +171,14 @@
             endpoints: Vec::new(),
             due: VecDeque::new(),
             held: Vec::new(),
+            look_at_held: false,
             out: VecDeque::new(),
             window: Window { buckets: [(0.0, 0.0); BUCKETS], newest: now.nanos() / BUCKET.nanos() },
             sends: (0.0, 0.0),
             sends_since: now,
             solved: None,
             purse: PURSE_MOST,
+            bound: BOUND_FIRST,
             ask_at: None,
         };
         choice.ask_later(ask_at);
@@ -183,7 +201,6 @@
             deadline: now + left,
             write_outs: Vec::new(),
             admitted: false,
-            held: false,
             streaming: false,
             closed: false,
         });
@@ -195,8 +212,9 @@
         let Some(w) = r.write_outs.get_mut(write_out).filter(|w| w.ended.is_none()) else { return };
         w.ended = Some(outcome);
         r.closed |= closed;
-        let (endpoint, sent, method, late) = (w.endpoint, w.sent, r.method, now.since(r.arrived));
+        let (endpoint, took, method) = (w.endpoint, now.since(w.sent), r.method);
         self.due.push_back(req);
+        self.look_at_held = true;
         let e = self.endpoints[endpoint].as_mut().expect("an endpoint with a write-out is kept");
         e.in_flight -= 1;
         if matches!(outcome, Outcome::Recalled | Outcome::NeverSent) {
@@ -205,16 +223,26 @@
         let satisfied = outcome == Outcome::Satisfied;
         e.fade(now);
         if satisfied {
-            let took = now.since(sent).secs().max(1e-6);
-            let usual = smoothed(self.usual[method], took);
+            let secs = took.secs().max(1e-6);
+            let usual = smoothed(self.usual[method], secs);
             self.usual[method] = Some(usual);
-            e.latency = Some(smoothed(e.latency, took / usual));
+            e.latency = Some(smoothed(e.latency, secs / usual));
             e.distrust *= DISTRUST_KEPT;
         } else {
             e.distrust = (e.distrust + DISTRUST_STEP).min(DISTRUST_MOST);
         }
         // Danger: a queue that answers late never fails, so the window would not see the overload in it.
-        self.window.book(now, satisfied && late <= self.terms.methods[method].latency_budget);
+        let budget = self.terms.methods[method].latency_budget;
+        self.window.book(now, satisfied && took <= budget);
+        // Danger: crowded endpoints turn slower and stay so; the crowd must be kept from forming.
+        let off = match outcome {
+            Outcome::Satisfied => BOUND_AIM - (took.secs() / budget.secs().max(1e-6)).min(1.0),
+            Outcome::Saturated | Outcome::Overdue => BOUND_AIM - 1.0,
+            _ => 0.0,
+        };
+        if off < 0.0 || e.in_flight as f64 + 2.0 > self.bound {
+            self.bound = (self.bound * (1.0 + BOUND_GAIN * off)).clamp(BOUND_LEAST, BOUND_MOST);
+        }
     }
 
     pub fn streaming(&mut self, req: usize) {
@@ -277,7 +305,7 @@
             (e.standing, e.gone_at) = (Standing::Gone, now);
         }
         self.solved = None;
-        self.due.append(&mut VecDeque::from(std::mem::take(&mut self.held)));
+        self.look_at_held = true;
     }
 
     pub fn list_failed(&mut self, now: Moment) {
@@ -293,15 +321,20 @@
             self.ask_at = None;
             self.out.push_back(Decision::Subscribe);
         }
-        self.due.append(&mut VecDeque::from(std::mem::take(&mut self.held)));
+        self.look_at_held = true;
     }
 
     // What is decided.
 
     pub fn next_decision(&mut self, now: Moment) -> Option<Decision> {
         while self.out.is_empty() {
-            let req = self.due.pop_front()?;
-            self.decide(now, req);
+            if let Some(req) = self.due.pop_front() {
+                self.decide(now, req);
+            } else if std::mem::take(&mut self.look_at_held) {
+                self.due.extend(std::mem::take(&mut self.held));
+            } else {
+                return None;
+            }
         }
         self.out.pop_front()
     }
@@ -347,7 +380,6 @@
         let r = self.reqs[req].as_mut().expect("only open reqs are sent");
         let e = self.endpoints[endpoint].as_mut().expect("only known endpoints are picked");
         r.write_outs.push(WriteOut { endpoint, sent: now, ended: None });
-        r.held = false;
         let m = &self.terms.methods[r.method];
         let mut give_up = r.deadline;
         if m.overdue_criticality == 0.0 {
@@ -366,18 +398,27 @@
         self.out.push_back(Decision::Send { req, endpoint, give_up });
     }
 
-    /// Nothing can take the req now: wait a little, then answer.
+    /// Nothing can take the req now: it waits a little, the most critical in front, if that is likely to help.
     fn hold(&mut self, now: Moment, req: usize) {
-        let r = self.reqs[req].as_mut().expect("only open reqs are held");
-        let until = r.arrived + self.terms.methods[r.method].latency_budget * HOLD_SHARE;
-        if now + HOLD_LOOK >= until.min(r.deadline) {
+        let r = self.reqs[req].as_ref().expect("only open reqs are held");
+        let m = &self.terms.methods[r.method];
+        let wait = m.latency_budget * HOLD_SHARE;
+        if now + HOLD_LOOK >= (r.arrived + wait).min(r.deadline) {
             return self.end(now, req);
         }
-        r.held = true;
         if self.held.is_empty() {
             self.out.push_back(Decision::Wake { at: now + HOLD_LOOK });
         }
-        self.held.push(req);
+        let worth =
+            |req: &usize| self.reqs[*req].as_ref().map_or(0.0, |r| self.terms.methods[r.method].criticality);
+        let place = self.held.partition_point(|held| worth(held) >= m.criticality);
+        self.held.insert(place, req);
+        // Danger: a queue longer than what is sent in a wait only delays its nacks.
+        let rate = self.sends.0.max(self.sends.1) / self.terms.fall_window.secs().max(1e-6);
+        if self.held.len() as f64 > (rate * wait.secs()).max(HELD_FLOOR) {
+            let last = self.held.pop().expect("just filled");
+            self.end(now, last);
+        }
     }
 
     /// The final answer of a req that is given up: nacked where a repeat does no harm, else failed.
@@ -394,7 +435,9 @@
         };
         let wait = COME_BACK * (1.0 + self.chance.rand_float());
         self.out.push_back(match harmless {
-            true => Decision::Nack { req, come_back: self.terms.longest_come_back.map(|most| wait.min(most)) },
+            true => {
+                Decision::Nack { req, come_back: self.terms.longest_come_back.map(|most| wait.min(most)) }
+            }
             false => Decision::Fail { req },
         });
         self.settle(req);
@@ -439,6 +482,9 @@
             if share < 1.0 && spent >= (share * usual_sends).max(1.0) {
                 continue;
             }
+            if e.in_flight as f64 >= (self.bound * share).max(1.0) {
+                continue;
+            }
             let tried = r.write_outs.iter().any(|w| w.endpoint == at);
             let above = e.in_flight as f64 > share * (MARGIN_TIMES * mean + MARGIN_PLUS);
             weights.push((at, e.fraction * share * e.trust(now), tried, above));
@@ -466,7 +512,8 @@
 
     /// Whether an effect could happen twice if the req went to this endpoint now.
     fn may_repeat(&self, now: Moment, r: &Req, m: &Method, e: &Endpoint) -> bool {
-        let mut may_have_run = r.write_outs.iter().filter(|w| !w.ended.is_some_and(Outcome::never_ran)).peekable();
+        let mut may_have_run =
+            r.write_outs.iter().filter(|w| !w.ended.is_some_and(Outcome::never_ran)).peekable();
         let Some(first) = may_have_run.peek() else { return true };
         match m.effect {
             Effect::Retryable => true,
