--- a/src/choice.rs
+++ b/src/choice.rs
@@ -52,10 +52,12 @@
 const BOUND_AIM: f64 = 0.4;
 /// Relative change of the bound by one answer that is a whole budget off the aim.
 const BOUND_GAIN: f64 = 0.03;
+/// The bound grows only while this part of it is in use: else it would learn nothing from its answers.
+const BOUND_USED: f64 = 0.7;
 /// Least, first and greatest bound, in write-outs: one must always be possible; the greatest only keeps the
 /// figure finite where it is never reached.
-const BOUND_LEAST: f64 = 1.0;
-const BOUND_FIRST: f64 = 4.0;
+const BOUND_LEAST: f64 = 0.3;
+const BOUND_FIRST: f64 = 2.0;
 const BOUND_MOST: f64 = 64.0;
 /// Reqs that may be held whatever the recent rate of sends.
 const HELD_FLOOR: f64 = 4.0;
@@ -235,12 +237,14 @@
         let budget = self.terms.methods[method].latency_budget;
         self.window.book(now, satisfied && took <= budget);
         // Danger: crowded endpoints turn slower and stay so; the crowd must be kept from forming.
+        let ready = self.endpoints.iter().flatten().filter(|e| e.standing == Standing::Ready);
+        let (count, held) = ready.fold((0.0, 1.0), |(c, h), e| (c + 1.0, h + e.in_flight as f64));
         let off = match outcome {
             Outcome::Satisfied => BOUND_AIM - (took.secs() / budget.secs().max(1e-6)).min(1.0),
             Outcome::Saturated | Outcome::Overdue => BOUND_AIM - 1.0,
             _ => 0.0,
         };
-        if off < 0.0 || e.in_flight as f64 + 2.0 > self.bound {
+        if off < 0.0 || held >= BOUND_USED * self.bound * count {
             self.bound = (self.bound * (1.0 + BOUND_GAIN * off)).clamp(BOUND_LEAST, BOUND_MOST);
         }
     }
@@ -468,6 +472,11 @@
         let ready = || self.endpoints.iter().flatten().filter(|e| e.standing == Standing::Ready);
         let count = ready().count().max(1) as f64;
         let mean = ready().map(|e| e.in_flight).sum::<usize>() as f64 / count;
+        // Danger: many instances that each keep a whole write-out at every endpoint crowd it together, so the
+        // bound holds for the mean, not only for each endpoint.
+        if mean >= self.bound {
+            return None;
+        }
         let usual_sends = self.sends.1.max(self.sends.0) / count;
         let mut weights: Vec<(usize, f64, bool, bool)> = Vec::new();
         for (at, e) in self.endpoints.iter().enumerate() {
