--- a/src/choice.rs
+++ b/src/choice.rs
@@ -47,16 +47,9 @@
 /// Further write-outs that one arrival pays for, and the most that may be saved up.
 const PURSE_SHARE: f64 = 0.2;
 const PURSE_MOST: f64 = 10.0;
-/// How much longer than at its best a write-out may take in the mean: crowds show as a multiple of the best
-/// latency long before they cost the budget. The least and the most of the budget that this may come to: a
-/// best that was learned in a crisis is no best.
-const BOUND_AIM: f64 = 1.35;
-const BOUND_AIM_LEAST: f64 = 0.3;
-const BOUND_AIM_MOST: f64 = 0.42;
-/// Part of a new sample in a method's usual latency, and the rise of the best one a second: a lasting change
-/// becomes the new best in minutes, a crisis does not.
-const USUAL_SMOOTHING: f64 = 0.03;
-const BEST_RISE: f64 = 0.005;
+/// Part of its latency budget that a write-out may take in the mean: leaves room for a wait before it, and for
+/// the spread of latencies.
+const BOUND_AIM: f64 = 0.36;
 /// Relative change of the bound by one answer that is a whole budget off the aim.
 const BOUND_GAIN: f64 = 0.03;
 /// The bound grows only while this part of it is in use: else it would learn nothing from its answers.
@@ -156,10 +149,8 @@
     look_at_held: bool,
     out: VecDeque<Decision>,
     window: Window,
-    /// Usual served latency of each method here, in seconds, and the best that it has been.
+    /// Usual served latency of each method here, in seconds.
     usual: Vec<Option<f64>>,
-    best: Vec<Option<f64>>,
-    samples: Vec<f64>,
     /// Sends counted in whole fall windows: the running one and the last full one.
     sends: (f64, f64),
     sends_since: Moment,
@@ -176,8 +167,6 @@
         let ask_at = terms.ask_within.map(|within| now + within * (ASK_SHARE * chance.rand_float()));
         let mut choice = Choice {
             usual: vec![None; terms.methods.len()],
-            best: vec![None; terms.methods.len()],
-            samples: vec![0.0; terms.methods.len()],
             terms,
             chance,
             reqs: Vec::new(),
@@ -237,15 +226,9 @@
         e.fade(now);
         if satisfied {
             let secs = took.secs().max(1e-6);
-            self.samples[method] += 1.0;
-            let part = USUAL_SMOOTHING.max(1.0 / self.samples[method]);
-            let usual = smoothed(self.usual[method], secs, part);
+            let usual = smoothed(self.usual[method], secs);
             self.usual[method] = Some(usual);
-            // Danger: one short answer at the start would pass for the best that can be had.
-            if part == USUAL_SMOOTHING {
-                self.best[method] = Some(self.best[method].map_or(usual, |best| best.min(usual)));
-            }
-            e.latency = Some(smoothed(e.latency, secs / usual, SMOOTHING));
+            e.latency = Some(smoothed(e.latency, secs / usual));
             e.distrust *= DISTRUST_KEPT;
         } else {
             e.distrust = (e.distrust + DISTRUST_STEP).min(DISTRUST_MOST);
@@ -257,13 +240,8 @@
         let ready = self.endpoints.iter().flatten().filter(|e| e.standing == Standing::Ready);
         let (count, held) = ready.fold((0.0, 1.0), |(c, h), e| (c + 1.0, h + e.in_flight as f64));
         let off = match outcome {
-            Outcome::Satisfied => {
-                let least = BOUND_AIM_LEAST * budget.secs();
-                let aim = self.best[method].map_or(least, |best| BOUND_AIM * best);
-                let aim = aim.clamp(least, BOUND_AIM_MOST * budget.secs()).max(1e-6);
-                (1.0 - took.secs() / aim).max(-1.0)
-            }
-            Outcome::Saturated | Outcome::Overdue => -1.0,
+            Outcome::Satisfied => BOUND_AIM - (took.secs() / budget.secs().max(1e-6)).min(1.0),
+            Outcome::Saturated | Outcome::Overdue => BOUND_AIM - 1.0,
             _ => 0.0,
         };
         if off < 0.0 || held >= BOUND_USED * self.bound * count {
@@ -570,9 +548,6 @@
             return;
         }
         self.solved = Some(now);
-        for best in self.best.iter_mut().flatten() {
-            *best *= 1.0 + BEST_RISE;
-        }
         // Danger: an endpoint that stops answering would keep its old good latency, so what is still out
         // counts with its age.
         let mut oldest = vec![0.0_f64; self.endpoints.len()];
@@ -638,6 +613,6 @@
     }
 }
 
-fn smoothed(old: Option<f64>, sample: f64, part: f64) -> f64 {
-    old.map_or(sample, |old| old + part * (sample - old))
+fn smoothed(old: Option<f64>, sample: f64) -> f64 {
+    old.map_or(sample, |old| old + SMOOTHING * (sample - old))
 }
