--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -79,8 +79,10 @@
 impl Instance {
     fn begin(now: Moment, fields: Fields) -> Result<Instance, String> {
         let terms = Terms::decode(fields.pairs().filter(|(key, _)| *key != "seed"))?;
-        let choice = Choice::new(now, terms, fields.read("seed")?);
-        Ok(Instance { choice, reqs: Names::default(), endpoints: Names::default(), zones: Names::default() })
+        let mut zones = Names::default();
+        let home = zones.index(&terms.zone);
+        let choice = Choice::new(now, terms, home, fields.read("seed")?);
+        Ok(Instance { choice, reqs: Names::default(), endpoints: Names::default(), zones })
     }
 
     fn arrival(&mut self, now: Moment, fields: Fields) -> Result<(), String> {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -47,6 +47,9 @@
 /// Further write-outs that one arrival pays for, and the most that may be saved up.
 const PURSE_SHARE: f64 = 0.2;
 const PURSE_MOST: f64 = 10.0;
+/// Weight of an endpoint at home against one in another zone, where crossing has a price: most of the traffic
+/// stays at home, and the rest keeps the latencies of the others known.
+const HOME_WEIGHT: f64 = 12.0;
 /// Part of its latency budget that a write-out may take in the mean: leaves room for a wait before it, and for
 /// the spread of latencies.
 const BOUND_AIM: f64 = 0.36;
@@ -140,6 +143,8 @@
 /// For the instance.
 pub struct Choice {
     terms: Terms,
+    /// The zone of this instance.
+    home: usize,
     chance: Rand64,
     reqs: Vec<Option<Req>>,
     endpoints: Vec<Option<Endpoint>>,
@@ -161,13 +166,14 @@
 }
 
 impl Choice {
-    pub fn new(now: Moment, terms: Terms, seed: u64) -> Choice {
+    pub fn new(now: Moment, terms: Terms, home: usize, seed: u64) -> Choice {
         let mut chance = Rand64::new(u128::from(seed));
         // Danger: all instances that start together would fall on the list's service at once.
         let ask_at = terms.ask_within.map(|within| now + within * (ASK_SHARE * chance.rand_float()));
         let mut choice = Choice {
             usual: vec![None; terms.methods.len()],
             terms,
+            home,
             chance,
             reqs: Vec::new(),
             endpoints: Vec::new(),
@@ -477,6 +483,9 @@
         if mean >= self.bound {
             return None;
         }
+        let weight =
+            |e: &Endpoint| if self.terms.crossing_costs && e.zone == self.home { HOME_WEIGHT } else { 1.0 };
+        let mean_weight = ready().map(weight).sum::<f64>() / count;
         let usual_sends = self.sends.1.max(self.sends.0) / count;
         let mut weights: Vec<(usize, f64, bool, bool)> = Vec::new();
         for (at, e) in self.endpoints.iter().enumerate() {
@@ -495,8 +504,9 @@
                 continue;
             }
             let tried = r.write_outs.iter().any(|w| w.endpoint == at);
-            let above = e.in_flight as f64 > share * (MARGIN_TIMES * mean + MARGIN_PLUS);
-            weights.push((at, e.fraction * share * e.trust(now), tried, above));
+            let place = share * weight(e) / mean_weight;
+            let above = e.in_flight as f64 > place * MARGIN_TIMES * mean + share * MARGIN_PLUS;
+            weights.push((at, e.fraction * place * e.trust(now), tried, above));
         }
         // Each round is content with less: an untried endpoint not well above the mean, then an untried one,
         // then any. With all distrusted, weights stay above nought and the draw still falls somewhere.
