--- a/src/choice.rs
+++ b/src/choice.rs
@@ -8,8 +8,8 @@
 //! 1. Distrust: a score per endpoint that failures raise and time fades; traffic follows it.
 //! 2. Cold share: a started endpoint gets its stated part of the mean, held by a budget per window.
 //! 3. Further write-outs: only as effects permit, and from a purse that arrivals fill.
-//! 4. Criticality: the more a req is worth, the greater its K.
-//! 5. Following the list: subscribe, and ask again after a failure with a jittered wait.
+//! 4. Following the list: subscribe, and ask again after a failure with a jittered wait.
+//! 5. Home: where crossing zones is priced, an endpoint in this instance's zone weighs more.
 //! 6. Bound: the most that any endpoint may hold from here, learned from latency against its budget; beyond
 //!    it reqs wait a little, the most critical first, and are nacked when the wait would be long.
 
@@ -21,9 +21,8 @@
 use crate::units::{Moment, Span};
 use crate::{Decision, Outcome, Standing};
 
-/// Times accepts, for the least and the most critical req: the ends of the design's range.
-const K_LEAST: f64 = 1.1;
-const K_MOST: f64 = 2.0;
+/// Times accepts, the requests that are let through: the design's start.
+const K: f64 = 2.0;
 /// Requests that may fail in a window before any is refused: the design's start.
 const PROTECTION: f64 = 5.0;
 /// Length of a bucket and their number; together the design's 10 s window.
@@ -133,10 +132,10 @@
         self.buckets[at].1 += f64::from(u8::from(accepted));
     }
 
-    fn drop_chance(&mut self, now: Moment, k: f64) -> f64 {
+    fn drop_chance(&mut self, now: Moment) -> f64 {
         self.roll(now);
         let (requests, accepts) = self.buckets.iter().fold((0.0, 0.0), |(r, a), b| (r + b.0, a + b.1));
-        ((requests - PROTECTION - k * accepts) / (requests + 1.0)).max(0.0)
+        ((requests - PROTECTION - K * accepts) / (requests + 1.0)).max(0.0)
     }
 }
 
@@ -363,9 +362,8 @@
         }
         if !r.admitted {
             r.admitted = true;
-            let k = self.k(self.reqs[req].as_ref().map_or(0, |r| r.method));
             self.purse = (self.purse + PURSE_SHARE).min(PURSE_MOST);
-            if self.chance.rand_float() < self.window.drop_chance(now, k) {
+            if self.chance.rand_float() < self.window.drop_chance(now) {
                 return self.end(now, req);
             }
         }
@@ -380,12 +378,6 @@
         }
     }
 
-    /// The drop chance's K: the least critical req has the least.
-    fn k(&self, method: usize) -> f64 {
-        let most = self.terms.methods.iter().map(|m| m.criticality).fold(f64::MIN_POSITIVE, f64::max);
-        K_LEAST + (K_MOST - K_LEAST) * self.terms.methods[method].criticality / most
-    }
-
     fn send(&mut self, now: Moment, req: usize, endpoint: usize, further: bool) {
         let r = self.reqs[req].as_mut().expect("only open reqs are sent");
         let e = self.endpoints[endpoint].as_mut().expect("only known endpoints are picked");
