--- a/src/choice.rs
+++ b/src/choice.rs
@@ -67,8 +67,9 @@
 const HOLD_SHARE: f64 = 0.25;
 /// Between two looks at held reqs: short against any latency budget.
 const HOLD_LOOK: Span = Span::from_millis(20);
-/// Told to a nacked client, times one to two by chance: long enough for part of the window to roll on.
-const COME_BACK: Span = Span::from_millis(400);
+/// Told to a nacked client, as part of the latency budget, times one to two by chance: it spreads the
+/// returns over time in which part of the crowd has gone.
+const COME_BACK: f64 = 1.0;
 /// Part of the stated asking time to wait before subscribing (at start at most this, by chance) or asking again.
 const ASK_SHARE: f64 = 0.5;
 /// How long an endpoint that is gone stays known after its last write-out: it may yet come back.
@@ -435,7 +436,7 @@
             Effect::Deduplicated => never_ran || m.group == Group::All,
             Effect::NonRetryable => never_ran,
         };
-        let wait = COME_BACK * (1.0 + self.chance.rand_float());
+        let wait = m.latency_budget * (COME_BACK * (1.0 + self.chance.rand_float()));
         self.out.push_back(match harmless {
             true => {
                 Decision::Nack { req, come_back: self.terms.longest_come_back.map(|most| wait.min(most)) }
