Hold a req only for 0.06 of its budget: prompt nacks serve better than waits

Cause: a wait spends budget that a client's own return could use, and endpoints were kept at their bound by reqs already late. Conclusion: kept at 0.06.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -64,12 +64,12 @@
 /// Reqs that may be held whatever the recent rate of sends.
 const HELD_FLOOR: f64 = 4.0;
 /// Part of the latency budget that a req without an endpoint to go to may wait for one.
-const HOLD_SHARE: f64 = 0.25;
+const HOLD_SHARE: f64 = 0.06;
 /// Between two looks at held reqs: short against any latency budget.
 const HOLD_LOOK: Span = Span::from_millis(20);
 /// Told to a nacked client, as part of the latency budget, times one to two by chance: it spreads the
 /// returns over time in which part of the crowd has gone.
-const COME_BACK: f64 = 1.0;
+const COME_BACK: f64 = 0.1;
 /// Part of the stated asking time to wait before subscribing (at start at most this, by chance) or asking again.
 const ASK_SHARE: f64 = 0.5;
 /// How long an endpoint that is gone stays known after its last write-out: it may yet come back.
