--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -150,9 +150,6 @@
                 }
                 Decision::ForgetReq { req } => self.reqs.release(req),
                 Decision::ForgetEndpoint { endpoint } => self.endpoints.release(endpoint),
-                Decision::Probe { endpoint } => {
-                    writeln!(out, "check endpoint={}", self.endpoints.name(endpoint))?;
-                }
                 Decision::Wake { at } => {
                     *marks += 1;
                     writeln!(out, "defer mark={marks} momentNs={}", at.nanos())?;
@@ -181,7 +178,7 @@
             self.touched.push(who);
         }
         match word {
-            "begin" | "neighbour_says" => {}
+            "begin" | "neighbour_says" | "health_result" => {}
             "arrival" => instance.arrival(now, fields)?,
             "answer" => instance.answer(now, fields)?,
             "streaming" | "hangup" => {
@@ -202,12 +199,6 @@
                 }
                 other => return Err(format!("unknown kind of sync '{other}'")),
             },
-            "health_result" => {
-                let completed = fields.text("stateCode")? == "completed";
-                if let Some(endpoint) = instance.endpoints.find(fields.text("endpoint")?) {
-                    instance.choice.probed(now, endpoint, completed);
-                }
-            }
             "tick_due" => instance.choice.wake(now),
             "detach" => {
                 self.instances.remove(&who);
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,5 +1,5 @@
 //! Every decision of one instance. Make a `Choice` from the decoded terms and a seed, tell it what happens
-//! (`arrival`, `outcome`, `hangup`, `list_*`, `probed`, `wake`), then pull `next_decision` until there is none.
+//! (`arrival`, `outcome`, `streaming`, `hangup`, `list_*`, `wake`), then pull `next_decision` until there is none.
 //! `lib.rs` defines the decisions and the words they are made of, `terms.rs` the terms.
 //!
 //! The ordinary way of a req is the design's: the drop chance from a rolling window on arrival, fractions
@@ -163,6 +163,8 @@
     purse: f64,
     bound: f64,
     ask_at: Option<Moment>,
+    /// A call to the list's service is under way.
+    asking: bool,
 }
 
 impl Choice {
@@ -188,6 +190,7 @@
             purse: PURSE_MOST,
             bound: BOUND_FIRST,
             ask_at: None,
+            asking: false,
         };
         choice.ask_later(ask_at);
         choice
@@ -311,6 +314,9 @@
     }
 
     pub fn list_closes(&mut self, now: Moment) {
+        if std::mem::take(&mut self.asking) {
+            self.ask_at = None;
+        }
         for e in self.endpoints.iter_mut().flatten().filter(|e| !e.listed && e.standing != Standing::Gone) {
             (e.standing, e.gone_at) = (Standing::Gone, now);
         }
@@ -319,17 +325,18 @@
     }
 
     pub fn list_failed(&mut self, now: Moment) {
+        self.asking = false;
         // Danger: a list service that is down or full stays so if everyone asks again at once.
         let wait = ASK_SHARE * (0.5 + self.chance.rand_float());
         self.ask_later(self.terms.ask_within.map(|within| now + within * wait));
     }
 
-    pub fn probed(&mut self, _now: Moment, _endpoint: usize, _completed: bool) {}
-
     pub fn wake(&mut self, now: Moment) {
         if self.ask_at.is_some_and(|at| at <= now) {
-            self.ask_at = None;
             self.out.push_back(Decision::Subscribe);
+            // Danger: an instance whose call goes unanswered would follow an old list for ever.
+            self.asking = true;
+            self.ask_later(self.terms.ask_within.map(|within| now + within));
         }
         self.look_at_held = true;
     }
@@ -357,21 +364,23 @@
         if r.streaming || r.write_outs.iter().any(|w| w.ended.is_none()) {
             return;
         }
-        // Danger: a batch may come after the deadline; nothing is sent for what is over.
-        if now >= r.deadline {
-            return self.end(now, req);
+        // Danger: a batch may come after the deadline; nothing is sent for what is over or worth nothing.
+        if now >= r.useful_until(&self.terms) {
+            return self.end(req);
         }
         if !r.admitted {
             r.admitted = true;
             self.purse = (self.purse + PURSE_SHARE).min(PURSE_MOST);
             if self.chance.rand_float() < self.window.drop_chance(now) {
-                return self.end(now, req);
+                return self.end(req);
             }
         }
         let r = self.reqs[req].as_ref().expect("looked up above");
         let further = !r.write_outs.is_empty();
-        if further && (self.purse < 1.0 || r.write_outs.len() >= self.terms.most_write_outs) {
-            return self.end(now, req);
+        let spent = self.purse < 1.0 || r.write_outs.len() >= self.terms.most_write_outs;
+        let only_once = self.terms.methods[r.method].effect == Effect::NonRetryable && !r.never_ran();
+        if further && (spent || only_once) {
+            return self.end(req);
         }
         match self.pick(now, req) {
             Some(endpoint) => self.send(now, req, endpoint, further),
@@ -383,13 +392,7 @@
         let r = self.reqs[req].as_mut().expect("only open reqs are sent");
         let e = self.endpoints[endpoint].as_mut().expect("only known endpoints are picked");
         r.write_outs.push(WriteOut { endpoint, sent: now, ended: None });
-        let m = &self.terms.methods[r.method];
-        let mut give_up = r.deadline;
-        if m.overdue_criticality == 0.0 {
-            // Late is worth nothing: leave room to say so while it is not yet late.
-            give_up = give_up.min(r.arrived + m.latency_budget.less(self.terms.tick * 2.0));
-        }
-        let give_up = give_up.max(now + self.terms.tick);
+        let give_up = r.useful_until(&self.terms);
         e.in_flight += 1;
         if e.cold(now, &self.terms) {
             e.cold_sends.push_back(now);
@@ -407,7 +410,7 @@
         let m = &self.terms.methods[r.method];
         let wait = m.latency_budget * HOLD_SHARE;
         if now + HOLD_LOOK >= (r.arrived + wait).min(r.deadline) {
-            return self.end(now, req);
+            return self.end(req);
         }
         if self.held.is_empty() {
             self.out.push_back(Decision::Wake { at: now + HOLD_LOOK });
@@ -420,15 +423,15 @@
         let rate = self.sends.0.max(self.sends.1) / self.terms.fall_window.secs().max(1e-6);
         if self.held.len() as f64 > (rate * wait.secs()).max(HELD_FLOOR) {
             let last = self.held.pop().expect("just filled");
-            self.end(now, last);
+            self.end(last);
         }
     }
 
     /// The final answer of a req that is given up: nacked where a repeat does no harm, else failed.
-    fn end(&mut self, _now: Moment, req: usize) {
+    fn end(&mut self, req: usize) {
         let r = self.reqs[req].as_mut().expect("only open reqs are ended");
         let m = &self.terms.methods[r.method];
-        let never_ran = r.write_outs.iter().all(|w| w.ended.is_some_and(Outcome::never_ran));
+        let never_ran = r.never_ran();
         r.closed = true;
         // Danger: a nack invites a repeat, so it must not follow what may have run, unless repeats are safe.
         let harmless = match m.effect {
@@ -589,6 +592,21 @@
     }
 }
 
+impl Req {
+    fn never_ran(&self) -> bool {
+        self.write_outs.iter().all(|w| w.ended.is_some_and(Outcome::never_ran))
+    }
+
+    /// Up to when an answer is worth something, with room to give the final answer before it is late.
+    fn useful_until(&self, terms: &Terms) -> Moment {
+        let m = &terms.methods[self.method];
+        match m.overdue_criticality > 0.0 {
+            true => self.deadline,
+            false => self.deadline.min(self.arrived + m.latency_budget.less(terms.tick * 2.0)),
+        }
+    }
+}
+
 impl Endpoint {
     fn fade(&mut self, now: Moment) {
         self.distrust *= 0.5_f64.powf(now.since(self.distrust_at).secs() / DISTRUST_HALF.secs());
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -53,8 +53,6 @@
     ForgetReq { req: usize },
     /// The endpoint is gone and nothing is out to it: its index may be used again.
     ForgetEndpoint { endpoint: usize },
-    /// Ask an endpoint whether it is well.
-    Probe { endpoint: usize },
     /// Call `wake` at this moment.
     Wake { at: Moment },
     /// Ask the list for all changes from now on.
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -31,31 +31,19 @@
     pub criticality: f64,
 }
 
-#[derive(Clone, Debug)]
-pub struct Tenant {
-    pub name: String,
-    pub quota_per_s: f64,
-}
-
 #[derive(Clone, Debug)]
 pub struct Terms {
-    pub instances: f64,
     pub zone: String,
     pub tick: Span,
     pub crossing_costs: bool,
     pub methods: Vec<Method>,
-    pub tenants: Vec<Tenant>,
-    pub excess_criticality: f64,
     pub most_write_outs: usize,
-    pub second_copies: bool,
     pub may_revoke: bool,
-    pub may_probe: bool,
     pub longest_come_back: Option<Span>,
     /// Where the list answers only when asked: how soon an instance that has not asked counts as informed.
     pub ask_within: Option<Span>,
     pub cold_start: f64,
     pub cold_for: Span,
-    pub fall_multiple: f64,
     pub fall_window: Span,
 }
 
@@ -119,31 +107,19 @@
     pub fn decode<'a>(pairs: impl Iterator<Item = (&'a str, &'a str)>) -> Result<Terms, String> {
         let p = Pairs(pairs.collect());
         let methods = (0..p.count("methods")?).map(|i| p.method(&format!("methods.{i}")));
-        let tenants = (0..p.count("customers")?).map(|i| {
-            Ok(Tenant {
-                name: p.text(&format!("customers.{i}.name"))?.to_string(),
-                quota_per_s: p.read(&format!("customers.{i}.quotaPerS"))?,
-            })
-        });
         let asked = p.text("discovery")? == "subscribe";
         let come_back = p.flag("ceilings.retryAfter")?;
         Ok(Terms {
-            instances: p.read("nInstances")?,
             zone: p.text("zone")?.to_string(),
             tick: p.span("tickNs")?,
             crossing_costs: p.read::<f64>("deductions.crossZone")? > 0.0,
             methods: methods.collect::<Result<_, String>>()?,
-            tenants: tenants.collect::<Result<_, String>>()?,
-            excess_criticality: p.read("excessCriticality")?,
             most_write_outs: p.read("ceilings.mostWriteOuts")?,
-            second_copies: p.flag("ceilings.secondCopies")?,
             may_revoke: p.flag("ceilings.cancel")?,
-            may_probe: p.flag("ceilings.probes")?,
             longest_come_back: if come_back { Some(p.span("ceilings.maxRetryAfterNs")?) } else { None },
             ask_within: if asked { Some(p.span("rules.askWithinNs")?) } else { None },
             cold_start: p.read("rules.startCapacity")?,
             cold_for: p.span("rules.coldNs")?,
-            fall_multiple: p.read("rules.fallMultiple")?,
             fall_window: p.span("rules.overloadForNs")?,
         })
     }
--- /dev/null
+++ b/tests/scenarios.rs
@@ -0,0 +1,238 @@
+//! Plays every file of `tests/scenarios` on the module alone. The notation, one step a line:
+//!
+//! `terms PATH=VALUE ..`                       terms other than the usual ones below, before any other step
+//! `MS list|delta NAME[:STATE[:ZONE[:CELL[:STARTED_MS]]]] ..`   what the list says; `NAME*COUNT` for many
+//! `MS arrival REQ METHOD LEFT_MS`, `MS answer REQ WRITE_OUT OUTCOME`, `MS hangup REQ`, `MS wake`, `MS list-failed`
+//! `MS flood COUNT METHOD GAP_MS OUTCOME [NAME=TOOK_MS[:OUTCOME] ..]`  reqs one by one, each write-out answered at once
+//!                                             or after what its endpoint takes; decisions are counted
+//! `expect DECISION`                           the next decision, word for word; `any` stands for any word
+//! `count NAME|nack|fail LEAST MOST`           what the last flood counted
+//!
+//! Each decision must be expected, but for `forget`. Between two steps the module is pulled until it has no more.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use appledyke::choice::Choice;
+use appledyke::ids::Names;
+use appledyke::terms::Terms;
+use appledyke::units::{Moment, Span};
+use appledyke::{Decision, Outcome, Standing};
+
+const USUAL: &str = "zone=z0 tickNs=1000000 deductions.crossZone=0 discovery=automatic ceilings.cancel=true \
+    ceilings.retryAfter=true ceilings.maxRetryAfterNs=50000000 ceilings.mostWriteOuts=3 rules.askWithinNs=10000000000 \
+    rules.startCapacity=0.25 rules.coldNs=8000000000 rules.overloadForNs=1000000000 methods.count=0";
+const METHODS: [(&str, &str); 4] = [
+    ("read", "retryable all 0.5"),
+    ("brief", "retryable all 0"),
+    ("mark", "dedup cell 0.5"),
+    ("once", "fragile all 0.5"),
+];
+
+struct Play {
+    choice: Choice,
+    reqs: Names,
+    endpoints: Names,
+    places: Names,
+    pending: VecDeque<String>,
+    counts: BTreeMap<String, usize>,
+}
+
+fn terms(overrides: &str) -> Terms {
+    let mut pairs: BTreeMap<String, String> = BTreeMap::new();
+    for (at, (name, rest)) in METHODS.iter().enumerate() {
+        let [effect, group, late] = rest.split(' ').collect::<Vec<_>>()[..] else { panic!("bad method") };
+        let values = [("name", *name), ("effect", effect), ("group", group), ("overdueCriticality", late)];
+        let figures = [("windowNs", "2000000000"), ("latencyBudgetNs", "1000000000"), ("criticality", "1")];
+        pairs
+            .extend(values.iter().chain(&figures).map(|(k, v)| (format!("methods.{at}.{k}"), v.to_string())));
+    }
+    for pair in USUAL.split_whitespace().chain(["methods.count=4"]).chain(overrides.split_whitespace()) {
+        let (path, value) = pair.split_once('=').expect("PATH=VALUE");
+        pairs.insert(path.to_string(), value.to_string());
+    }
+    Terms::decode(pairs.iter().map(|(k, v)| (k.as_str(), v.as_str()))).expect("readable terms")
+}
+
+fn outcome(word: &str) -> Outcome {
+    match word {
+        "satisfied" => Outcome::Satisfied,
+        "errored" => Outcome::Errored,
+        "saturated" => Outcome::Saturated,
+        "overdue" => Outcome::Overdue,
+        "refused" => Outcome::RefusedConnection,
+        "severed" => Outcome::Severed,
+        "recalled" => Outcome::Recalled,
+        "never-sent" => Outcome::NeverSent,
+        other => panic!("unknown outcome {other}"),
+    }
+}
+
+fn millis(word: &str) -> u64 {
+    word.parse().unwrap_or_else(|_| panic!("'{word}' is no number of milliseconds"))
+}
+
+fn moment(ms: u64) -> Moment {
+    Moment::from_nanos(ms * 1_000_000)
+}
+
+impl Play {
+    fn new(overrides: &str) -> Play {
+        let mut places = Names::default();
+        let home = places.index("z0");
+        let choice = Choice::new(moment(0), terms(overrides), home, 7);
+        let (reqs, endpoints) = (Names::default(), Names::default());
+        Play { choice, reqs, endpoints, places, pending: VecDeque::new(), counts: BTreeMap::new() }
+    }
+
+    fn pull(&mut self, now: u64) {
+        while let Some(decision) = self.choice.next_decision(moment(now)) {
+            let said = match decision {
+                Decision::Send { req, endpoint, give_up } => {
+                    let give_up = give_up.nanos() / 1_000_000;
+                    format!("send {} {} {give_up}", self.reqs.name(req), self.endpoints.name(endpoint))
+                }
+                Decision::Nack { req, come_back } => {
+                    let wait = come_back.map_or(0, |wait| wait.nanos() / 1_000_000);
+                    format!("nack {} {wait}", self.reqs.name(req))
+                }
+                Decision::Fail { req } => format!("fail {}", self.reqs.name(req)),
+                Decision::Revoke { req, write_out } => format!("revoke {} {write_out}", self.reqs.name(req)),
+                Decision::Wake { at } => format!("wake {}", at.nanos() / 1_000_000),
+                Decision::Subscribe => "subscribe".to_string(),
+                Decision::ForgetReq { req } => {
+                    self.reqs.release(req);
+                    continue;
+                }
+                Decision::ForgetEndpoint { endpoint } => {
+                    self.endpoints.release(endpoint);
+                    continue;
+                }
+            };
+            self.pending.push_back(said);
+        }
+    }
+
+    fn list(&mut self, now: u64, complete: bool, entries: &[&str]) {
+        self.choice.list_opens(complete);
+        for entry in entries {
+            let mut parts = entry.split(':');
+            let (name, count) = parts.next().and_then(|n| n.split_once('*')).unwrap_or((entry, "1"));
+            let name = name.split(':').next().unwrap_or(name);
+            let standing = match parts.next().unwrap_or("ready") {
+                "ready" => Standing::Ready,
+                "draining" => Standing::Draining,
+                "gone" => Standing::Gone,
+                other => panic!("unknown state {other}"),
+            };
+            let zone = self.places.index(parts.next().unwrap_or("z0"));
+            let cell = self.places.index(parts.next().unwrap_or("c0")) as u64;
+            let started = parts.next().map(|ms| moment(millis(ms)));
+            for number in 0..millis(count) {
+                let name = if count == "1" { name.to_string() } else { format!("{name}{number}") };
+                let endpoint = self.endpoints.index(&name);
+                self.choice.listed(moment(now), endpoint, (zone, cell), standing, started);
+            }
+        }
+        self.choice.list_closes(moment(now));
+    }
+
+    fn arrival(&mut self, now: u64, req: &str, method: &str, left: &str) {
+        let method = METHODS.iter().position(|(name, _)| *name == method).expect("a known method");
+        let req = self.reqs.index(req);
+        self.choice.arrival(moment(now), req, method, Span::from_millis(millis(left)));
+    }
+
+    fn answer(&mut self, now: u64, req: &str, write_out: usize, word: &str) {
+        let outcome = outcome(word);
+        if let Some(req) = self.reqs.find(req) {
+            let closed = outcome == Outcome::Satisfied;
+            self.choice.outcome(moment(now), req, write_out, outcome, closed);
+        }
+    }
+
+    fn flood(&mut self, mut now: u64, words: &[&str]) {
+        let [count, method, gap, outcome, takes @ ..] = words else { panic!("a flood lacks words") };
+        self.counts.clear();
+        for number in 0..millis(count) {
+            let req = format!("flood{number}");
+            self.arrival(now, &req, method, "5000");
+            self.pull(now);
+            let mut write_outs = 0;
+            while let Some(said) = self.pending.pop_front() {
+                let words: Vec<&str> = said.split(' ').collect();
+                let counted = if words[0] == "send" { words[2] } else { words[0] };
+                *self.counts.entry(counted.to_string()).or_default() += 1;
+                if words[0] == "send" {
+                    let prefix = format!("{}=", words[2]);
+                    let took = takes.iter().find_map(|take| take.strip_prefix(&prefix)).unwrap_or("0");
+                    let (took, outcome) = took.split_once(':').unwrap_or((took, outcome));
+                    now += millis(took);
+                    self.answer(now, &req, write_outs, outcome);
+                    write_outs += 1;
+                    self.pull(now);
+                }
+            }
+            now += millis(gap);
+        }
+    }
+
+    fn step(&mut self, line: &str) -> Result<(), String> {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        match words[..] {
+            ["expect", ref wanted @ ..] => {
+                let said = self.pending.pop_front().unwrap_or("nothing".to_string());
+                let got: Vec<&str> = said.split(' ').collect();
+                let same =
+                    got.len() == wanted.len() && got.iter().zip(wanted).all(|(g, w)| g == w || *w == "any");
+                return if same { Ok(()) } else { Err(format!("the module decides: {said}")) };
+            }
+            ["count", name, least, most] => {
+                let count = self.counts.get(name).copied().unwrap_or(0) as u64;
+                let within = (millis(least)..=millis(most)).contains(&count);
+                return if within { Ok(()) } else { Err(format!("counted {count}")) };
+            }
+            _ => {}
+        }
+        if let Some(said) = self.pending.front() {
+            return Err(format!("before this the module decides, unexpected: {said}"));
+        }
+        let now = millis(words[0]);
+        match words[1..] {
+            ["list", ref entries @ ..] => self.list(now, true, entries),
+            ["delta", ref entries @ ..] => self.list(now, false, entries),
+            ["arrival", req, method, left] => self.arrival(now, req, method, left),
+            ["answer", req, write_out, outcome] => self.answer(now, req, millis(write_out) as usize, outcome),
+            ["hangup", req] => self.choice.hangup(self.reqs.find(req).expect("an open req")),
+            ["wake"] => self.choice.wake(moment(now)),
+            ["list-failed"] => self.choice.list_failed(moment(now)),
+            ["flood", ref words @ ..] => self.flood(now, words),
+            _ => return Err("not in the notation".to_string()),
+        }
+        self.pull(now);
+        Ok(())
+    }
+}
+
+#[test]
+fn scenarios() {
+    let folder = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/scenarios");
+    let mut files: Vec<_> = std::fs::read_dir(folder).unwrap().map(|entry| entry.unwrap().path()).collect();
+    files.sort();
+    assert!(!files.is_empty());
+    let mut wrong = Vec::new();
+    for file in files {
+        let text = std::fs::read_to_string(&file).unwrap() + "expect nothing\n";
+        let overrides: Vec<&str> = text.lines().filter_map(|line| line.strip_prefix("terms ")).collect();
+        let mut play = Play::new(&overrides.join(" "));
+        play.pull(0);
+        let steps = text.lines().enumerate();
+        let steps = steps.filter(|(_, l)| !(l.is_empty() || l.starts_with('#') || l.starts_with("terms ")));
+        for (number, line) in steps {
+            if let Err(what) = play.step(line) {
+                wrong.push(format!("{}:{}: '{line}': {what}", file.display(), number + 1));
+                break;
+            }
+        }
+    }
+    assert!(wrong.is_empty(), "{}", wrong.join("\n"));
+}
