--- a/src/choice.rs
+++ b/src/choice.rs
@@ -36,15 +36,17 @@
 /// for instances with a trickle, the multiple for busy ones.
 const MARGIN_TIMES: f64 = 1.25;
 const MARGIN_PLUS: f64 = 0.5;
+/// Draws before an endpoint well above the mean is taken after all: enough to find the few that are not.
+const DRAWS: usize = 8;
+/// Weight of an endpoint that the req has been to: only taken when there is hardly another.
+const TRIED_WEIGHT: f64 = 0.01;
 /// Distrust that one failure adds (halvings of traffic), and what a satisfied write-out leaves of it.
 const DISTRUST_STEP: f64 = 1.0;
-/// The same for a connection refused or broken: a process that is down fails every req, not some.
-const DISTRUST_DOWN: f64 = 4.0;
 const DISTRUST_KEPT: f64 = 0.8;
 /// Most distrust: a thousandth of the traffic is a trickle that can still tell of recovery.
 const DISTRUST_MOST: f64 = 10.0;
 /// Time in which distrust fades to half: a few solves, so that a short fault does not cost an endpoint.
-const DISTRUST_HALF: Span = Span::from_millis(8000);
+const DISTRUST_HALF: Span = Span::from_millis(4000);
 /// Further write-outs that one arrival pays for, and the most that may be saved up.
 const PURSE_SHARE: f64 = 0.2;
 const PURSE_MOST: f64 = 10.0;
@@ -242,9 +244,7 @@
             e.latency = Some(smoothed(e.latency, secs / usual));
             e.distrust *= DISTRUST_KEPT;
         } else {
-            let down = matches!(outcome, Outcome::RefusedConnection | Outcome::Severed);
-            let step = if down { DISTRUST_DOWN } else { DISTRUST_STEP };
-            e.distrust = (e.distrust + step).min(DISTRUST_MOST);
+            e.distrust = (e.distrust + DISTRUST_STEP).min(DISTRUST_MOST);
         }
         // Danger: a queue that answers late never fails, so the window would not see the overload in it.
         let budget = self.terms.methods[method].latency_budget;
@@ -476,57 +476,55 @@
         let r = self.reqs[req].as_ref()?;
         let m = &self.terms.methods[r.method];
         let ready = || self.endpoints.iter().flatten().filter(|e| e.standing == Standing::Ready);
-        let count = ready().count().max(1) as f64;
-        let mean = ready().map(|e| e.in_flight).sum::<usize>() as f64 / count;
+        // Trust counts against the most trusted, so that all distrusted is the same as none.
+        let most = ready().map(|e| e.trust(now)).fold(f64::MIN_POSITIVE, f64::max);
+        let at_home = |e: &Endpoint| self.terms.crossing_costs && e.zone == self.home;
+        let weight = |e: &Endpoint| e.trust(now) / most * if at_home(e) { HOME_WEIGHT } else { 1.0 };
+        let count = ready().map(|e| e.trust(now) / most).sum::<f64>().max(1.0);
+        let mean = ready().map(|e| e.in_flight as f64 * e.trust(now) / most).sum::<f64>() / count;
         // Danger: many instances that each keep a whole write-out at every endpoint crowd it together, so the
         // bound holds for the mean, not only for each endpoint.
         if mean >= self.bound {
             return None;
         }
-        let weight =
-            |e: &Endpoint| if self.terms.crossing_costs && e.zone == self.home { HOME_WEIGHT } else { 1.0 };
         let mean_weight = ready().map(weight).sum::<f64>() / count;
         let usual_sends = self.sends.1.max(self.sends.0) / count;
-        let mut weights: Vec<(usize, f64, bool, bool)> = Vec::new();
+        let mut open: Vec<(usize, f64, bool, bool)> = Vec::new();
         for (at, e) in self.endpoints.iter().enumerate() {
             let Some(e) = e.as_ref().filter(|e| e.standing == Standing::Ready) else { continue };
-            let share = e.cold_share(now, &self.terms);
             if !self.may_repeat(now, r, m, e) {
                 continue;
             }
+            let share = e.cold_share(now, &self.terms);
             // Danger: a burst onto a started endpoint can spend its budget before the window has passed.
             let window_opened = |sent: &&Moment| now.since(**sent) < self.terms.fall_window;
-            let spent = e.cold_sends.iter().filter(window_opened).count() as f64;
-            if share < 1.0 && spent >= (share * usual_sends).max(1.0) {
-                continue;
-            }
-            if e.in_flight as f64 >= (self.bound * share).max(1.0) {
-                continue;
-            }
-            let tried = r.write_outs.iter().any(|w| w.endpoint == at);
+            let sent = e.cold_sends.iter().filter(window_opened).count() as f64;
+            let spent = share < 1.0 && sent >= (share * usual_sends).max(1.0);
+            let full = spent || e.in_flight as f64 >= (self.bound * share).max(1.0);
             let place = share * weight(e) / mean_weight;
             let above = e.in_flight as f64 > place * MARGIN_TIMES * mean + share * MARGIN_PLUS;
-            weights.push((at, e.fraction * place * e.trust(now), tried, above));
-        }
-        // Each round is content with less: an untried endpoint not well above the mean, then an untried one,
-        // then any. With all distrusted, weights stay above nought and the draw still falls somewhere.
-        for (may_be_tried, may_be_above) in [(false, false), (false, true), (true, false), (true, true)] {
-            let open = |w: &&(usize, f64, bool, bool)| (may_be_tried || !w.2) && (may_be_above || !w.3);
-            let total: f64 = weights.iter().filter(open).map(|w| w.1).sum();
+            let tried = if r.write_outs.iter().any(|w| w.endpoint == at) { TRIED_WEIGHT } else { 1.0 };
+            open.push((at, e.fraction * place * tried, full, above));
+        }
+        // Danger: were the full and the crowded left out of the draw, then in a rush only the distrusted would
+        // stay in it and get all; so all are drawn, and passed over only when drawn.
+        let total: f64 = open.iter().map(|w| w.1).sum();
+        let mut second_best = None;
+        for _ in 0..DRAWS {
             let mut left = self.chance.rand_float() * total;
-            let mut last = None;
-            for w in weights.iter().filter(open) {
-                last = Some(w.0);
+            let drawn = open.iter().find(|w| {
                 left -= w.1;
-                if left < 0.0 {
-                    break;
-                }
+                left < 0.0
+            });
+            let Some(&(at, _, full, above)) = drawn.or(open.last()) else { break };
+            if !full && !above {
+                return Some(at);
             }
-            if last.is_some() {
-                return last;
+            if !full {
+                second_best = second_best.or(Some(at));
             }
         }
-        None
+        second_best
     }
 
     /// Whether an effect could happen twice if the req went to this endpoint now.
