--- a/src/choice.rs
+++ b/src/choice.rs
@@ -42,6 +42,8 @@
 const TRIED_WEIGHT: f64 = 0.01;
 /// Distrust that one failure adds (halvings of traffic), and what a satisfied write-out leaves of it.
 const DISTRUST_STEP: f64 = 1.0;
+/// The same for a connection refused or broken: a process that is down fails every req, not some.
+const DISTRUST_DOWN: f64 = 4.0;
 const DISTRUST_KEPT: f64 = 0.8;
 /// Most distrust: a thousandth of the traffic is a trickle that can still tell of recovery.
 const DISTRUST_MOST: f64 = 10.0;
@@ -244,7 +246,9 @@
             e.latency = Some(smoothed(e.latency, secs / usual));
             e.distrust *= DISTRUST_KEPT;
         } else {
-            e.distrust = (e.distrust + DISTRUST_STEP).min(DISTRUST_MOST);
+            let down = matches!(outcome, Outcome::RefusedConnection | Outcome::Severed);
+            let step = if down { DISTRUST_DOWN } else { DISTRUST_STEP };
+            e.distrust = (e.distrust + step).min(DISTRUST_MOST);
         }
         // Danger: a queue that answers late never fails, so the window would not see the overload in it.
         let budget = self.terms.methods[method].latency_budget;
