--- a/src/choice.rs
+++ b/src/choice.rs
@@ -488,7 +488,8 @@
         let mean = ready().map(|e| e.in_flight as f64 * e.trust(now) / most).sum::<f64>() / count;
         // Danger: many instances that each keep a whole write-out at every endpoint crowd it together, so the
         // bound holds for the mean, not only for each endpoint.
-        if mean >= self.bound {
+        let held = ready().map(|e| e.in_flight).sum::<usize>() as f64;
+        if held >= self.bound * count {
             return None;
         }
         let mean_weight = ready().map(weight).sum::<f64>() / count;
