Pass over what has no room for one more, by trust

Cause: redraws took crowded endpoints, exact pass-over took dead ones. Change: an endpoint is well above the mean when one more would not fit the place that its trust leaves it.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -36,8 +36,6 @@
 /// for instances with a trickle, the multiple for busy ones.
 const MARGIN_TIMES: f64 = 1.25;
 const MARGIN_PLUS: f64 = 0.5;
-/// Draws before an endpoint well above the mean is taken after all: enough to find the few that are not.
-const DRAWS: usize = 8;
 /// Weight of an endpoint that the req has been to: only taken when there is hardly another.
 const TRIED_WEIGHT: f64 = 0.01;
 /// Distrust that one failure adds (halvings of traffic), and what a satisfied write-out leaves of it.
@@ -488,8 +486,7 @@
         let mean = ready().map(|e| e.in_flight as f64 * e.trust(now) / most).sum::<f64>() / count;
         // Danger: many instances that each keep a whole write-out at every endpoint crowd it together, so the
         // bound holds for the mean, not only for each endpoint.
-        let held = ready().map(|e| e.in_flight).sum::<usize>() as f64;
-        if held >= self.bound * count {
+        if mean >= self.bound {
             return None;
         }
         let mean_weight = ready().map(weight).sum::<f64>() / count;
@@ -507,29 +504,26 @@
             let spent = share < 1.0 && sent >= (share * usual_sends).max(1.0);
             let full = spent || e.in_flight as f64 >= (self.bound * share).max(1.0);
             let place = share * weight(e) / mean_weight;
-            let above = e.in_flight as f64 > place * MARGIN_TIMES * mean + share * MARGIN_PLUS;
+            // Danger: in a rush only endpoints that are down stay below the mean, and would get all of it; so a
+            // further write-out must fit the place that the endpoint's trust leaves it.
+            let room = place * MARGIN_TIMES * mean + e.trust(now) / most * (1.0 + share * MARGIN_PLUS);
+            let above = e.in_flight as f64 + 1.0 > room;
             let tried = if r.write_outs.iter().any(|w| w.endpoint == at) { TRIED_WEIGHT } else { 1.0 };
             open.push((at, e.fraction * place * tried, full, above));
         }
-        // Danger: were the full and the crowded left out of the draw, then in a rush only the distrusted would
-        // stay in it and get all; so all are drawn, and passed over only when drawn.
-        let total: f64 = open.iter().map(|w| w.1).sum();
-        let mut second_best = None;
-        for _ in 0..DRAWS {
-            let mut left = self.chance.rand_float() * total;
-            let drawn = open.iter().find(|w| {
+        // Where all are well above the mean, any that is not full will do; the draw still follows the weights.
+        for may_be_above in [false, true] {
+            let passed = |w: &&(usize, f64, bool, bool)| !w.2 && (may_be_above || !w.3);
+            let mut left = self.chance.rand_float() * open.iter().filter(passed).map(|w| w.1).sum::<f64>();
+            let drawn = open.iter().filter(passed).find(|w| {
                 left -= w.1;
                 left < 0.0
             });
-            let Some(&(at, _, full, above)) = drawn.or(open.last()) else { break };
-            if !full && !above {
-                return Some(at);
-            }
-            if !full {
-                second_best = second_best.or(Some(at));
+            if let Some(w) = drawn.or(open.iter().rfind(passed)) {
+                return Some(w.0);
             }
         }
-        second_best
+        None
     }
 
     /// Whether an effect could happen twice if the req went to this endpoint now.
