--- a/src/choice.rs
+++ b/src/choice.rs
@@ -421,9 +421,8 @@
         if self.held.is_empty() {
             self.out.push_back(Decision::Wake { at: now + HOLD_LOOK });
         }
-        let worth =
-            |req: &usize| self.reqs[*req].as_ref().map_or(0.0, |r| self.terms.methods[r.method].criticality);
-        let place = self.held.partition_point(|held| worth(held) >= m.criticality);
+        let worth = |req: &usize| self.reqs[*req].as_ref().map_or(0.0, |r| self.worth(r.method));
+        let place = self.held.partition_point(|held| worth(held) >= worth(&req));
         self.held.insert(place, req);
         // Danger: a queue longer than what is sent in a wait only delays its nacks.
         let rate = self.sends.0.max(self.sends.1) / self.terms.fall_window.secs().max(1e-6);
@@ -433,6 +432,11 @@
         }
     }
 
+    /// Criticality against the time that the method usually takes: what a place at an endpoint earns.
+    fn worth(&self, method: usize) -> f64 {
+        self.terms.methods[method].criticality / self.usual[method].unwrap_or(1.0).max(1e-3)
+    }
+
     /// The final answer of a req that is given up: nacked where a repeat does no harm, else failed.
     fn end(&mut self, req: usize) {
         let r = self.reqs[req].as_mut().expect("only open reqs are ended");
