--- a/src/choice.rs
+++ b/src/choice.rs
@@ -90,6 +90,8 @@
 struct Req {
     method: usize,
     arrived: Moment,
+    /// For how long at least the client has been asking before.
+    age: Span,
     deadline: Moment,
     write_outs: Vec<WriteOut>,
     admitted: bool,
@@ -164,6 +166,8 @@
     sends: (f64, f64),
     sends_since: Moment,
     solved: Option<Moment>,
+    /// The most time that a req of each method came with.
+    longest_left: Vec<Span>,
     purse: f64,
     bound: f64,
     ask_at: Option<Moment>,
@@ -177,6 +181,7 @@
         // Danger: all instances that start together would fall on the list's service at once.
         let ask_at = terms.ask_within.map(|within| now + within * (ASK_SHARE * chance.rand_float()));
         let mut choice = Choice {
+            longest_left: vec![Span::ZERO; terms.methods.len()],
             usual: vec![None; terms.methods.len()],
             terms,
             home,
@@ -210,9 +215,15 @@
         if self.reqs.len() <= req {
             self.reqs.resize_with(req + 1, || None);
         }
+        // Danger: a client that returns late would take a place for an answer that is worth nothing any more.
+        // A try is given at most so long; one with less than that left started when its whole deadline did.
+        let longest = self.longest_left[method].max(left);
+        self.longest_left[method] = longest;
+        let age = if left < longest { self.terms.methods[method].deadline.less(left) } else { Span::ZERO };
         self.reqs[req] = Some(Req {
             method,
             arrived: now,
+            age,
             deadline: now + left,
             write_outs: Vec::new(),
             admitted: false,
@@ -607,7 +618,7 @@
         let m = &terms.methods[self.method];
         match m.overdue_criticality > 0.0 {
             true => self.deadline,
-            false => self.deadline.min(self.arrived + m.latency_budget.less(terms.tick * 2.0)),
+            false => self.deadline.min(self.arrived + m.latency_budget.less(terms.tick * 2.0).less(self.age)),
         }
     }
 }
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -27,6 +27,7 @@
     pub group: Group,
     pub window: Span,
     pub latency_budget: Span,
+    pub deadline: Span,
     pub overdue_criticality: f64,
     pub criticality: f64,
 }
@@ -95,6 +96,7 @@
             effect,
             group,
             window: self.span(&key("windowNs"))?,
+            deadline: self.span(&key("deadlineNs"))?,
             latency_budget: self.span(&key("latencyBudgetNs"))?,
             overdue_criticality: self.read(&key("overdueCriticality"))?,
             criticality: self.read(&key("criticality"))?,
