Nack at once what comes back too late for its budget, told by the length of tries

Their time left is cut by the client's whole deadline, so it is shorter than a usual try; a vote finds the usual length, and without a clear vote nothing is done.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -74,6 +74,9 @@
 /// Told to a nacked client, as part of the latency budget, times one to two by chance: it spreads the
 /// returns over time in which part of the crowd has gone.
 const COME_BACK: f64 = 0.1;
+/// Relative difference within which two tries are of one length, and the votes that make sure of it.
+const TRY_NEAR: f64 = 0.01;
+const TRY_VOTES: u32 = 20;
 /// Part of the stated asking time to wait before subscribing (at start at most this, by chance) or asking again.
 const ASK_SHARE: f64 = 0.5;
 /// How long an endpoint that is gone stays known after its last write-out: it may yet come back.
@@ -166,8 +169,8 @@
     sends: (f64, f64),
     sends_since: Moment,
     solved: Option<Moment>,
-    /// The most time that a req of each method came with.
-    longest_left: Vec<Span>,
+    /// The length of a try of each method, as voted by the time that its reqs have left, and the votes for it.
+    try_length: Vec<(Span, u32)>,
     purse: f64,
     bound: f64,
     ask_at: Option<Moment>,
@@ -181,7 +184,7 @@
         // Danger: all instances that start together would fall on the list's service at once.
         let ask_at = terms.ask_within.map(|within| now + within * (ASK_SHARE * chance.rand_float()));
         let mut choice = Choice {
-            longest_left: vec![Span::ZERO; terms.methods.len()],
+            try_length: vec![(Span::ZERO, 0); terms.methods.len()],
             usual: vec![None; terms.methods.len()],
             terms,
             home,
@@ -216,10 +219,17 @@
             self.reqs.resize_with(req + 1, || None);
         }
         // Danger: a client that returns late would take a place for an answer that is worth nothing any more.
-        // A try is given at most so long; one with less than that left started when its whole deadline did.
-        let longest = self.longest_left[method].max(left);
-        self.longest_left[method] = longest;
-        let age = if left < longest { self.terms.methods[method].deadline.less(left) } else { Span::ZERO };
+        // Tries are given one length; one with less left is cut by its client's whole deadline. A vote finds
+        // that length: where tries differ (a caller's time left, odd clients) it is never sure, and nothing is.
+        let (length, votes) = &mut self.try_length[method];
+        let near = left.secs() / length.secs().max(1e-9) - 1.0;
+        match (near.abs() < TRY_NEAR, *votes) {
+            (true, _) => *votes = (*votes + 1).min(2 * TRY_VOTES),
+            (false, 0) => (*length, *votes) = (left, 1),
+            (false, _) => *votes -= 1,
+        }
+        let cut = *votes >= TRY_VOTES && near < -TRY_NEAR;
+        let age = if cut { self.terms.methods[method].deadline.less(left) } else { Span::ZERO };
         self.reqs[req] = Some(Req {
             method,
             arrived: now,
