--- a/crates/wirehost/tests/wire.rs
+++ b/crates/wirehost/tests/wire.rs
@@ -7,7 +7,7 @@
     ceilings.cancel=true ceilings.retryAfter=true ceilings.maxRetryAfterNs=50000000 ceilings.mostWriteOuts=3 \
     rules.startCapacity=0.25 rules.coldNs=8000000000 rules.overloadForNs=1000000000 methods.count=1 \
     methods.0.name=order methods.0.effect=fragile methods.0.group=all methods.0.windowNs=1 methods.0.criticality=1 \
-    methods.0.latencyBudgetNs=1000000000 methods.0.overdueCriticality=0 a.setting.of.tomorrow=1";
+    methods.0.latencyBudgetNs=1000000000 methods.0.deadlineNs=3000000000 methods.0.overdueCriticality=0 a.setting.of.tomorrow=1";
 
 fn host(input: &str) -> Output {
     let mut child = Command::new(env!("CARGO_BIN_EXE_appledyke-wirehost"))
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -4,14 +4,15 @@
 //!
 //! The ordinary way of a req is the design's: the drop chance from a rolling window on arrival, fractions
 //! from inverse smoothed served latency, weighted draws that pass over an endpoint with much in flight.
-//! Mechanisms beside the design (six at most):
+//! The four rules are each held in one place: `end` (one final answer, and what may be nacked), `may_repeat`
+//! (no effect twice), `open_endpoints` (nothing to what drains; a started endpoint's budget), `list_*` (the list).
+//! Mechanisms beside the design, six at most:
 //! 1. Distrust: a score per endpoint that failures raise and time fades; traffic follows it.
-//! 2. Cold share: a started endpoint gets its stated part of the mean, held by a budget per window.
-//! 3. Further write-outs: only as effects permit, and from a purse that arrivals fill.
-//! 4. Following the list: subscribe, and ask again after a failure with a jittered wait.
-//! 5. Home: where crossing zones is priced, an endpoint in this instance's zone weighs more.
-//! 6. Bound: the most that any endpoint may hold from here, learned from latency against its budget; beyond
-//!    it reqs wait a little, the most critical first, and are nacked when the wait would be long.
+//! 2. Further write-outs: only as effects permit, and from a purse that arrivals fill.
+//! 3. Home: where crossing zones is priced, an endpoint in this instance's zone weighs more.
+//! 4. Bound: the most that an endpoint may hold from here in the mean, learned from latency against its budget.
+//! 5. Hold: beyond the bound a req waits a little, the most worth first, and is nacked when it would be long.
+//! 6. Late returns: a client that comes back past its budget is told so at once.
 
 use std::collections::VecDeque;
 
@@ -120,6 +121,13 @@
     gone_at: Moment,
 }
 
+/// For one draw: an endpoint that may be drawn.
+struct Open {
+    endpoint: usize,
+    weight: f64,
+    above: bool,
+}
+
 /// Rolling counts of requests and accepts.
 struct Window {
     buckets: [(f64, f64); BUCKETS],
@@ -497,10 +505,29 @@
         }
     }
 
-    /// The weighted draw among the endpoints that may take the req now.
+    /// The weighted draw among the endpoints that may take the req now. Where all are well above the mean, any
+    /// will do; the draw still follows the weights.
     fn pick(&mut self, now: Moment, req: usize) -> Option<usize> {
         self.solve(now);
-        let r = self.reqs[req].as_ref()?;
+        let open = self.open_endpoints(now, self.reqs[req].as_ref()?);
+        for may_be_above in [false, true] {
+            let passed = |o: &&Open| may_be_above || !o.above;
+            let mut left =
+                self.chance.rand_float() * open.iter().filter(passed).map(|o| o.weight).sum::<f64>();
+            let drawn = open.iter().filter(passed).find(|o| {
+                left -= o.weight;
+                left < 0.0
+            });
+            if let Some(o) = drawn.or(open.iter().rfind(passed)) {
+                return Some(o.endpoint);
+            }
+        }
+        None
+    }
+
+    /// The endpoints that may take the req now, with their weights in the draw.
+    fn open_endpoints(&self, now: Moment, r: &Req) -> Vec<Open> {
+        let mut open = Vec::new();
         let m = &self.terms.methods[r.method];
         let ready = || self.endpoints.iter().flatten().filter(|e| e.standing == Standing::Ready);
         // Trust counts against the most trusted, so that all distrusted is the same as none.
@@ -512,12 +539,11 @@
         // Danger: many instances that each keep a whole write-out at every endpoint crowd it together, so the
         // bound holds for the mean, not only for each endpoint.
         if mean >= self.bound {
-            return None;
+            return open;
         }
         let mean_weight = ready().map(weight).sum::<f64>() / count;
         let usual_sends = self.sends.1.max(self.sends.0) / count;
-        let mut open: Vec<(usize, f64, bool, bool)> = Vec::new();
-        for (at, e) in self.endpoints.iter().enumerate() {
+        for (endpoint, e) in self.endpoints.iter().enumerate() {
             let Some(e) = e.as_ref().filter(|e| e.standing == Standing::Ready) else { continue };
             if !self.may_repeat(now, r, m, e) {
                 continue;
@@ -527,28 +553,19 @@
             let window_opened = |sent: &&Moment| now.since(**sent) < self.terms.fall_window;
             let sent = e.cold_sends.iter().filter(window_opened).count() as f64;
             let spent = share < 1.0 && sent >= (share * usual_sends).max(1.0);
-            let full = spent || e.in_flight as f64 >= (self.bound * share).max(1.0);
+            if spent || e.in_flight as f64 >= (self.bound * share).max(1.0) {
+                continue;
+            }
             let place = share * weight(e) / mean_weight;
             // Danger: in a rush only endpoints that are down stay below the mean, and would get all of it; so a
             // further write-out must fit the place that the endpoint's trust leaves it.
             let room = place * MARGIN_TIMES * mean + e.trust(now) / most * (1.0 + share * MARGIN_PLUS);
             let above = e.in_flight as f64 + 1.0 > room;
-            let tried = if r.write_outs.iter().any(|w| w.endpoint == at) { TRIED_WEIGHT } else { 1.0 };
-            open.push((at, e.fraction * place * tried, full, above));
+            let tried = r.write_outs.iter().any(|w| w.endpoint == endpoint);
+            let weight = e.fraction * place * if tried { TRIED_WEIGHT } else { 1.0 };
+            open.push(Open { endpoint, weight, above });
         }
-        // Where all are well above the mean, any that is not full will do; the draw still follows the weights.
-        for may_be_above in [false, true] {
-            let passed = |w: &&(usize, f64, bool, bool)| !w.2 && (may_be_above || !w.3);
-            let mut left = self.chance.rand_float() * open.iter().filter(passed).map(|w| w.1).sum::<f64>();
-            let drawn = open.iter().filter(passed).find(|w| {
-                left -= w.1;
-                left < 0.0
-            });
-            if let Some(w) = drawn.or(open.iter().rfind(passed)) {
-                return Some(w.0);
-            }
-        }
-        None
+        open
     }
 
     /// Whether an effect could happen twice if the req went to this endpoint now.
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -28,6 +28,9 @@
     ("once", "fragile all 0.5"),
 ];
 
+/// The time left that a flood's reqs come with: the length of a usual try, under the whole deadline of 5 s.
+const FLOOD_LEFT: &str = "3000";
+
 struct Play {
     choice: Choice,
     reqs: Names,
@@ -42,7 +45,12 @@
     for (at, (name, rest)) in METHODS.iter().enumerate() {
         let [effect, group, late] = rest.split(' ').collect::<Vec<_>>()[..] else { panic!("bad method") };
         let values = [("name", *name), ("effect", effect), ("group", group), ("overdueCriticality", late)];
-        let figures = [("windowNs", "2000000000"), ("latencyBudgetNs", "1000000000"), ("criticality", "1")];
+        let figures = [
+            ("windowNs", "2000000000"),
+            ("latencyBudgetNs", "1000000000"),
+            ("criticality", "1"),
+            ("deadlineNs", "5000000000"),
+        ];
         pairs
             .extend(values.iter().chain(&figures).map(|(k, v)| (format!("methods.{at}.{k}"), v.to_string())));
     }
@@ -155,7 +163,7 @@
         self.counts.clear();
         for number in 0..millis(count) {
             let req = format!("flood{number}");
-            self.arrival(now, &req, method, "5000");
+            self.arrival(now, &req, method, FLOOD_LEFT);
             self.pull(now);
             let mut write_outs = 0;
             while let Some(said) = self.pending.pop_front() {
