--- a/src/choice.rs
+++ b/src/choice.rs
@@ -44,6 +44,9 @@
 /// The same for a connection refused or broken: a process that is down fails every req, not some.
 const DISTRUST_DOWN: f64 = 4.0;
 const DISTRUST_KEPT: f64 = 0.8;
+/// The same for an answer that took so many times the usual: often chance, so it takes several to tell.
+const DISTRUST_SLOW: f64 = 0.5;
+const SLOW_TIMES: f64 = 2.5;
 /// Most distrust: a thousandth of the traffic is a trickle that can still tell of recovery.
 const DISTRUST_MOST: f64 = 10.0;
 /// Time in which distrust fades to half: a few solves, so that a short fault does not cost an endpoint.
@@ -271,7 +274,12 @@
             let usual = smoothed(self.usual[method], secs);
             self.usual[method] = Some(usual);
             e.latency = Some(smoothed(e.latency, secs / usual));
-            e.distrust *= DISTRUST_KEPT;
+            // Danger: an endpoint that a crowd has turned slower stays so until it may rest.
+            if secs > SLOW_TIMES * usual {
+                e.distrust = (e.distrust + DISTRUST_SLOW).min(DISTRUST_MOST);
+            } else {
+                e.distrust *= DISTRUST_KEPT;
+            }
         } else {
             let down = matches!(outcome, Outcome::RefusedConnection | Outcome::Severed);
             let step = if down { DISTRUST_DOWN } else { DISTRUST_STEP };
