--- a/src/choice.rs
+++ b/src/choice.rs
@@ -46,7 +46,7 @@
 const DISTRUST_KEPT: f64 = 0.8;
 /// The same for an answer that took so many times the usual: often chance, so it takes several to tell.
 const DISTRUST_SLOW: f64 = 0.5;
-const SLOW_TIMES: f64 = 2.5;
+const SLOW_TIMES: f64 = 2.0;
 /// Most distrust: a thousandth of the traffic is a trickle that can still tell of recovery.
 const DISTRUST_MOST: f64 = 10.0;
 /// Time in which distrust fades to half: a few solves, so that a short fault does not cost an endpoint.
@@ -56,7 +56,7 @@
 const PURSE_MOST: f64 = 10.0;
 /// Weight of an endpoint at home against one in another zone, where crossing has a price: most of the traffic
 /// stays at home, and the rest keeps the latencies of the others known.
-const HOME_WEIGHT: f64 = 12.0;
+const HOME_WEIGHT: f64 = 30.0;
 /// Part of its latency budget that a write-out may take in the mean: leaves room for a wait before it, and for
 /// the spread of latencies.
 const BOUND_AIM: f64 = 0.36;
