--- a/src/choice.rs
+++ b/src/choice.rs
@@ -44,7 +44,7 @@
 /// The same for a connection refused or broken: a process that is down fails every req, not some.
 const DISTRUST_DOWN: f64 = 4.0;
 const DISTRUST_KEPT: f64 = 0.8;
-/// The same for an answer that took so many times the usual: often chance, so it takes several to tell.
+/// The same for an answer that took so many times what the endpoint usually takes: often chance, so it takes several to tell.
 const DISTRUST_SLOW: f64 = 0.5;
 const SLOW_TIMES: f64 = 2.0;
 /// Most distrust: a thousandth of the traffic is a trickle that can still tell of recovery.
@@ -273,13 +273,14 @@
             let secs = took.secs().max(1e-6);
             let usual = smoothed(self.usual[method], secs);
             self.usual[method] = Some(usual);
-            e.latency = Some(smoothed(e.latency, secs / usual));
-            // Danger: an endpoint that a crowd has turned slower stays so until it may rest.
-            if secs > SLOW_TIMES * usual {
+            // Danger: an endpoint that a crowd has turned slower stays so until it may rest. One that is slow by
+            // nature is not meant: the split has its share right, so its own latency is the measure.
+            if e.latency.is_some_and(|latency| secs / usual > SLOW_TIMES * latency) {
                 e.distrust = (e.distrust + DISTRUST_SLOW).min(DISTRUST_MOST);
             } else {
                 e.distrust *= DISTRUST_KEPT;
             }
+            e.latency = Some(smoothed(e.latency, secs / usual));
         } else {
             let down = matches!(outcome, Outcome::RefusedConnection | Outcome::Severed);
             let step = if down { DISTRUST_DOWN } else { DISTRUST_STEP };
