--- a/src/choice.rs
+++ b/src/choice.rs
@@ -275,7 +275,7 @@
             self.usual[method] = Some(usual);
             // Danger: an endpoint that a crowd has turned slower stays so until it may rest. One that is slow by
             // nature is not meant: the split has its share right, so its own latency is the measure.
-            if e.latency.is_some_and(|latency| secs / usual > SLOW_TIMES * latency) {
+            if secs / usual > SLOW_TIMES * e.latency.map_or(1.0, |latency| latency.max(1.0)) {
                 e.distrust = (e.distrust + DISTRUST_SLOW).min(DISTRUST_MOST);
             } else {
                 e.distrust *= DISTRUST_KEPT;
