--- a/src/choice.rs
+++ b/src/choice.rs
@@ -283,7 +283,12 @@
             e.latency = Some(smoothed(e.latency, secs / usual));
         } else {
             let down = matches!(outcome, Outcome::RefusedConnection | Outcome::Severed);
-            let step = if down { DISTRUST_DOWN } else { DISTRUST_STEP };
+            // Danger: an endpoint whose connections have run out refuses new sidecars for good, one by one.
+            let step = match (down, e.latency) {
+                (true, None) => DISTRUST_MOST,
+                (true, _) => DISTRUST_DOWN,
+                _ => DISTRUST_STEP,
+            };
             e.distrust = (e.distrust + step).min(DISTRUST_MOST);
         }
         // Danger: a queue that answers late never fails, so the window would not see the overload in it.
