--- a/src/choice.rs
+++ b/src/choice.rs
@@ -57,6 +57,8 @@
 /// Weight of an endpoint at home against one in another zone, where crossing has a price: most of the traffic
 /// stays at home, and the rest keeps the latencies of the others known.
 const HOME_WEIGHT: f64 = 30.0;
+/// Most room that this gives an endpoint, in means: home is not to be crowded while others idle.
+const HOME_ROOM: f64 = 2.0;
 /// Part of its latency budget that a write-out may take in the mean: leaves room for a wait before it, and for
 /// the spread of latencies.
 const BOUND_AIM: f64 = 0.36;
@@ -573,7 +575,8 @@
             let place = share * weight(e) / mean_weight;
             // Danger: in a rush only endpoints that are down stay below the mean, and would get all of it; so a
             // further write-out must fit the place that the endpoint's trust leaves it.
-            let room = place * MARGIN_TIMES * mean + e.trust(now) / most * (1.0 + share * MARGIN_PLUS);
+            let room = place.min(HOME_ROOM) * MARGIN_TIMES * mean
+                + e.trust(now) / most * (1.0 + share * MARGIN_PLUS);
             let above = e.in_flight as f64 + 1.0 > room;
             let tried = r.write_outs.iter().any(|w| w.endpoint == endpoint);
             let weight = e.fraction * place * if tried { TRIED_WEIGHT } else { 1.0 };
