--- a/src/choice.rs
+++ b/src/choice.rs
@@ -44,8 +44,6 @@
 /// The same for a connection refused or broken: a process that is down fails every req, not some.
 const DISTRUST_DOWN: f64 = 4.0;
 const DISTRUST_KEPT: f64 = 0.8;
-/// How long that of a never heard endpoint that refused stands before it fades: connections of others idle out.
-const FULL_WAIT: Span = Span::from_millis(20_000);
 /// The same for an answer that took so many times what the endpoint usually takes: often chance, so it takes several to tell.
 const DISTRUST_SLOW: f64 = 0.5;
 const SLOW_TIMES: f64 = 2.0;
@@ -294,9 +292,6 @@
                 _ => DISTRUST_STEP,
             };
             e.distrust = (e.distrust + step).min(DISTRUST_MOST);
-            if down && e.latency.is_none() {
-                e.distrust_at = now + FULL_WAIT;
-            }
         }
         // Danger: a queue that answers late never fails, so the window would not see the overload in it.
         let budget = self.terms.methods[method].latency_budget;
