--- a/src/choice.rs
+++ b/src/choice.rs
@@ -66,10 +66,9 @@
 const BOUND_GAIN: f64 = 0.03;
 /// The bound grows only while this part of it is in use: else it would learn nothing from its answers.
 const BOUND_USED: f64 = 0.7;
-/// Least bound in write-outs, of all instances together: with fewer an endpoint idles between two answers, however
-/// slow it is.
-const BOUND_LEAST: f64 = 3.0;
-/// First and greatest bound, in write-outs; the greatest only keeps the figure finite where it is never reached.
+/// Least, first and greatest bound, in write-outs: one must always be possible; the greatest only keeps the
+/// figure finite where it is never reached.
+const BOUND_LEAST: f64 = 0.3;
 const BOUND_FIRST: f64 = 2.0;
 const BOUND_MOST: f64 = 64.0;
 /// Reqs that may be held whatever the recent rate of sends.
@@ -305,9 +304,8 @@
             Outcome::Saturated | Outcome::Overdue => BOUND_AIM - 1.0,
             _ => 0.0,
         };
-        let least = (BOUND_LEAST / self.terms.instances.max(1.0)).min(BOUND_FIRST);
         if off < 0.0 || held >= BOUND_USED * self.bound * count {
-            self.bound = (self.bound * (1.0 + BOUND_GAIN * off)).clamp(least, BOUND_MOST);
+            self.bound = (self.bound * (1.0 + BOUND_GAIN * off)).clamp(BOUND_LEAST, BOUND_MOST);
         }
     }
 
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -34,7 +34,6 @@
 
 #[derive(Clone, Debug)]
 pub struct Terms {
-    pub instances: f64,
     pub zone: String,
     pub tick: Span,
     pub crossing_costs: bool,
@@ -113,7 +112,6 @@
         let asked = p.text("discovery")? == "subscribe";
         let come_back = p.flag("ceilings.retryAfter")?;
         Ok(Terms {
-            instances: p.read("nInstances")?,
             zone: p.text("zone")?.to_string(),
             tick: p.span("tickNs")?,
             crossing_costs: p.read::<f64>("deductions.crossZone")? > 0.0,
