--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,16 +1,18 @@
 //! Every decision of one instance. Make a `Choice` from the decoded terms and a seed, tell it what happens
-//! (`arrival`, `outcome`, `streaming`, `hangup`, `list_*`, `wake`), then pull `next_decision` until there is none.
-//! `lib.rs` defines the decisions and the words they are made of, `terms.rs` the terms.
+//! (`arrival`, `outcome`, `streaming`, `hangup`, `list_*`, `wake`), then pull `next_decision` until there is
+//! none. `lib.rs` defines the decisions and the words they are made of, `terms.rs` the terms.
 //!
 //! The ordinary way of a req is the design's: the drop chance from a rolling window on arrival, fractions
 //! from inverse smoothed served latency, weighted draws that pass over an endpoint with much in flight.
 //! The four rules are each held in one place: `end` (one final answer, and what may be nacked), `may_repeat`
-//! (no effect twice), `open_endpoints` (nothing to what drains; a started endpoint's budget), `list_*` (the list).
+//! (no effect twice), `open_endpoints` (nothing to what drains; a started endpoint's budget), `list_*` (the
+//! list).
 //! Mechanisms beside the design, six at most:
 //! 1. Distrust: a score per endpoint that failures raise and time fades; traffic follows it.
 //! 2. Further write-outs: only as effects permit, and from a purse that arrivals fill.
 //! 3. Home: where crossing zones is priced, an endpoint in this instance's zone weighs more.
-//! 4. Bound: the most that an endpoint may hold from here in the mean, learned from latency against its budget.
+//! 4. Bound: the most that an endpoint may hold from here in the mean, learned from latency against its
+//!    budget.
 //! 5. Hold: beyond the bound a req waits a little, the most worth first, and is nacked when it would be long.
 //! 6. Late returns: a client that comes back past its budget is told so at once.
 
@@ -39,12 +41,14 @@
 const MARGIN_PLUS: f64 = 0.5;
 /// Weight of an endpoint that the req has been to: only taken when there is hardly another.
 const TRIED_WEIGHT: f64 = 0.01;
-/// Distrust that one failure adds (halvings of traffic), and what a satisfied write-out leaves of it.
+/// Distrust that one failure adds, in halvings of traffic.
 const DISTRUST_STEP: f64 = 1.0;
 /// The same for a connection refused or broken: a process that is down fails every req, not some.
 const DISTRUST_DOWN: f64 = 4.0;
+/// Part of it that a satisfied write-out leaves: three are worth a failure fading for one half-life.
 const DISTRUST_KEPT: f64 = 0.8;
-/// The same for an answer that took so many times what the endpoint usually takes: often chance, so it takes several to tell.
+/// The same for an answer that took so many times what the endpoint usually takes: often chance, so it takes
+/// several to tell.
 const DISTRUST_SLOW: f64 = 0.5;
 const SLOW_TIMES: f64 = 2.0;
 /// Most distrust: a thousandth of the traffic is a trickle that can still tell of recovery.
@@ -59,8 +63,8 @@
 const HOME_WEIGHT: f64 = 30.0;
 /// Most room that this gives an endpoint, in means: home is not to be crowded while others idle.
 const HOME_ROOM: f64 = 2.0;
-/// Part of its latency budget that a write-out may take in the mean: leaves room for a wait before it, and for
-/// the spread of latencies.
+/// Part of its latency budget that a write-out may take in the mean: leaves room for a wait before it, and
+/// for the spread of latencies.
 const BOUND_AIM: f64 = 0.36;
 /// Relative change of the bound by one answer that is a whole budget off the aim.
 const BOUND_GAIN: f64 = 0.03;
@@ -83,7 +87,8 @@
 /// Relative difference within which two tries are of one length, and the votes that make sure of it.
 const TRY_NEAR: f64 = 0.01;
 const TRY_VOTES: u32 = 20;
-/// Part of the stated asking time to wait before subscribing (at start at most this, by chance) or asking again.
+/// Part of the stated asking time to wait before subscribing (at start at most this, by chance) or asking
+/// again.
 const ASK_SHARE: f64 = 0.5;
 /// How long an endpoint that is gone stays known after its last write-out: it may yet come back.
 const GONE_KEPT: Span = Span::from_millis(60_000);
@@ -182,7 +187,8 @@
     sends: (f64, f64),
     sends_since: Moment,
     solved: Option<Moment>,
-    /// The length of a try of each method, as voted by the time that its reqs have left, and the votes for it.
+    /// The length of a try of each method, as voted by the time that its reqs have left, and the votes for
+    /// it.
     try_length: Vec<(Span, u32)>,
     purse: f64,
     bound: f64,
@@ -233,7 +239,8 @@
         }
         // Danger: a client that returns late would take a place for an answer that is worth nothing any more.
         // Tries are given one length; one with less left is cut by its client's whole deadline. A vote finds
-        // that length: where tries differ (a caller's time left, odd clients) it is never sure, and nothing is.
+        // that length: where tries differ (a caller's time left, odd clients) it is never sure, and nothing
+        // is.
         let (length, votes) = &mut self.try_length[method];
         let near = left.secs() / length.secs().max(1e-9) - 1.0;
         match (near.abs() < TRY_NEAR, *votes) {
@@ -275,8 +282,8 @@
             let secs = took.secs().max(1e-6);
             let usual = smoothed(self.usual[method], secs);
             self.usual[method] = Some(usual);
-            // Danger: an endpoint that a crowd has turned slower stays so until it may rest. One that is slow by
-            // nature is not meant: the split has its share right, so its own latency is the measure.
+            // Danger: an endpoint that a crowd has turned slower stays so until it may rest. One that is slow
+            // by nature is not meant: the split has its share right, so its own latency is the measure.
             if secs / usual > SLOW_TIMES * e.latency.map_or(1.0, |latency| latency.max(1.0)) {
                 e.distrust = (e.distrust + DISTRUST_SLOW).min(DISTRUST_MOST);
             } else {
@@ -455,7 +462,8 @@
         self.out.push_back(Decision::Send { req, endpoint, give_up });
     }
 
-    /// Nothing can take the req now: it waits a little, the most critical in front, if that is likely to help.
+    /// Nothing can take the req now: it waits a little, the most worth in front, if that is likely to
+    /// help.
     fn hold(&mut self, now: Moment, req: usize) {
         let r = self.reqs[req].as_ref().expect("only open reqs are held");
         let m = &self.terms.methods[r.method];
@@ -521,8 +529,8 @@
         }
     }
 
-    /// The weighted draw among the endpoints that may take the req now. Where all are well above the mean, any
-    /// will do; the draw still follows the weights.
+    /// The weighted draw among the endpoints that may take the req now. Where all are well above the mean,
+    /// any will do; the draw still follows the weights.
     fn pick(&mut self, now: Moment, req: usize) -> Option<usize> {
         self.solve(now);
         let open = self.open_endpoints(now, self.reqs[req].as_ref()?);
@@ -573,8 +581,8 @@
                 continue;
             }
             let place = share * weight(e) / mean_weight;
-            // Danger: in a rush only endpoints that are down stay below the mean, and would get all of it; so a
-            // further write-out must fit the place that the endpoint's trust leaves it.
+            // Danger: in a rush only endpoints that are down stay below the mean, and would get all of it; so
+            // a further write-out must fit the place that the endpoint's trust leaves it.
             let room = place.min(HOME_ROOM) * MARGIN_TIMES * mean
                 + e.trust(now) / most * (1.0 + share * MARGIN_PLUS);
             let above = e.in_flight as f64 + 1.0 > room;
