Say once what the module said twice, and give each margin its name

Fading of distrust, its cap, the ready endpoints and the recent sends each stood twice; trust was worked out anew up to five times an endpoint in every draw. The margins in ticks were bare numbers; comments on distrust, the purse, the hold and the order of held reqs were missing a reason or out of date.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -45,17 +45,17 @@
 const DISTRUST_STEP: f64 = 1.0;
 /// The same for a connection refused or broken: a process that is down fails every req, not some.
 const DISTRUST_DOWN: f64 = 4.0;
-/// Part of it that a satisfied write-out leaves: three are worth a failure fading for one half-life.
-const DISTRUST_KEPT: f64 = 0.8;
-/// The same for an answer that took so many times what the endpoint usually takes: often chance, so it takes
-/// several to tell.
+/// The same for an answer that took so many times what is usual: often chance, so it takes several to tell.
 const DISTRUST_SLOW: f64 = 0.5;
 const SLOW_TIMES: f64 = 2.0;
+/// Part of its distrust that any other answer leaves an endpoint: three halve it.
+const DISTRUST_KEPT: f64 = 0.8;
 /// Most distrust: a thousandth of the traffic is a trickle that can still tell of recovery.
 const DISTRUST_MOST: f64 = 10.0;
 /// Time in which distrust fades to half: a few solves, so that a short fault does not cost an endpoint.
 const DISTRUST_HALF: Span = Span::from_millis(4000);
-/// Further write-outs that one arrival pays for, and the most that may be saved up.
+/// Further write-outs that one arrival pays for, and the most that may be saved up: they can add a fifth to
+/// the load for long, and for a moment enough to carry reqs past one endpoint's fall.
 const PURSE_SHARE: f64 = 0.2;
 const PURSE_MOST: f64 = 10.0;
 /// Weight of an endpoint at home against one in another zone, where crossing has a price: most of the traffic
@@ -77,7 +77,8 @@
 const BOUND_MOST: f64 = 64.0;
 /// Reqs that may be held whatever the recent rate of sends.
 const HELD_FLOOR: f64 = 4.0;
-/// Part of the latency budget that a req without an endpoint to go to may wait for one.
+/// Part of the latency budget that a req without an endpoint to go to may wait for one: long enough for the
+/// next answer to make room, short enough for a nacked client to come back within the budget.
 const HOLD_SHARE: f64 = 0.06;
 /// Between two looks at held reqs: short against any latency budget.
 const HOLD_LOOK: Span = Span::from_millis(20);
@@ -87,6 +88,11 @@
 /// Relative difference within which two tries are of one length, and the votes that make sure of it.
 const TRY_NEAR: f64 = 0.01;
 const TRY_VOTES: u32 = 20;
+/// Ticks before the latency budget ends by which a write-out is given up: one for its outcome to be heard,
+/// one for the final answer.
+const ANSWER_TICKS: f64 = 2.0;
+/// Ticks before a group forgets a req in which no repeat sets out: it has yet to arrive.
+const REPEAT_TICKS: f64 = 4.0;
 /// Part of the stated asking time to wait before subscribing (at start at most this, by chance) or asking
 /// again.
 const ASK_SHARE: f64 = 0.5;
@@ -176,7 +182,7 @@
     reqs: Vec<Option<Req>>,
     endpoints: Vec<Option<Endpoint>>,
     due: VecDeque<usize>,
-    /// Reqs that wait for an endpoint, the most critical first.
+    /// Reqs that wait for an endpoint, the most worth first.
     held: Vec<usize>,
     look_at_held: bool,
     out: VecDeque<Decision>,
@@ -277,7 +283,7 @@
             return;
         }
         let satisfied = outcome == Outcome::Satisfied;
-        e.fade(now);
+        (e.distrust, e.distrust_at) = (e.faded(now), now);
         if satisfied {
             let secs = took.secs().max(1e-6);
             let usual = smoothed(self.usual[method], secs);
@@ -285,7 +291,7 @@
             // Danger: an endpoint that a crowd has turned slower stays so until it may rest. One that is slow
             // by nature is not meant: the split has its share right, so its own latency is the measure.
             if secs / usual > SLOW_TIMES * e.latency.map_or(1.0, |latency| latency.max(1.0)) {
-                e.distrust = (e.distrust + DISTRUST_SLOW).min(DISTRUST_MOST);
+                e.distrust += DISTRUST_SLOW;
             } else {
                 e.distrust *= DISTRUST_KEPT;
             }
@@ -293,19 +299,18 @@
         } else {
             let down = matches!(outcome, Outcome::RefusedConnection | Outcome::Severed);
             // Danger: an endpoint whose connections have run out refuses new sidecars for good, one by one.
-            let step = match (down, e.latency) {
+            e.distrust += match (down, e.latency) {
                 (true, None) => DISTRUST_MOST,
                 (true, _) => DISTRUST_DOWN,
                 _ => DISTRUST_STEP,
             };
-            e.distrust = (e.distrust + step).min(DISTRUST_MOST);
         }
+        e.distrust = e.distrust.min(DISTRUST_MOST);
         // Danger: a queue that answers late never fails, so the window would not see the overload in it.
         let budget = self.terms.methods[method].latency_budget;
         self.window.book(now, satisfied && took <= budget);
         // Danger: crowded endpoints turn slower and stay so; the crowd must be kept from forming.
-        let ready = self.endpoints.iter().flatten().filter(|e| e.standing == Standing::Ready);
-        let (count, held) = ready.fold((0.0, 1.0), |(c, h), e| (c + 1.0, h + e.in_flight as f64));
+        let (count, held) = self.ready().fold((0.0, 1.0), |(c, h), (_, e)| (c + 1.0, h + e.in_flight as f64));
         let off = match outcome {
             Outcome::Satisfied => BOUND_AIM - (took.secs() / budget.secs().max(1e-6)).min(1.0),
             Outcome::Saturated | Outcome::Overdue => BOUND_AIM - 1.0,
@@ -478,7 +483,7 @@
         let place = self.held.partition_point(|held| worth(held) >= worth(&req));
         self.held.insert(place, req);
         // Danger: a queue longer than what is sent in a wait only delays its nacks.
-        let rate = self.sends.0.max(self.sends.1) / self.terms.fall_window.secs().max(1e-6);
+        let rate = self.recent_sends() / self.terms.fall_window.secs().max(1e-6);
         if self.held.len() as f64 > (rate * wait.secs()).max(HELD_FLOOR) {
             let last = self.held.pop().expect("just filled");
             self.end(last);
@@ -549,42 +554,51 @@
         None
     }
 
+    fn ready(&self) -> impl Iterator<Item = (usize, &Endpoint)> {
+        let known = self.endpoints.iter().enumerate().filter_map(|(at, e)| Some((at, e.as_ref()?)));
+        known.filter(|(_, e)| e.standing == Standing::Ready)
+    }
+
+    /// Sends in a fall window: the greater of the last full one and the running one.
+    fn recent_sends(&self) -> f64 {
+        self.sends.0.max(self.sends.1)
+    }
+
     /// The endpoints that may take the req now, with their weights in the draw.
     fn open_endpoints(&self, now: Moment, r: &Req) -> Vec<Open> {
         let mut open = Vec::new();
         let m = &self.terms.methods[r.method];
-        let ready = || self.endpoints.iter().flatten().filter(|e| e.standing == Standing::Ready);
+        let ready: Vec<_> = self.ready().map(|(at, e)| (at, e, e.trust(now))).collect();
         // Trust counts against the most trusted, so that all distrusted is the same as none.
-        let most = ready().map(|e| e.trust(now)).fold(f64::MIN_POSITIVE, f64::max);
+        let most = ready.iter().map(|(_, _, trust)| *trust).fold(f64::MIN_POSITIVE, f64::max);
         let at_home = |e: &Endpoint| self.terms.crossing_costs && e.zone == self.home;
-        let weight = |e: &Endpoint| e.trust(now) / most * if at_home(e) { HOME_WEIGHT } else { 1.0 };
-        let count = ready().map(|e| e.trust(now) / most).sum::<f64>().max(1.0);
-        let mean = ready().map(|e| e.in_flight as f64 * e.trust(now) / most).sum::<f64>() / count;
+        let weight = |e: &Endpoint, trust: f64| trust / most * if at_home(e) { HOME_WEIGHT } else { 1.0 };
+        let count = ready.iter().map(|(_, _, trust)| trust / most).sum::<f64>().max(1.0);
+        let mean = ready.iter().map(|(_, e, trust)| e.in_flight as f64 * trust / most).sum::<f64>() / count;
         // Danger: many instances that each keep a whole write-out at every endpoint crowd it together, so the
         // bound holds for the mean, not only for each endpoint.
         if mean >= self.bound {
             return open;
         }
-        let mean_weight = ready().map(weight).sum::<f64>() / count;
-        let usual_sends = self.sends.1.max(self.sends.0) / count;
-        for (endpoint, e) in self.endpoints.iter().enumerate() {
-            let Some(e) = e.as_ref().filter(|e| e.standing == Standing::Ready) else { continue };
+        let mean_weight = ready.iter().map(|(_, e, trust)| weight(e, *trust)).sum::<f64>() / count;
+        let usual_sends = self.recent_sends() / count;
+        for (endpoint, e, trust) in ready {
             if !self.may_repeat(now, r, m, e) {
                 continue;
             }
             let share = e.cold_share(now, &self.terms);
             // Danger: a burst onto a started endpoint can spend its budget before the window has passed.
-            let window_opened = |sent: &&Moment| now.since(**sent) < self.terms.fall_window;
-            let sent = e.cold_sends.iter().filter(window_opened).count() as f64;
+            let in_window = |sent: &&Moment| now.since(**sent) < self.terms.fall_window;
+            let sent = e.cold_sends.iter().filter(in_window).count() as f64;
             let spent = share < 1.0 && sent >= (share * usual_sends).max(1.0);
             if spent || e.in_flight as f64 >= (self.bound * share).max(1.0) {
                 continue;
             }
-            let place = share * weight(e) / mean_weight;
+            let place = share * weight(e, trust) / mean_weight;
             // Danger: in a rush only endpoints that are down stay below the mean, and would get all of it; so
             // a further write-out must fit the place that the endpoint's trust leaves it.
-            let room = place.min(HOME_ROOM) * MARGIN_TIMES * mean
-                + e.trust(now) / most * (1.0 + share * MARGIN_PLUS);
+            let room =
+                place.min(HOME_ROOM) * MARGIN_TIMES * mean + trust / most * (1.0 + share * MARGIN_PLUS);
             let above = e.in_flight as f64 + 1.0 > room;
             let tried = r.write_outs.iter().any(|w| w.endpoint == endpoint);
             let weight = e.fraction * place * if tried { TRIED_WEIGHT } else { 1.0 };
@@ -602,8 +616,10 @@
             Effect::Retryable => true,
             Effect::NonRetryable => false,
             // Danger: outside the group, or after its memory has passed, the repeat is a second effect.
-            // The memory runs from the first write-out that may have run; arrival adds a little on top.
-            Effect::Deduplicated if now.since(first.sent) + self.terms.tick * 4.0 >= m.window => false,
+            // The memory runs from the first write-out that may have run.
+            Effect::Deduplicated if now.since(first.sent) + self.terms.tick * REPEAT_TICKS >= m.window => {
+                false
+            }
             Effect::Deduplicated => may_have_run.all(|w| match (m.group, &self.endpoints[w.endpoint]) {
                 (Group::All, _) => true,
                 (Group::Zone, Some(earlier)) => earlier.zone == e.zone,
@@ -670,20 +686,20 @@
         let m = &terms.methods[self.method];
         match m.overdue_criticality > 0.0 {
             true => self.deadline,
-            false => self.deadline.min(self.arrived + m.latency_budget.less(terms.tick * 2.0).less(self.age)),
+            false => self
+                .deadline
+                .min(self.arrived + m.latency_budget.less(terms.tick * ANSWER_TICKS).less(self.age)),
         }
     }
 }
 
 impl Endpoint {
-    fn fade(&mut self, now: Moment) {
-        self.distrust *= 0.5_f64.powf(now.since(self.distrust_at).secs() / DISTRUST_HALF.secs());
-        self.distrust_at = now;
+    fn faded(&self, now: Moment) -> f64 {
+        self.distrust * 0.5_f64.powf(now.since(self.distrust_at).secs() / DISTRUST_HALF.secs())
     }
 
     fn trust(&self, now: Moment) -> f64 {
-        let faded = 0.5_f64.powf(now.since(self.distrust_at).secs() / DISTRUST_HALF.secs());
-        0.5_f64.powf(self.distrust * faded)
+        0.5_f64.powf(self.faded(now))
     }
 
     fn cold(&self, now: Moment, terms: &Terms) -> bool {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -2,13 +2,16 @@
 //!
 //! `terms PATH=VALUE ..`                       terms other than the usual ones below, before any other step
 //! `MS list|delta NAME[:STATE[:ZONE[:CELL[:STARTED_MS]]]] ..`   what the list says; `NAME*COUNT` for many
-//! `MS arrival REQ METHOD LEFT_MS`, `MS answer REQ WRITE_OUT OUTCOME`, `MS hangup REQ`, `MS wake`, `MS list-failed`
-//! `MS flood COUNT METHOD GAP_MS OUTCOME [NAME=TOOK_MS[:OUTCOME] ..]`  reqs one by one, each write-out answered at once
-//!                                             or after what its endpoint takes; decisions are counted
+//! `MS arrival REQ METHOD LEFT_MS`, `MS answer REQ WRITE_OUT OUTCOME`, `MS hangup REQ`, `MS wake`,
+//! `MS list-failed`
+//! `MS flood COUNT METHOD GAP_MS OUTCOME [NAME=TOOK_MS[:OUTCOME] ..]`  reqs one by one, each write-out
+//!                                             answered at once or after what its endpoint takes; decisions
+//!                                             are counted
 //! `expect DECISION`                           the next decision, word for word; `any` stands for any word
 //! `count NAME|nack|fail LEAST MOST`           what the last flood counted
 //!
-//! Each decision must be expected, but for `forget`. Between two steps the module is pulled until it has no more.
+//! Each decision must be expected, but for `forget`. Between two steps the module is pulled until
+//! it has no more.
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -19,8 +22,8 @@
 use appledyke::{Decision, Outcome, Standing};
 
 const USUAL: &str = "zone=z0 tickNs=1000000 deductions.crossZone=0 discovery=automatic ceilings.cancel=true \
-    ceilings.retryAfter=true ceilings.maxRetryAfterNs=50000000 ceilings.mostWriteOuts=3 rules.askWithinNs=10000000000 \
-    rules.startCapacity=0.25 rules.coldNs=8000000000 rules.overloadForNs=1000000000 methods.count=0";
+    ceilings.retryAfter=true ceilings.maxRetryAfterNs=50000000 ceilings.mostWriteOuts=3 \
+    rules.askWithinNs=10000000000 rules.startCapacity=0.25 rules.coldNs=8000000000 rules.overloadForNs=1000000000 methods.count=0";
 const METHODS: [(&str, &str); 4] = [
     ("read", "retryable all 0.5"),
     ("brief", "retryable all 0"),
@@ -124,8 +127,8 @@
         self.choice.list_opens(complete);
         for entry in entries {
             let mut parts = entry.split(':');
-            let (name, count) = parts.next().and_then(|n| n.split_once('*')).unwrap_or((entry, "1"));
-            let name = name.split(':').next().unwrap_or(name);
+            let head = parts.next().unwrap_or(entry);
+            let (name, count) = head.split_once('*').unwrap_or((head, "1"));
             let standing = match parts.next().unwrap_or("ready") {
                 "ready" => Standing::Ready,
                 "draining" => Standing::Draining,
