--- a/crates/wirehost/tests/wire.rs
+++ b/crates/wirehost/tests/wire.rs
@@ -3,7 +3,7 @@
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
 
-const BEGIN: &str = "begin seed=7 zone=z0 tickNs=1000000 deductions.crossZone=0 discovery=automatic \
+const BEGIN: &str = "begin seed=7 zone=z0 nInstances=1 tickNs=1000000 deductions.crossZone=0 discovery=automatic \
     ceilings.cancel=true ceilings.retryAfter=true ceilings.maxRetryAfterNs=50000000 ceilings.mostWriteOuts=3 \
     rules.startCapacity=0.25 rules.coldNs=8000000000 rules.overloadForNs=1000000000 methods.count=1 \
     methods.0.name=order methods.0.effect=fragile methods.0.group=all methods.0.windowNs=1 methods.0.criticality=1 \
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -93,6 +93,9 @@
 const ANSWER_TICKS: f64 = 2.0;
 /// Ticks before a group forgets a req in which no repeat sets out: it has yet to arrive.
 const REPEAT_TICKS: f64 = 4.0;
+/// Sends in a fall window that a started endpoint may get from all instances together where this one has
+/// hardly sent anything: few, as nothing is known.
+const COLD_FLOOR: f64 = 4.0;
 /// Part of the stated asking time to wait before subscribing (at start at most this, by chance) or asking
 /// again.
 const ASK_SHARE: f64 = 0.5;
@@ -132,8 +135,9 @@
     distrust: f64,
     distrust_at: Moment,
     in_flight: usize,
-    /// Sends within the fall window, kept only while the endpoint is cold.
-    cold_sends: VecDeque<Moment>,
+    /// Sends that a cold endpoint may still get, as of a moment.
+    credit: f64,
+    credit_at: Moment,
     gone_at: Moment,
 }
 
@@ -363,14 +367,16 @@
             distrust: 0.0,
             distrust_at: now,
             in_flight: 0,
-            cold_sends: VecDeque::new(),
+            credit: 0.0,
+            credit_at: now,
             gone_at: now,
         };
         let e = self.endpoints[endpoint].get_or_insert_with(fresh);
         if started > e.started {
             // A new process: what the old one earned or lost says nothing of it.
             (e.started, e.latency, e.distrust) = (started, None, 0.0);
-            e.cold_sends.clear();
+            // Danger: many instances that each send at once would push it over, however little each sends.
+            (e.credit, e.credit_at) = (self.chance.rand_float(), now);
         }
         (e.standing, e.zone, e.cell, e.listed, e.gone_at) = (standing, zone, cell, true, now);
         self.solved = None;
@@ -452,13 +458,15 @@
     }
 
     fn send(&mut self, now: Moment, req: usize, endpoint: usize, further: bool) {
+        let per_place = self.sends_per_place(now);
         let r = self.reqs[req].as_mut().expect("only open reqs are sent");
         let e = self.endpoints[endpoint].as_mut().expect("only known endpoints are picked");
         r.write_outs.push(WriteOut { endpoint, sent: now, ended: None });
         let give_up = r.useful_until(&self.terms);
         e.in_flight += 1;
         if e.cold(now, &self.terms) {
-            e.cold_sends.push_back(now);
+            (e.credit, e.credit_at) =
+                (e.credit_now(now, per_place * e.cold_share(now, &self.terms), &self.terms) - 1.0, now);
         }
         self.sends.0 += 1.0;
         if further {
@@ -564,6 +572,12 @@
         self.sends.0.max(self.sends.1)
     }
 
+    /// Sends in a fall window that fall to what a whole warm endpoint can do, with trust.
+    fn sends_per_place(&self, now: Moment) -> f64 {
+        let places = self.ready().map(|(_, e)| e.cold_share(now, &self.terms) * e.trust(now)).sum::<f64>();
+        (self.recent_sends() / places.max(1.0)).max(COLD_FLOOR / self.terms.instances)
+    }
+
     /// The endpoints that may take the req now, with their weights in the draw.
     fn open_endpoints(&self, now: Moment, r: &Req) -> Vec<Open> {
         let mut open = Vec::new();
@@ -581,16 +595,14 @@
             return open;
         }
         let mean_weight = ready.iter().map(|(_, e, trust)| weight(e, *trust)).sum::<f64>() / count;
-        let usual_sends = self.recent_sends() / count;
+        let per_place = self.sends_per_place(now);
         for (endpoint, e, trust) in ready {
             if !self.may_repeat(now, r, m, e) {
                 continue;
             }
             let share = e.cold_share(now, &self.terms);
             // Danger: a burst onto a started endpoint can spend its budget before the window has passed.
-            let in_window = |sent: &&Moment| now.since(**sent) < self.terms.fall_window;
-            let sent = e.cold_sends.iter().filter(in_window).count() as f64;
-            let spent = share < 1.0 && sent >= (share * usual_sends).max(1.0);
+            let spent = share < 1.0 && e.credit_now(now, share * per_place, &self.terms) < 1.0;
             if spent || e.in_flight as f64 >= (self.bound * share).max(1.0) {
                 continue;
             }
@@ -661,7 +673,6 @@
             if e.latency.is_none() {
                 e.fraction = mean;
             }
-            e.cold_sends.retain(|sent| now.since(*sent) < self.terms.fall_window);
             let over = e.standing == Standing::Gone && e.in_flight == 0 && now.since(e.gone_at) > GONE_KEPT;
             if over && !self.reqs.iter().flatten().any(|r| r.write_outs.iter().any(|w| w.endpoint == at)) {
                 *slot = None;
@@ -706,6 +717,12 @@
         self.started.is_some_and(|at| now.since(at) < terms.cold_for)
     }
 
+    /// Sends that a cold endpoint may get now, at so many in a fall window and no more at once.
+    fn credit_now(&self, now: Moment, sends: f64, terms: &Terms) -> f64 {
+        let windows = now.since(self.credit_at).secs() / terms.fall_window.secs().max(1e-9);
+        (self.credit + sends * windows).min(sends.max(1.0))
+    }
+
     /// The part of its full capacity that an endpoint has at least, by the stated rise.
     fn cold_share(&self, now: Moment, terms: &Terms) -> f64 {
         match self.started {
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -36,6 +36,8 @@
 pub struct Terms {
     pub zone: String,
     pub tick: Span,
+    /// How many instances send to the same endpoints.
+    pub instances: f64,
     pub crossing_costs: bool,
     pub methods: Vec<Method>,
     pub most_write_outs: usize,
@@ -114,6 +116,7 @@
         Ok(Terms {
             zone: p.text("zone")?.to_string(),
             tick: p.span("tickNs")?,
+            instances: p.read::<f64>("nInstances")?.max(1.0),
             crossing_costs: p.read::<f64>("deductions.crossZone")? > 0.0,
             methods: methods.collect::<Result<_, String>>()?,
             most_write_outs: p.read("ceilings.mostWriteOuts")?,
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -21,7 +21,7 @@
 use appledyke::units::{Moment, Span};
 use appledyke::{Decision, Outcome, Standing};
 
-const USUAL: &str = "zone=z0 tickNs=1000000 deductions.crossZone=0 discovery=automatic ceilings.cancel=true \
+const USUAL: &str = "zone=z0 nInstances=2 tickNs=1000000 deductions.crossZone=0 discovery=automatic ceilings.cancel=true \
     ceilings.retryAfter=true ceilings.maxRetryAfterNs=50000000 ceilings.mostWriteOuts=3 \
     rules.askWithinNs=10000000000 rules.startCapacity=0.25 rules.coldNs=8000000000 rules.overloadForNs=1000000000 methods.count=0";
 const METHODS: [(&str, &str); 4] = [
