Bound learned per second of answers and shared by the instances

Cause: first and least bound held for each instance, so 22 or 140 of them together knew no bound; a step per answer learns too slowly where an instance hears few.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -66,14 +66,16 @@
 /// Part of its latency budget that a write-out may take in the mean: leaves room for a wait before it, and
 /// for the spread of latencies.
 const BOUND_AIM: f64 = 0.36;
-/// Relative change of the bound by one answer that is a whole budget off the aim.
-const BOUND_GAIN: f64 = 0.03;
+/// Relative change of the bound in a second of answers that are a whole budget off the aim, and most by one
+/// answer: all instances together learn in seconds, however few answers each hears.
+const BOUND_GAIN: f64 = 1.2;
+const BOUND_GAIN_MOST: f64 = 0.25;
 /// The bound grows only while this part of it is in use: else it would learn nothing from its answers.
 const BOUND_USED: f64 = 0.7;
-/// Least, first and greatest bound, in write-outs: one must always be possible; the greatest only keeps the
+/// Least and first bound, in write-outs of all instances together, and the greatest, which only keeps the
 /// figure finite where it is never reached.
-const BOUND_LEAST: f64 = 0.3;
-const BOUND_FIRST: f64 = 2.0;
+const BOUND_LEAST: f64 = 1.5;
+const BOUND_FIRST: f64 = 8.0;
 const BOUND_MOST: f64 = 64.0;
 /// Reqs that may be held whatever the recent rate of sends.
 const HELD_FLOOR: f64 = 4.0;
@@ -215,6 +217,7 @@
         let mut choice = Choice {
             try_length: vec![(Span::ZERO, 0); terms.methods.len()],
             usual: vec![None; terms.methods.len()],
+            bound: BOUND_FIRST / terms.instances,
             terms,
             home,
             chance,
@@ -229,7 +232,6 @@
             sends_since: now,
             solved: None,
             purse: PURSE_MOST,
-            bound: BOUND_FIRST,
             ask_at: None,
             asking: false,
         };
@@ -321,7 +323,11 @@
             _ => 0.0,
         };
         if off < 0.0 || held >= BOUND_USED * self.bound * count {
-            self.bound = (self.bound * (1.0 + BOUND_GAIN * off)).clamp(BOUND_LEAST, BOUND_MOST);
+            let in_second = self.recent_sends() / self.terms.fall_window.secs().max(1e-6);
+            let gain = (BOUND_GAIN / in_second.max(1e-6)).min(BOUND_GAIN_MOST);
+            // Danger: a least that each instance may hold adds up over them; but one write-out must be possible.
+            let least = (BOUND_LEAST / self.terms.instances).max(1.0 / count.max(1.0));
+            self.bound = (self.bound * (1.0 + gain * off)).max(least).min(BOUND_MOST);
         }
     }
 
