Circle: an instance with a trickle keeps to some endpoints and exchanges one now and then

The circle's size follows from this instance's own sends and the number of instances; idle connections outside it are closed. It takes the place of Home among the mechanisms, of which it is a form: those at home weigh more in it.

--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -154,6 +154,9 @@
                     *marks += 1;
                     writeln!(out, "defer mark={marks} momentNs={}", at.nanos())?;
                 }
+                Decision::CloseIdle { endpoint } => {
+                    writeln!(out, "shut_idle endpoint={}", self.endpoints.name(endpoint))?
+                }
                 Decision::Subscribe => writeln!(out, "observe on=1")?,
             }
         }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -10,7 +10,8 @@
 //! Mechanisms beside the design, six at most:
 //! 1. Distrust: a score per endpoint that failures raise and time fades; traffic follows it.
 //! 2. Further write-outs: only as effects permit, and from a purse that arrivals fill.
-//! 3. Home: where crossing zones is priced, an endpoint in this instance's zone weighs more.
+//! 3. Circle: an instance with too little traffic to hear from all endpoints keeps to some, drawn at random,
+//!    and exchanges one from time to time; where crossing zones is priced, those at home weigh more.
 //! 4. Bound: the most that an endpoint may hold from here in the mean, learned from latency against its
 //!    budget.
 //! 5. Hold: beyond the bound a req waits a little, the most worth first, and is nacked when it would be long.
@@ -63,6 +64,14 @@
 const HOME_WEIGHT: f64 = 30.0;
 /// Most room that this gives an endpoint, in means: home is not to be crowded while others idle.
 const HOME_ROOM: f64 = 2.0;
+/// Sends to each endpoint of the circle between two looks at it (`SOLVE_EVERY`): as many as keep its latency
+/// known.
+const CIRCLE_SENDS: f64 = 0.5;
+/// Least endpoints in a circle: a few may fall at once. And least circles that an endpoint is in, on the mean.
+const CIRCLE_LEAST: f64 = 4.0;
+const CIRCLES: f64 = 8.0;
+/// Between two exchanges, times one to two by chance: rare against the cost of a connection.
+const EXCHANGE_EVERY: Span = Span::from_millis(5000);
 /// Part of its latency budget that a write-out may take in the mean: leaves room for a wait before it, and
 /// for the spread of latencies.
 const BOUND_AIM: f64 = 0.36;
@@ -141,6 +150,8 @@
     credit: f64,
     credit_at: Moment,
     gone_at: Moment,
+    /// It has answered since its connections were last closed here.
+    connected: bool,
 }
 
 /// For one draw: an endpoint that may be drawn.
@@ -187,6 +198,9 @@
     chance: Rand64,
     reqs: Vec<Option<Req>>,
     endpoints: Vec<Option<Endpoint>>,
+    /// The endpoints that this instance keeps to.
+    circle: Vec<usize>,
+    exchange_at: Moment,
     due: VecDeque<usize>,
     /// Reqs that wait for an endpoint, the most worth first.
     held: Vec<usize>,
@@ -223,6 +237,8 @@
             chance,
             reqs: Vec::new(),
             endpoints: Vec::new(),
+            circle: Vec::new(),
+            exchange_at: now,
             due: VecDeque::new(),
             held: Vec::new(),
             look_at_held: false,
@@ -285,10 +301,13 @@
         self.look_at_held = true;
         let e = self.endpoints[endpoint].as_mut().expect("an endpoint with a write-out is kept");
         e.in_flight -= 1;
+        self.close_idle(endpoint);
+        let e = self.endpoints[endpoint].as_mut().expect("an endpoint with a write-out is kept");
         if matches!(outcome, Outcome::Recalled | Outcome::NeverSent) {
             return;
         }
         let satisfied = outcome == Outcome::Satisfied;
+        e.connected |= outcome != Outcome::RefusedConnection;
         (e.distrust, e.distrust_at) = (e.faded(now), now);
         if satisfied {
             let secs = took.secs().max(1e-6);
@@ -305,6 +324,9 @@
         } else {
             let down = matches!(outcome, Outcome::RefusedConnection | Outcome::Severed);
             // Danger: an endpoint whose connections have run out refuses new sidecars for good, one by one.
+            if outcome == Outcome::RefusedConnection && !e.connected {
+                self.circle.retain(|kept| *kept != endpoint);
+            }
             e.distrust += match (down, e.latency) {
                 (true, None) => DISTRUST_MOST,
                 (true, _) => DISTRUST_DOWN,
@@ -376,6 +398,7 @@
             credit: 0.0,
             credit_at: now,
             gone_at: now,
+            connected: false,
         };
         let e = self.endpoints[endpoint].get_or_insert_with(fresh);
         if started > e.started {
@@ -580,7 +603,8 @@
 
     /// Sends in a fall window that fall to what a whole warm endpoint can do, with trust.
     fn sends_per_place(&self, now: Moment) -> f64 {
-        let places = self.ready().map(|(_, e)| e.cold_share(now, &self.terms) * e.trust(now)).sum::<f64>();
+        let kept = self.ready().filter(|(at, _)| self.circle.contains(at));
+        let places = kept.map(|(_, e)| e.cold_share(now, &self.terms) * e.trust(now)).sum::<f64>();
         (self.recent_sends() / places.max(1.0)).max(COLD_FLOOR / self.terms.instances)
     }
 
@@ -588,7 +612,14 @@
     fn open_endpoints(&self, now: Moment, r: &Req) -> Vec<Open> {
         let mut open = Vec::new();
         let m = &self.terms.methods[r.method];
-        let ready: Vec<_> = self.ready().map(|(at, e)| (at, e, e.trust(now))).collect();
+        // A repeat may have to go to an endpoint outside the circle, as its group is there.
+        let anywhere = m.effect == Effect::Deduplicated && m.group != Group::All && !r.never_ran();
+        let ready: Vec<_> = self
+            .ready()
+            .filter(|(at, _)| anywhere || self.circle.contains(at))
+            .map(|(at, e)| (at, e, e.trust(now)))
+            .collect();
+        let bound = self.bound * self.ready().count() as f64 / (ready.len() as f64).max(1.0);
         // Trust counts against the most trusted, so that all distrusted is the same as none.
         let most = ready.iter().map(|(_, _, trust)| *trust).fold(f64::MIN_POSITIVE, f64::max);
         let at_home = |e: &Endpoint| self.terms.crossing_costs && e.zone == self.home;
@@ -597,7 +628,7 @@
         let mean = ready.iter().map(|(_, e, trust)| e.in_flight as f64 * trust / most).sum::<f64>() / count;
         // Danger: many instances that each keep a whole write-out at every endpoint crowd it together, so the
         // bound holds for the mean, not only for each endpoint.
-        if mean >= self.bound {
+        if mean >= bound {
             return open;
         }
         let mean_weight = ready.iter().map(|(_, e, trust)| weight(e, *trust)).sum::<f64>() / count;
@@ -609,7 +640,7 @@
             let share = e.cold_share(now, &self.terms);
             // Danger: a burst onto a started endpoint can spend its budget before the window has passed.
             let spent = share < 1.0 && e.credit_now(now, share * per_place, &self.terms) < 1.0;
-            if spent || e.in_flight as f64 >= (self.bound * share).max(1.0) {
+            if spent || e.in_flight as f64 >= (bound * share).max(1.0) {
                 continue;
             }
             let place = share * weight(e, trust) / mean_weight;
@@ -674,6 +705,7 @@
             }
         }
         let mean = if heard.1 > 0.0 { heard.0 / heard.1 } else { 1.0 };
+        self.tend_circle(now);
         for (at, slot) in self.endpoints.iter_mut().enumerate() {
             let Some(e) = slot else { continue };
             if e.latency.is_none() {
@@ -687,6 +719,62 @@
         }
     }
 
+    /// Sees to it that the circle has its size in endpoints that are trusted, and exchanges one when it is time.
+    fn tend_circle(&mut self, now: Moment) {
+        let ready: Vec<(usize, f64)> = self.ready().map(|(at, e)| (at, e.trust(now))).collect();
+        self.circle.retain(|kept| ready.iter().any(|(at, _)| at == kept));
+        let in_look = self.recent_sends() * SOLVE_EVERY.secs() / self.terms.fall_window.secs().max(1e-9);
+        let places = CIRCLES * ready.len() as f64 / self.terms.instances;
+        let wanted = (in_look / CIRCLE_SENDS).max(places).max(CIRCLE_LEAST);
+        let trusted = |circle: &[usize]| {
+            ready.iter().filter(|(at, _)| circle.contains(at)).map(|(_, trust)| trust).sum::<f64>()
+        };
+        // From time to time one is given up that serves badly, more often than one that serves well; also when
+        // the traffic has become less.
+        if wanted < ready.len() as f64 && now >= self.exchange_at {
+            self.exchange_at = now + EXCHANGE_EVERY * (1.0 + self.chance.rand_float());
+            let badness = |at: usize| {
+                let e = self.endpoints[at].as_ref().expect("the circle is of ready endpoints");
+                1.0 / (e.fraction * e.trust(now)).max(1e-9)
+            };
+            let weights: Vec<(usize, f64)> = self.circle.iter().map(|at| (*at, badness(*at))).collect();
+            if let Some(leaves) = self.drawn(&weights) {
+                self.circle.retain(|kept| *kept != leaves);
+                self.close_idle(leaves);
+            }
+        }
+        while trusted(&self.circle) < wanted {
+            let outside = ready.iter().filter(|(at, _)| !self.circle.contains(at));
+            let weights: Vec<(usize, f64)> =
+                outside.map(|(at, trust)| (*at, *trust * self.home_weight(*at))).collect();
+            let Some(joins) = self.drawn(&weights) else { break };
+            self.circle.push(joins);
+        }
+    }
+
+    fn home_weight(&self, at: usize) -> f64 {
+        let home = |e: &Endpoint| self.terms.crossing_costs && e.zone == self.home;
+        if self.endpoints[at].as_ref().is_some_and(home) { HOME_WEIGHT } else { 1.0 }
+    }
+
+    fn drawn(&mut self, weights: &[(usize, f64)]) -> Option<usize> {
+        let mut left = self.chance.rand_float() * weights.iter().map(|(_, weight)| weight).sum::<f64>();
+        let found = weights.iter().find(|(_, weight)| {
+            left -= weight;
+            left < 0.0
+        });
+        found.or(weights.last()).map(|(at, _)| *at)
+    }
+
+    /// Danger: a connection that stays open outside the circle keeps another instance from the endpoint.
+    fn close_idle(&mut self, endpoint: usize) {
+        let outside = !self.circle.contains(&endpoint);
+        let Some(e) = self.endpoints[endpoint].as_mut() else { return };
+        if outside && e.in_flight == 0 && std::mem::take(&mut e.connected) {
+            self.out.push_back(Decision::CloseIdle { endpoint });
+        }
+    }
+
     fn ask_later(&mut self, at: Option<Moment>) {
         self.ask_at = at;
         self.out.extend(at.map(|at| Decision::Wake { at }));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -49,6 +49,8 @@
     Fail { req: usize },
     /// Stop waiting for a write-out.
     Revoke { req: usize, write_out: usize },
+    /// Close this instance's idle connections to the endpoint.
+    CloseIdle { endpoint: usize },
     /// Nothing more will be said of this req: its index may be used again.
     ForgetReq { req: usize },
     /// The endpoint is gone and nothing is out to it: its index may be used again.
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -109,6 +109,7 @@
                 Decision::Fail { req } => format!("fail {}", self.reqs.name(req)),
                 Decision::Revoke { req, write_out } => format!("revoke {} {write_out}", self.reqs.name(req)),
                 Decision::Wake { at } => format!("wake {}", at.nanos() / 1_000_000),
+                Decision::CloseIdle { endpoint } => format!("close {}", self.endpoints.name(endpoint)),
                 Decision::Subscribe => "subscribe".to_string(),
                 Decision::ForgetReq { req } => {
                     self.reqs.release(req);
