--- a/src/choice.rs
+++ b/src/choice.rs
@@ -34,8 +34,10 @@
 const BUCKETS: usize = 40;
 /// Between two solves of the fractions: the design's start.
 const SOLVE_EVERY: Span = Span::from_millis(1000);
-/// Part of a new latency sample in the smoothed one: about the last ten samples count.
+/// Part of a new latency sample in the smoothed one: about the last ten samples count,
 const SMOOTHING: f64 = 0.1;
+/// or the last of this time, where an endpoint is heard from less often: older ones say little of it now.
+const SMOOTHING_OVER: Span = Span::from_millis(2500);
 /// In flight beyond this multiple of the mean, plus this many, is well above it: half a write-out decides
 /// for instances with a trickle, the multiple for busy ones.
 const MARGIN_TIMES: f64 = 1.25;
@@ -66,7 +68,7 @@
 const HOME_ROOM: f64 = 2.0;
 /// Sends to each endpoint of the circle between two looks at it (`SOLVE_EVERY`): as many as keep its latency
 /// known.
-const CIRCLE_SENDS: f64 = 0.5;
+const CIRCLE_SENDS: f64 = 1.0;
 /// Least endpoints in a circle: a few may fall at once. And least circles that an endpoint is in, on the mean.
 const CIRCLE_LEAST: f64 = 4.0;
 const CIRCLES: f64 = 8.0;
@@ -142,6 +144,7 @@
     listed: bool,
     /// Smoothed served latency, as a multiple of what its methods usually take here.
     latency: Option<f64>,
+    heard_at: Moment,
     fraction: f64,
     distrust: f64,
     distrust_at: Moment,
@@ -311,7 +314,7 @@
         (e.distrust, e.distrust_at) = (e.faded(now), now);
         if satisfied {
             let secs = took.secs().max(1e-6);
-            let usual = smoothed(self.usual[method], secs);
+            let usual = smoothed(self.usual[method], secs, SMOOTHING);
             self.usual[method] = Some(usual);
             // Danger: an endpoint that a crowd has turned slower stays so until it may rest. One that is slow
             // by nature is not meant: the split has its share right, so its own latency is the measure.
@@ -320,7 +323,9 @@
             } else {
                 e.distrust *= DISTRUST_KEPT;
             }
-            e.latency = Some(smoothed(e.latency, secs / usual));
+            let gap = now.since(std::mem::replace(&mut e.heard_at, now)).secs();
+            let part = (gap / (gap + SMOOTHING_OVER.secs())).max(SMOOTHING);
+            e.latency = Some(smoothed(e.latency, secs / usual, part));
         } else {
             let down = matches!(outcome, Outcome::RefusedConnection | Outcome::Severed);
             // Danger: an endpoint whose connections have run out refuses new sidecars for good, one by one.
@@ -391,6 +396,7 @@
             started,
             listed: true,
             latency: None,
+            heard_at: now,
             fraction: 0.0,
             distrust: 0.0,
             distrust_at: now,
@@ -829,6 +835,6 @@
     }
 }
 
-fn smoothed(old: Option<f64>, sample: f64) -> f64 {
-    old.map_or(sample, |old| old + SMOOTHING * (sample - old))
+fn smoothed(old: Option<f64>, sample: f64, part: f64) -> f64 {
+    old.map_or(sample, |old| old + part * (sample - old))
 }
