--- a/src/choice.rs
+++ b/src/choice.rs
@@ -68,7 +68,7 @@
 const HOME_ROOM: f64 = 2.0;
 /// Sends to each endpoint of the circle between two looks at it (`SOLVE_EVERY`): as many as keep its latency
 /// known.
-const CIRCLE_SENDS: f64 = 1.0;
+const CIRCLE_SENDS: f64 = 2.0;
 /// Least endpoints in a circle: a few may fall at once. And least circles that an endpoint is in, on the mean.
 const CIRCLE_LEAST: f64 = 4.0;
 const CIRCLES: f64 = 8.0;
