Hold the bound against the mean in flight over a second, with room for chance

Cause: with a few reqs each, instances differ by chance, and a bound on what each holds at a moment refuses reqs though all together are under it; its growth followed the peaks, so that bursts found no bound at all.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -83,6 +83,9 @@
 const BOUND_GAIN_MOST: f64 = 0.25;
 /// The bound grows only while this part of it is in use: else it would learn nothing from its answers.
 const BOUND_USED: f64 = 0.7;
+/// Time over which the mean in flight is smoothed to be held against the bound: a few write-outs long, and short
+/// against the seconds in which a crowd does harm.
+const CROWD_OVER: Span = Span::from_millis(1000);
 /// Least and first bound, in write-outs of all instances together, and the greatest, which only keeps the
 /// figure finite where it is never reached.
 const BOUND_LEAST: f64 = 1.5;
@@ -221,6 +224,9 @@
     try_length: Vec<(Span, u32)>,
     purse: f64,
     bound: f64,
+    /// The mean in flight in the circle, smoothed over time, as of a moment.
+    crowd: f64,
+    crowd_at: Moment,
     ask_at: Option<Moment>,
     /// A call to the list's service is under way.
     asking: bool,
@@ -251,6 +257,8 @@
             sends_since: now,
             solved: None,
             purse: PURSE_MOST,
+            crowd: 0.0,
+            crowd_at: now,
             ask_at: None,
             asking: false,
         };
@@ -343,13 +351,13 @@
         let budget = self.terms.methods[method].latency_budget;
         self.window.book(now, satisfied && took <= budget);
         // Danger: crowded endpoints turn slower and stay so; the crowd must be kept from forming.
-        let (count, held) = self.ready().fold((0.0, 1.0), |(c, h), (_, e)| (c + 1.0, h + e.in_flight as f64));
         let off = match outcome {
             Outcome::Satisfied => BOUND_AIM - (took.secs() / budget.secs().max(1e-6)).min(1.0),
             Outcome::Saturated | Outcome::Overdue => BOUND_AIM - 1.0,
             _ => 0.0,
         };
-        if off < 0.0 || held >= BOUND_USED * self.bound * count {
+        let count = self.ready().count() as f64;
+        if off < 0.0 || self.crowd >= BOUND_USED * self.bound_in_circle() {
             let in_second = self.recent_sends() / self.terms.fall_window.secs().max(1e-6);
             let gain = (BOUND_GAIN / in_second.max(1e-6)).min(BOUND_GAIN_MOST);
             // Danger: a least that each instance may hold adds up over them; but one write-out must be possible.
@@ -581,6 +589,9 @@
     /// any will do; the draw still follows the weights.
     fn pick(&mut self, now: Moment, req: usize) -> Option<usize> {
         self.solve(now);
+        if self.crowded(now) {
+            return None;
+        }
         let open = self.open_endpoints(now, self.reqs[req].as_ref()?);
         for may_be_above in [false, true] {
             let passed = |o: &&Open| may_be_above || !o.above;
@@ -614,6 +625,29 @@
         (self.recent_sends() / places.max(1.0)).max(COLD_FLOOR / self.terms.instances)
     }
 
+    fn bound_in_circle(&self) -> f64 {
+        self.bound * self.ready().count() as f64 / (self.circle.len() as f64).max(1.0)
+    }
+
+    /// Whether this instance holds its part of what its endpoints may hold. That goes by the mean over a while:
+    /// many instances with few reqs each differ by chance, and together stay near the mean.
+    fn crowded(&mut self, now: Moment) -> bool {
+        let kept: Vec<_> = self.ready().filter(|(at, _)| self.circle.contains(at)).collect();
+        let most = kept.iter().map(|(_, e)| e.trust(now)).fold(f64::MIN_POSITIVE, f64::max);
+        let sums = |(count, held): (f64, f64), (_, e): &(usize, &Endpoint)| {
+            let trust = e.trust(now) / most;
+            (count + trust, held + trust * e.in_flight as f64)
+        };
+        let (count, held) = kept.iter().fold((0.0, 0.0), sums);
+        let (count, mean) = (count.max(1.0), held / count.max(1.0));
+        let gap = now.since(std::mem::replace(&mut self.crowd_at, now)).secs();
+        self.crowd += gap / (gap + CROWD_OVER.secs()) * (mean - self.crowd);
+        // Danger: many instances that each keep a whole write-out at every endpoint crowd it together, so the
+        // bound holds for the mean, not only for each endpoint. A burst must not pass it by much meanwhile.
+        let bound = self.bound_in_circle();
+        self.crowd >= bound || mean >= bound + (bound / count).sqrt()
+    }
+
     /// The endpoints that may take the req now, with their weights in the draw.
     fn open_endpoints(&self, now: Moment, r: &Req) -> Vec<Open> {
         let mut open = Vec::new();
@@ -625,18 +659,13 @@
             .filter(|(at, _)| anywhere || self.circle.contains(at))
             .map(|(at, e)| (at, e, e.trust(now)))
             .collect();
-        let bound = self.bound * self.ready().count() as f64 / (ready.len() as f64).max(1.0);
+        let bound = self.bound_in_circle();
         // Trust counts against the most trusted, so that all distrusted is the same as none.
         let most = ready.iter().map(|(_, _, trust)| *trust).fold(f64::MIN_POSITIVE, f64::max);
         let at_home = |e: &Endpoint| self.terms.crossing_costs && e.zone == self.home;
         let weight = |e: &Endpoint, trust: f64| trust / most * if at_home(e) { HOME_WEIGHT } else { 1.0 };
         let count = ready.iter().map(|(_, _, trust)| trust / most).sum::<f64>().max(1.0);
         let mean = ready.iter().map(|(_, e, trust)| e.in_flight as f64 * trust / most).sum::<f64>() / count;
-        // Danger: many instances that each keep a whole write-out at every endpoint crowd it together, so the
-        // bound holds for the mean, not only for each endpoint.
-        if mean >= bound {
-            return open;
-        }
         let mean_weight = ready.iter().map(|(_, e, trust)| weight(e, *trust)).sum::<f64>() / count;
         let per_place = self.sends_per_place(now);
         for (endpoint, e, trust) in ready {
