--- a/src/choice.rs
+++ b/src/choice.rs
@@ -88,7 +88,7 @@
 const CROWD_OVER: Span = Span::from_millis(1000);
 /// Least and first bound, in write-outs of all instances together, and the greatest, which only keeps the
 /// figure finite where it is never reached.
-const BOUND_LEAST: f64 = 1.5;
+const BOUND_LEAST: f64 = 3.0;
 const BOUND_FIRST: f64 = 8.0;
 const BOUND_MOST: f64 = 64.0;
 /// Reqs that may be held whatever the recent rate of sends.
