--- a/src/choice.rs
+++ b/src/choice.rs
@@ -83,9 +83,9 @@
 const BOUND_GAIN_MOST: f64 = 0.25;
 /// The bound grows only while this part of it is in use: else it would learn nothing from its answers.
 const BOUND_USED: f64 = 0.7;
-/// Time over which the mean in flight is smoothed to be held against the bound: a few write-outs long, and short
-/// against the seconds in which a crowd does harm.
-const CROWD_OVER: Span = Span::from_millis(1000);
+/// Time over which the mean in flight is smoothed to be held against the bound, for each instance that shares in
+/// it: the more they are, the better chance evens out between them.
+const CROWD_OVER: Span = Span::from_millis(20);
 /// Least and first bound, in write-outs of all instances together, and the greatest, which only keeps the
 /// figure finite where it is never reached.
 const BOUND_LEAST: f64 = 3.0;
@@ -641,7 +641,7 @@
         let (count, held) = kept.iter().fold((0.0, 0.0), sums);
         let (count, mean) = (count.max(1.0), held / count.max(1.0));
         let gap = now.since(std::mem::replace(&mut self.crowd_at, now)).secs();
-        self.crowd += gap / (gap + CROWD_OVER.secs()) * (mean - self.crowd);
+        self.crowd += gap / (gap + CROWD_OVER.secs() * self.terms.instances) * (mean - self.crowd);
         // Danger: many instances that each keep a whole write-out at every endpoint crowd it together, so the
         // bound holds for the mean, not only for each endpoint. A burst must not pass it by much meanwhile.
         let bound = self.bound_in_circle();
