--- a/src/choice.rs
+++ b/src/choice.rs
@@ -79,7 +79,7 @@
 const BOUND_AIM: f64 = 0.36;
 /// Relative change of the bound in a second of answers that are a whole budget off the aim, and most by one
 /// answer: all instances together learn in seconds, however few answers each hears.
-const BOUND_GAIN: f64 = 1.2;
+const BOUND_GAIN: f64 = 0.8;
 const BOUND_GAIN_MOST: f64 = 0.25;
 /// The bound grows only while this part of it is in use: else it would learn nothing from its answers.
 const BOUND_USED: f64 = 0.7;
