--- a/src/choice.rs
+++ b/src/choice.rs
@@ -156,16 +156,14 @@
     credit: f64,
     credit_at: Moment,
     gone_at: Moment,
+    /// It has started since the circle was last looked at.
+    new: bool,
     /// It has answered since its connections were last closed here.
     connected: bool,
 }
 
-/// For one draw: an endpoint that may be drawn.
-struct Open {
-    endpoint: usize,
-    weight: f64,
-    above: bool,
-}
+/// For one draw: endpoints and their weights.
+type Draw = Vec<(usize, f64)>;
 
 /// Rolling counts of requests and accepts.
 struct Window {
@@ -412,12 +410,13 @@
             credit: 0.0,
             credit_at: now,
             gone_at: now,
+            new: true,
             connected: false,
         };
         let e = self.endpoints[endpoint].get_or_insert_with(fresh);
         if started > e.started {
             // A new process: what the old one earned or lost says nothing of it.
-            (e.started, e.latency, e.distrust) = (started, None, 0.0);
+            (e.started, e.latency, e.distrust, e.new) = (started, None, 0.0, true);
             // Danger: many instances that each send at once would push it over, however little each sends.
             (e.credit, e.credit_at) = (self.chance.rand_float(), now);
         }
@@ -592,20 +591,8 @@
         if self.crowded(now) {
             return None;
         }
-        let open = self.open_endpoints(now, self.reqs[req].as_ref()?);
-        for may_be_above in [false, true] {
-            let passed = |o: &&Open| may_be_above || !o.above;
-            let mut left =
-                self.chance.rand_float() * open.iter().filter(passed).map(|o| o.weight).sum::<f64>();
-            let drawn = open.iter().filter(passed).find(|o| {
-                left -= o.weight;
-                left < 0.0
-            });
-            if let Some(o) = drawn.or(open.iter().rfind(passed)) {
-                return Some(o.endpoint);
-            }
-        }
-        None
+        let (open, above) = self.open_endpoints(now, self.reqs[req].as_ref()?);
+        self.drawn(&open).or_else(|| self.drawn(&above))
     }
 
     fn ready(&self) -> impl Iterator<Item = (usize, &Endpoint)> {
@@ -629,66 +616,59 @@
         self.bound * self.ready().count() as f64 / (self.circle.len() as f64).max(1.0)
     }
 
+    /// The endpoints of the circle, or all, with their trust against that in the most trusted, so that all
+    /// distrusted is the same as none; how many they count for, and the mean in flight.
+    fn trusted(&self, now: Moment, all: bool) -> (Vec<(usize, &Endpoint, f64)>, f64, f64) {
+        let used = self.ready().filter(|(at, _)| all || self.circle.contains(at));
+        let mut used: Vec<_> = used.map(|(at, e)| (at, e, e.trust(now))).collect();
+        let most = used.iter().map(|(_, _, trust)| *trust).fold(f64::MIN_POSITIVE, f64::max);
+        used.iter_mut().for_each(|(_, _, trust)| *trust /= most);
+        let count = used.iter().map(|(_, _, trust)| trust).sum::<f64>().max(1.0);
+        let mean = used.iter().map(|(_, e, trust)| e.in_flight as f64 * trust).sum::<f64>() / count;
+        (used, count, mean)
+    }
+
     /// Whether this instance holds its part of what its endpoints may hold. That goes by the mean over a while:
     /// many instances with few reqs each differ by chance, and together stay near the mean.
     fn crowded(&mut self, now: Moment) -> bool {
-        let kept: Vec<_> = self.ready().filter(|(at, _)| self.circle.contains(at)).collect();
-        let most = kept.iter().map(|(_, e)| e.trust(now)).fold(f64::MIN_POSITIVE, f64::max);
-        let sums = |(count, held): (f64, f64), (_, e): &(usize, &Endpoint)| {
-            let trust = e.trust(now) / most;
-            (count + trust, held + trust * e.in_flight as f64)
-        };
-        let (count, held) = kept.iter().fold((0.0, 0.0), sums);
-        let (count, mean) = (count.max(1.0), held / count.max(1.0));
+        let (_, count, mean) = self.trusted(now, false);
         let gap = now.since(std::mem::replace(&mut self.crowd_at, now)).secs();
-        self.crowd += gap / (gap + CROWD_OVER.secs() * self.terms.instances) * (mean - self.crowd);
+        let over = CROWD_OVER.secs() * self.terms.instances;
+        self.crowd += gap / (gap + over).max(1e-9) * (mean - self.crowd);
         // Danger: many instances that each keep a whole write-out at every endpoint crowd it together, so the
         // bound holds for the mean, not only for each endpoint. A burst must not pass it by much meanwhile.
         let bound = self.bound_in_circle();
         self.crowd >= bound || mean >= bound + (bound / count).sqrt()
     }
 
-    /// The endpoints that may take the req now, with their weights in the draw.
-    fn open_endpoints(&self, now: Moment, r: &Req) -> Vec<Open> {
-        let mut open = Vec::new();
+    /// The endpoints that may take the req now, with their weights in the draw: those that are not well above
+    /// the mean in flight, and those that are.
+    fn open_endpoints(&self, now: Moment, r: &Req) -> (Draw, Draw) {
+        let (mut open, mut above) = (Vec::new(), Vec::new());
         let m = &self.terms.methods[r.method];
         // A repeat may have to go to an endpoint outside the circle, as its group is there.
-        let anywhere = m.effect == Effect::Deduplicated && m.group != Group::All && !r.never_ran();
-        let ready: Vec<_> = self
-            .ready()
-            .filter(|(at, _)| anywhere || self.circle.contains(at))
-            .map(|(at, e)| (at, e, e.trust(now)))
-            .collect();
+        let all = m.effect == Effect::Deduplicated && m.group != Group::All && !r.never_ran();
+        let (used, count, mean) = self.trusted(now, all);
         let bound = self.bound_in_circle();
-        // Trust counts against the most trusted, so that all distrusted is the same as none.
-        let most = ready.iter().map(|(_, _, trust)| *trust).fold(f64::MIN_POSITIVE, f64::max);
-        let at_home = |e: &Endpoint| self.terms.crossing_costs && e.zone == self.home;
-        let weight = |e: &Endpoint, trust: f64| trust / most * if at_home(e) { HOME_WEIGHT } else { 1.0 };
-        let count = ready.iter().map(|(_, _, trust)| trust / most).sum::<f64>().max(1.0);
-        let mean = ready.iter().map(|(_, e, trust)| e.in_flight as f64 * trust / most).sum::<f64>() / count;
-        let mean_weight = ready.iter().map(|(_, e, trust)| weight(e, *trust)).sum::<f64>() / count;
+        let mean_weight = used.iter().map(|(_, e, trust)| trust * self.home_weight(e)).sum::<f64>() / count;
         let per_place = self.sends_per_place(now);
-        for (endpoint, e, trust) in ready {
-            if !self.may_repeat(now, r, m, e) {
-                continue;
-            }
+        for (endpoint, e, trust) in used.into_iter().filter(|(_, e, _)| self.may_repeat(now, r, m, e)) {
             let share = e.cold_share(now, &self.terms);
             // Danger: a burst onto a started endpoint can spend its budget before the window has passed.
             let spent = share < 1.0 && e.credit_now(now, share * per_place, &self.terms) < 1.0;
             if spent || e.in_flight as f64 >= (bound * share).max(1.0) {
                 continue;
             }
-            let place = share * weight(e, trust) / mean_weight;
+            let place = share * trust * self.home_weight(e) / mean_weight;
             // Danger: in a rush only endpoints that are down stay below the mean, and would get all of it; so
             // a further write-out must fit the place that the endpoint's trust leaves it.
-            let room =
-                place.min(HOME_ROOM) * MARGIN_TIMES * mean + trust / most * (1.0 + share * MARGIN_PLUS);
-            let above = e.in_flight as f64 + 1.0 > room;
+            let room = place.min(HOME_ROOM) * MARGIN_TIMES * mean + trust * (1.0 + share * MARGIN_PLUS);
             let tried = r.write_outs.iter().any(|w| w.endpoint == endpoint);
             let weight = e.fraction * place * if tried { TRIED_WEIGHT } else { 1.0 };
-            open.push(Open { endpoint, weight, above });
+            let fits = e.in_flight as f64 + 1.0 <= room;
+            if fits { &mut open } else { &mut above }.push((endpoint, weight));
         }
-        open
+        (open, above)
     }
 
     /// Whether an effect could happen twice if the req went to this endpoint now.
@@ -740,7 +720,6 @@
             }
         }
         let mean = if heard.1 > 0.0 { heard.0 / heard.1 } else { 1.0 };
-        self.tend_circle(now);
         for (at, slot) in self.endpoints.iter_mut().enumerate() {
             let Some(e) = slot else { continue };
             if e.latency.is_none() {
@@ -752,46 +731,64 @@
                 self.out.push_back(Decision::ForgetEndpoint { endpoint: at });
             }
         }
+        self.tend_circle(now);
     }
 
     /// Sees to it that the circle has its size in endpoints that are trusted, and exchanges one when it is time.
     fn tend_circle(&mut self, now: Moment) {
-        let ready: Vec<(usize, f64)> = self.ready().map(|(at, e)| (at, e.trust(now))).collect();
-        self.circle.retain(|kept| ready.iter().any(|(at, _)| at == kept));
+        let ready: Vec<usize> = self.ready().map(|(at, _)| at).collect();
+        self.circle.retain(|kept| ready.contains(kept));
         let in_look = self.recent_sends() * SOLVE_EVERY.secs() / self.terms.fall_window.secs().max(1e-9);
         let places = CIRCLES * ready.len() as f64 / self.terms.instances;
         let wanted = (in_look / CIRCLE_SENDS).max(places).max(CIRCLE_LEAST);
-        let trusted = |circle: &[usize]| {
-            ready.iter().filter(|(at, _)| circle.contains(at)).map(|(_, trust)| trust).sum::<f64>()
-        };
-        // From time to time one is given up that serves badly, more often than one that serves well; also when
-        // the traffic has become less.
+        // Danger: a fleet that doubles would leave its new half idle, as those who came first keep to the old. So
+        // each new endpoint joins by the chance that it would have had if it had always been there.
+        for at in &ready {
+            let chance = self.circle.len() as f64 / ready.len() as f64;
+            let new = std::mem::take(&mut self.endpoints[*at].as_mut().expect("ready").new);
+            if new && !self.circle.contains(at) && self.chance.rand_float() < chance {
+                self.give_up_one(now);
+                self.circle.push(*at);
+            }
+        }
         if wanted < ready.len() as f64 && now >= self.exchange_at {
             self.exchange_at = now + EXCHANGE_EVERY * (1.0 + self.chance.rand_float());
-            let badness = |at: usize| {
-                let e = self.endpoints[at].as_ref().expect("the circle is of ready endpoints");
-                1.0 / (e.fraction * e.trust(now)).max(1e-9)
-            };
-            let weights: Vec<(usize, f64)> = self.circle.iter().map(|at| (*at, badness(*at))).collect();
-            if let Some(leaves) = self.drawn(&weights) {
-                self.circle.retain(|kept| *kept != leaves);
-                self.close_idle(leaves);
+            self.give_up_one(now);
+        }
+        loop {
+            let mut trusted = 0.0;
+            let mut outside = Vec::new();
+            for (at, e) in self.ready() {
+                match self.circle.contains(&at) {
+                    true => trusted += e.trust(now),
+                    false => outside.push((at, e.trust(now) * self.home_weight(e))),
+                }
+            }
+            match self.drawn(&outside) {
+                Some(joins) if trusted < wanted => self.circle.push(joins),
+                _ => break,
             }
         }
-        while trusted(&self.circle) < wanted {
-            let outside = ready.iter().filter(|(at, _)| !self.circle.contains(at));
-            let weights: Vec<(usize, f64)> =
-                outside.map(|(at, trust)| (*at, *trust * self.home_weight(*at))).collect();
-            let Some(joins) = self.drawn(&weights) else { break };
-            self.circle.push(joins);
+    }
+
+    /// Leaves out one of the circle by chance, one that serves badly more often than one that serves well.
+    fn give_up_one(&mut self, now: Moment) {
+        let badness = |at: usize| {
+            let e = self.endpoints[at].as_ref().expect("the circle is of ready endpoints");
+            1.0 / (e.fraction * e.trust(now)).max(1e-9)
+        };
+        let weights: Vec<(usize, f64)> = self.circle.iter().map(|at| (*at, badness(*at))).collect();
+        if let Some(leaves) = self.drawn(&weights) {
+            self.circle.retain(|kept| *kept != leaves);
+            self.close_idle(leaves);
         }
     }
 
-    fn home_weight(&self, at: usize) -> f64 {
-        let home = |e: &Endpoint| self.terms.crossing_costs && e.zone == self.home;
-        if self.endpoints[at].as_ref().is_some_and(home) { HOME_WEIGHT } else { 1.0 }
+    fn home_weight(&self, e: &Endpoint) -> f64 {
+        if self.terms.crossing_costs && e.zone == self.home { HOME_WEIGHT } else { 1.0 }
     }
 
+    /// One drawn by weight.
     fn drawn(&mut self, weights: &[(usize, f64)]) -> Option<usize> {
         let mut left = self.chance.rand_float() * weights.iter().map(|(_, weight)| weight).sum::<f64>();
         let found = weights.iter().find(|(_, weight)| {
