A refused connection caps the circle; comments shortened

A refusal of a new connection now caps the circle at what is left, one more at each exchange; holders learn it from their own exchanges.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -55,10 +55,10 @@
 const DISTRUST_KEPT: f64 = 0.8;
 /// Most distrust: a thousandth of the traffic is a trickle that can still tell of recovery.
 const DISTRUST_MOST: f64 = 10.0;
-/// Time in which distrust fades to half: a few solves, so that a short fault does not cost an endpoint.
+/// Time in which distrust fades to half: a few solves, as a short fault is not to cost an endpoint.
 const DISTRUST_HALF: Span = Span::from_millis(4000);
-/// Further write-outs that one arrival pays for, and the most that may be saved up: they can add a fifth to
-/// the load for long, and for a moment enough to carry reqs past one endpoint's fall.
+/// Further write-outs that one arrival pays for, and the most saved up: a fifth of the load for long, and for a
+/// moment enough to carry reqs past one endpoint's fall.
 const PURSE_SHARE: f64 = 0.2;
 const PURSE_MOST: f64 = 10.0;
 /// Weight of an endpoint at home against one in another zone, where crossing has a price: most of the traffic
@@ -66,16 +66,14 @@
 const HOME_WEIGHT: f64 = 30.0;
 /// Most room that this gives an endpoint, in means: home is not to be crowded while others idle.
 const HOME_ROOM: f64 = 2.0;
-/// Sends to each endpoint of the circle between two looks at it (`SOLVE_EVERY`): as many as keep its latency
-/// known.
+/// Sends to each endpoint of the circle in a solve interval: as many as keep its latency known.
 const CIRCLE_SENDS: f64 = 2.0;
 /// Least endpoints in a circle: a few may fall at once. And least circles that an endpoint is in, on the mean.
 const CIRCLE_LEAST: f64 = 4.0;
 const CIRCLES: f64 = 8.0;
 /// Between two exchanges, times one to two by chance: rare against the cost of a connection.
 const EXCHANGE_EVERY: Span = Span::from_millis(5000);
-/// Part of its latency budget that a write-out may take in the mean: leaves room for a wait before it, and
-/// for the spread of latencies.
+/// Part of its latency budget that a write-out may take in the mean: room for a wait before it and for spread.
 const BOUND_AIM: f64 = 0.36;
 /// Relative change of the bound in a second of answers that are a whole budget off the aim, and most by one
 /// answer: all instances together learn in seconds, however few answers each hears.
@@ -93,27 +91,24 @@
 const BOUND_MOST: f64 = 64.0;
 /// Reqs that may be held whatever the recent rate of sends.
 const HELD_FLOOR: f64 = 4.0;
-/// Part of the latency budget that a req without an endpoint to go to may wait for one: long enough for the
-/// next answer to make room, short enough for a nacked client to come back within the budget.
+/// Part of the latency budget that a req may wait for an endpoint: long enough for the next answer to make room,
+/// short enough for a nacked client to come back within the budget.
 const HOLD_SHARE: f64 = 0.06;
 /// Between two looks at held reqs: short against any latency budget.
 const HOLD_LOOK: Span = Span::from_millis(20);
-/// Told to a nacked client, as part of the latency budget, times one to two by chance: it spreads the
-/// returns over time in which part of the crowd has gone.
+/// Told to a nacked client, as part of the latency budget, times one to two by chance: it spreads the returns.
 const COME_BACK: f64 = 0.1;
 /// Relative difference within which two tries are of one length, and the votes that make sure of it.
 const TRY_NEAR: f64 = 0.01;
 const TRY_VOTES: u32 = 20;
-/// Ticks before the latency budget ends by which a write-out is given up: one for its outcome to be heard,
-/// one for the final answer.
+/// Ticks before the latency budget ends by which a write-out is given up: its outcome, then the final answer.
 const ANSWER_TICKS: f64 = 2.0;
 /// Ticks before a group forgets a req in which no repeat sets out: it has yet to arrive.
 const REPEAT_TICKS: f64 = 4.0;
 /// Sends in a fall window that a started endpoint may get from all instances together where this one has
 /// hardly sent anything: few, as nothing is known.
 const COLD_FLOOR: f64 = 4.0;
-/// Part of the stated asking time to wait before subscribing (at start at most this, by chance) or asking
-/// again.
+/// Part of the stated asking time to wait before subscribing (at most, by chance) or asking again.
 const ASK_SHARE: f64 = 0.5;
 /// How long an endpoint that is gone stays known after its last write-out: it may yet come back.
 const GONE_KEPT: Span = Span::from_millis(60_000);
@@ -204,6 +199,8 @@
     endpoints: Vec<Option<Endpoint>>,
     /// The endpoints that this instance keeps to.
     circle: Vec<usize>,
+    /// Most that it may keep to, as connections refused have shown.
+    circle_most: f64,
     exchange_at: Moment,
     due: VecDeque<usize>,
     /// Reqs that wait for an endpoint, the most worth first.
@@ -217,8 +214,7 @@
     sends: (f64, f64),
     sends_since: Moment,
     solved: Option<Moment>,
-    /// The length of a try of each method, as voted by the time that its reqs have left, and the votes for
-    /// it.
+    /// The length of a try of each method, as voted by the time that its reqs have left, and the votes for it.
     try_length: Vec<(Span, u32)>,
     purse: f64,
     bound: f64,
@@ -245,6 +241,7 @@
             reqs: Vec::new(),
             endpoints: Vec::new(),
             circle: Vec::new(),
+            circle_most: f64::MAX,
             exchange_at: now,
             due: VecDeque::new(),
             held: Vec::new(),
@@ -275,9 +272,8 @@
             self.reqs.resize_with(req + 1, || None);
         }
         // Danger: a client that returns late would take a place for an answer that is worth nothing any more.
-        // Tries are given one length; one with less left is cut by its client's whole deadline. A vote finds
-        // that length: where tries differ (a caller's time left, odd clients) it is never sure, and nothing
-        // is.
+        // Tries have one length; one with less left is cut by its client's whole deadline. A vote finds that
+        // length: where tries differ (a caller's time left, odd clients) it is never sure.
         let (length, votes) = &mut self.try_length[method];
         let near = left.secs() / length.secs().max(1e-9) - 1.0;
         match (near.abs() < TRY_NEAR, *votes) {
@@ -335,8 +331,10 @@
         } else {
             let down = matches!(outcome, Outcome::RefusedConnection | Outcome::Severed);
             // Danger: an endpoint whose connections have run out refuses new sidecars for good, one by one.
-            if outcome == Outcome::RefusedConnection && !e.connected {
+            // Who came first is to make room too: its exchanges are refused as well, so its circle shrinks.
+            if outcome == Outcome::RefusedConnection && !e.connected && self.circle.contains(&endpoint) {
                 self.circle.retain(|kept| *kept != endpoint);
+                self.circle_most = self.circle.len() as f64;
             }
             e.distrust += match (down, e.latency) {
                 (true, None) => DISTRUST_MOST,
@@ -517,8 +515,7 @@
         self.out.push_back(Decision::Send { req, endpoint, give_up });
     }
 
-    /// Nothing can take the req now: it waits a little, the most worth in front, if that is likely to
-    /// help.
+    /// Nothing can take the req now: it waits a little, the most worth in front, if that is likely to help.
     fn hold(&mut self, now: Moment, req: usize) {
         let r = self.reqs[req].as_ref().expect("only open reqs are held");
         let m = &self.terms.methods[r.method];
@@ -740,7 +737,7 @@
         self.circle.retain(|kept| ready.contains(kept));
         let in_look = self.recent_sends() * SOLVE_EVERY.secs() / self.terms.fall_window.secs().max(1e-9);
         let places = CIRCLES * ready.len() as f64 / self.terms.instances;
-        let wanted = (in_look / CIRCLE_SENDS).max(places).max(CIRCLE_LEAST);
+        let wanted = (in_look / CIRCLE_SENDS).max(places).min(self.circle_most).max(CIRCLE_LEAST);
         // Danger: a fleet that doubles would leave its new half idle, as those who came first keep to the old. So
         // each new endpoint joins by the chance that it would have had if it had always been there.
         for at in &ready {
@@ -753,6 +750,7 @@
         }
         if wanted < ready.len() as f64 && now >= self.exchange_at {
             self.exchange_at = now + EXCHANGE_EVERY * (1.0 + self.chance.rand_float());
+            self.circle_most += 1.0;
             self.give_up_one(now);
         }
         loop {
