--- a/src/choice.rs
+++ b/src/choice.rs
@@ -57,8 +57,8 @@
 const DISTRUST_MOST: f64 = 10.0;
 /// Time in which distrust fades to half: a few solves, as a short fault is not to cost an endpoint.
 const DISTRUST_HALF: Span = Span::from_millis(4000);
-/// Further write-outs that one arrival pays for, and the most saved up: a fifth of the load for long, and for a
-/// moment enough to carry reqs past one endpoint's fall.
+/// Further write-outs that one arrival pays for, and the most saved up: a fifth of the load for long, and for
+/// a moment enough to carry reqs past one endpoint's fall.
 const PURSE_SHARE: f64 = 0.2;
 const PURSE_MOST: f64 = 10.0;
 /// Weight of an endpoint at home against one in another zone, where crossing has a price: most of the traffic
@@ -68,12 +68,13 @@
 const HOME_ROOM: f64 = 2.0;
 /// Sends to each endpoint of the circle in a solve interval: as many as keep its latency known.
 const CIRCLE_SENDS: f64 = 2.0;
-/// Least endpoints in a circle: a few may fall at once. And least circles that an endpoint is in, on the mean.
+/// Least endpoints in a circle, as a few may fall at once; least circles that an endpoint is in, in the mean.
 const CIRCLE_LEAST: f64 = 4.0;
 const CIRCLES: f64 = 8.0;
 /// Between two exchanges, times one to two by chance: rare against the cost of a connection.
 const EXCHANGE_EVERY: Span = Span::from_millis(5000);
-/// Part of its latency budget that a write-out may take in the mean: room for a wait before it and for spread.
+/// Part of its latency budget that a write-out may take in the mean: room for a wait before it and for
+/// spread.
 const BOUND_AIM: f64 = 0.36;
 /// Relative change of the bound in a second of answers that are a whole budget off the aim, and most by one
 /// answer: all instances together learn in seconds, however few answers each hears.
@@ -81,22 +82,23 @@
 const BOUND_GAIN_MOST: f64 = 0.25;
 /// The bound grows only while this part of it is in use: else it would learn nothing from its answers.
 const BOUND_USED: f64 = 0.7;
-/// Time over which the mean in flight is smoothed to be held against the bound, for each instance that shares in
-/// it: the more they are, the better chance evens out between them.
+/// Time over which the mean in flight is smoothed to be held against the bound, for each instance that shares
+/// in it: the more they are, the better chance evens out between them.
 const CROWD_OVER: Span = Span::from_millis(20);
-/// Least and first bound, in write-outs of all instances together, and the greatest, which only keeps the
-/// figure finite where it is never reached.
-const BOUND_LEAST: f64 = 3.0;
+/// Least and first bound, in write-outs at an endpoint from all instances together: under the least its cores
+/// idle while what it holds waits for the next tier. The greatest only keeps the figure finite.
+const BOUND_LEAST: f64 = 6.0;
 const BOUND_FIRST: f64 = 8.0;
 const BOUND_MOST: f64 = 64.0;
 /// Reqs that may be held whatever the recent rate of sends.
 const HELD_FLOOR: f64 = 4.0;
-/// Part of the latency budget that a req may wait for an endpoint: long enough for the next answer to make room,
-/// short enough for a nacked client to come back within the budget.
+/// Part of the latency budget that a req may wait for an endpoint: long enough for the next answer to make
+/// room, short enough for a nacked client to come back within the budget.
 const HOLD_SHARE: f64 = 0.06;
 /// Between two looks at held reqs: short against any latency budget.
 const HOLD_LOOK: Span = Span::from_millis(20);
-/// Told to a nacked client, as part of the latency budget, times one to two by chance: it spreads the returns.
+/// Told to a nacked client, as part of the latency budget, times one to two by chance: it spreads the
+/// returns.
 const COME_BACK: f64 = 0.1;
 /// Relative difference within which two tries are of one length, and the votes that make sure of it.
 const TRY_NEAR: f64 = 0.01;
@@ -214,7 +216,8 @@
     sends: (f64, f64),
     sends_since: Moment,
     solved: Option<Moment>,
-    /// The length of a try of each method, as voted by the time that its reqs have left, and the votes for it.
+    /// The length of a try of each method, as voted by the time that its reqs have left, and the votes for
+    /// it.
     try_length: Vec<(Span, u32)>,
     purse: f64,
     bound: f64,
@@ -356,7 +359,8 @@
         if off < 0.0 || self.crowd >= BOUND_USED * self.bound_in_circle() {
             let in_second = self.recent_sends() / self.terms.fall_window.secs().max(1e-6);
             let gain = (BOUND_GAIN / in_second.max(1e-6)).min(BOUND_GAIN_MOST);
-            // Danger: a least that each instance may hold adds up over them; but one write-out must be possible.
+            // Danger: a least that each instance may hold adds up over them; but one write-out must be
+            // possible.
             let least = (BOUND_LEAST / self.terms.instances).max(1.0 / count.max(1.0));
             self.bound = (self.bound * (1.0 + gain * off)).max(least).min(BOUND_MOST);
         }
@@ -555,12 +559,8 @@
             Effect::NonRetryable => never_ran,
         };
         let wait = m.latency_budget * (COME_BACK * (1.0 + self.chance.rand_float()));
-        self.out.push_back(match harmless {
-            true => {
-                Decision::Nack { req, come_back: self.terms.longest_come_back.map(|most| wait.min(most)) }
-            }
-            false => Decision::Fail { req },
-        });
+        let come_back = self.terms.longest_come_back.map(|most| wait.min(most));
+        self.out.push_back(if harmless { Decision::Nack { req, come_back } } else { Decision::Fail { req } });
         self.settle(req);
     }
 
@@ -625,8 +625,8 @@
         (used, count, mean)
     }
 
-    /// Whether this instance holds its part of what its endpoints may hold. That goes by the mean over a while:
-    /// many instances with few reqs each differ by chance, and together stay near the mean.
+    /// Whether this instance holds its part of what its endpoints may hold. That goes by the mean over a
+    /// while: many instances with few reqs each differ by chance, and together stay near the mean.
     fn crowded(&mut self, now: Moment) -> bool {
         let (_, count, mean) = self.trusted(now, false);
         let gap = now.since(std::mem::replace(&mut self.crowd_at, now)).secs();
@@ -731,15 +731,16 @@
         self.tend_circle(now);
     }
 
-    /// Sees to it that the circle has its size in endpoints that are trusted, and exchanges one when it is time.
+    /// Sees to it that the circle has its size in endpoints that are trusted, and exchanges one when it is
+    /// time.
     fn tend_circle(&mut self, now: Moment) {
         let ready: Vec<usize> = self.ready().map(|(at, _)| at).collect();
         self.circle.retain(|kept| ready.contains(kept));
         let in_look = self.recent_sends() * SOLVE_EVERY.secs() / self.terms.fall_window.secs().max(1e-9);
         let places = CIRCLES * ready.len() as f64 / self.terms.instances;
         let wanted = (in_look / CIRCLE_SENDS).max(places).min(self.circle_most).max(CIRCLE_LEAST);
-        // Danger: a fleet that doubles would leave its new half idle, as those who came first keep to the old. So
-        // each new endpoint joins by the chance that it would have had if it had always been there.
+        // Danger: a fleet that doubles would leave its new half idle, as those who came first keep to the
+        // old. So each new endpoint joins by the chance that it would have had if it had always been there.
         for at in &ready {
             let chance = self.circle.len() as f64 / ready.len() as f64;
             let new = std::mem::take(&mut self.endpoints[*at].as_mut().expect("ready").new);
@@ -819,12 +820,8 @@
     /// Up to when an answer is worth something, with room to give the final answer before it is late.
     fn useful_until(&self, terms: &Terms) -> Moment {
         let m = &terms.methods[self.method];
-        match m.overdue_criticality > 0.0 {
-            true => self.deadline,
-            false => self
-                .deadline
-                .min(self.arrived + m.latency_budget.less(terms.tick * ANSWER_TICKS).less(self.age)),
-        }
+        let prompt = m.latency_budget.less(terms.tick * ANSWER_TICKS).less(self.age);
+        if m.overdue_criticality > 0.0 { self.deadline } else { self.deadline.min(self.arrived + prompt) }
     }
 }
 
