--- a/src/choice.rs
+++ b/src/choice.rs
@@ -72,7 +72,7 @@
 const CIRCLE_LEAST: f64 = 4.0;
 const CIRCLES: f64 = 8.0;
 /// Between two exchanges, times one to two by chance: rare against the cost of a connection.
-const EXCHANGE_EVERY: Span = Span::from_millis(5000);
+const EXCHANGE_EVERY: Span = Span::from_millis(10000);
 /// Part of its latency budget that a write-out may take in the mean: room for a wait before it and for
 /// spread.
 const BOUND_AIM: f64 = 0.36;
@@ -770,15 +770,13 @@
         }
     }
 
-    /// Leaves out one of the circle by chance, one that serves badly more often than one that serves well.
+    /// Leaves out the one of the circle that serves worst.
     fn give_up_one(&mut self, now: Moment) {
-        let badness = |at: usize| {
-            let e = self.endpoints[at].as_ref().expect("the circle is of ready endpoints");
-            1.0 / (e.fraction * e.trust(now)).max(1e-9)
-        };
-        let weights: Vec<(usize, f64)> = self.circle.iter().map(|at| (*at, badness(*at))).collect();
-        if let Some(leaves) = self.drawn(&weights) {
-            self.circle.retain(|kept| *kept != leaves);
+        let good = |at: &usize| self.endpoints[*at].as_ref().map_or(0.0, |e| e.fraction * e.trust(now));
+        let worst =
+            (0..self.circle.len()).min_by(|a, b| good(&self.circle[*a]).total_cmp(&good(&self.circle[*b])));
+        if let Some(worst) = worst {
+            let leaves = self.circle.swap_remove(worst);
             self.close_idle(leaves);
         }
     }
