--- a/src/choice.rs
+++ b/src/choice.rs
@@ -332,7 +332,7 @@
             let part = (gap / (gap + SMOOTHING_OVER.secs())).max(SMOOTHING);
             e.latency = Some(smoothed(e.latency, secs / usual, part));
         } else {
-            let down = matches!(outcome, Outcome::RefusedConnection | Outcome::Severed);
+            let down = matches!(outcome, Outcome::RefusedConnection | Outcome::Severed | Outcome::Overdue);
             // Danger: an endpoint whose connections have run out refuses new sidecars for good, one by one.
             // Who came first is to make room too: its exchanges are refused as well, so its circle shrinks.
             if outcome == Outcome::RefusedConnection && !e.connected && self.circle.contains(&endpoint) {
