Distrust by method

Ruled out: a broken way between some pairs (all sidecars alike), load (latency of the rest unchanged), the list (silent).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -51,6 +51,8 @@
 /// The same for an answer that took so many times what is usual: often chance, so it takes several to tell.
 const DISTRUST_SLOW: f64 = 0.5;
 const SLOW_TIMES: f64 = 2.0;
+/// Part of a failure that counts for the other methods, unless a connection failed: mostly they fail alike.
+const DISTRUST_OTHERS: f64 = 0.5;
 /// Part of its distrust that any other answer leaves an endpoint: three halve it.
 const DISTRUST_KEPT: f64 = 0.8;
 /// Most distrust: a thousandth of the traffic is a trickle that can still tell of recovery.
@@ -86,16 +88,15 @@
 /// in it: the more they are, the better chance evens out between them.
 const CROWD_OVER: Span = Span::from_millis(20);
 /// Least and first bound, in write-outs at an endpoint from all instances together: under the least its cores
-/// idle while what it holds waits for the next tier. The greatest only keeps the figure finite.
+/// idle while what it holds waits for the next tier.
 const BOUND_LEAST: f64 = 6.0;
 const BOUND_FIRST: f64 = 8.0;
-const BOUND_MOST: f64 = 64.0;
 /// Reqs that may be held whatever the recent rate of sends.
 const HELD_FLOOR: f64 = 4.0;
 /// Part of the latency budget that a req may wait for an endpoint: long enough for the next answer to make
 /// room, short enough for a nacked client to come back within the budget.
 const HOLD_SHARE: f64 = 0.06;
-/// Between two looks at held reqs: short against any latency budget.
+/// Between two looks at held reqs: short against any budget.
 const HOLD_LOOK: Span = Span::from_millis(20);
 /// Told to a nacked client, as part of the latency budget, times one to two by chance: it spreads the
 /// returns.
@@ -146,7 +147,7 @@
     latency: Option<f64>,
     heard_at: Moment,
     fraction: f64,
-    distrust: f64,
+    distrust: Vec<f64>, // by method
     distrust_at: Moment,
     in_flight: usize,
     /// Sends that a cold endpoint may still get, as of a moment.
@@ -316,7 +317,9 @@
         }
         let satisfied = outcome == Outcome::Satisfied;
         e.connected |= outcome != Outcome::RefusedConnection;
-        (e.distrust, e.distrust_at) = (e.faded(now), now);
+        let (down, fade) = (matches!(outcome, Outcome::RefusedConnection | Outcome::Severed), e.fade(now));
+        (e.distrust_at, e.distrust) = (now, e.distrust.iter().map(|score| score * fade).collect());
+        let mut failed = 0.0;
         if satisfied {
             let secs = took.secs().max(1e-6);
             let usual = smoothed(self.usual[method], secs, SMOOTHING);
@@ -324,28 +327,31 @@
             // Danger: an endpoint that a crowd has turned slower stays so until it may rest. One that is slow
             // by nature is not meant: the split has its share right, so its own latency is the measure.
             if secs / usual > SLOW_TIMES * e.latency.map_or(1.0, |latency| latency.max(1.0)) {
-                e.distrust += DISTRUST_SLOW;
+                failed = DISTRUST_SLOW;
             } else {
-                e.distrust *= DISTRUST_KEPT;
+                e.distrust[method] *= DISTRUST_KEPT;
             }
             let gap = now.since(std::mem::replace(&mut e.heard_at, now)).secs();
             let part = (gap / (gap + SMOOTHING_OVER.secs())).max(SMOOTHING);
             e.latency = Some(smoothed(e.latency, secs / usual, part));
         } else {
-            let down = matches!(outcome, Outcome::RefusedConnection | Outcome::Severed | Outcome::Overdue);
             // Danger: an endpoint whose connections have run out refuses new sidecars for good, one by one.
             // Who came first is to make room too: its exchanges are refused as well, so its circle shrinks.
             if outcome == Outcome::RefusedConnection && !e.connected && self.circle.contains(&endpoint) {
                 self.circle.retain(|kept| *kept != endpoint);
                 self.circle_most = self.circle.len() as f64;
             }
-            e.distrust += match (down, e.latency) {
-                (true, None) => DISTRUST_MOST,
-                (true, _) => DISTRUST_DOWN,
+            failed = match e.latency {
+                None if down => DISTRUST_MOST,
+                _ if down || outcome == Outcome::Overdue => DISTRUST_DOWN,
                 _ => DISTRUST_STEP,
             };
         }
-        e.distrust = e.distrust.min(DISTRUST_MOST);
+        // Danger: an endpoint that fails all reqs of one method wins trust back with answers to the others.
+        for (other, score) in e.distrust.iter_mut().enumerate() {
+            let part = if down || other == method { 1.0 } else { DISTRUST_OTHERS };
+            *score = (*score + failed * part).min(DISTRUST_MOST);
+        }
         // Danger: a queue that answers late never fails, so the window would not see the overload in it.
         let budget = self.terms.methods[method].latency_budget;
         self.window.book(now, satisfied && took <= budget);
@@ -362,7 +368,7 @@
             // Danger: a least that each instance may hold adds up over them; but one write-out must be
             // possible.
             let least = (BOUND_LEAST / self.terms.instances).max(1.0 / count.max(1.0));
-            self.bound = (self.bound * (1.0 + gain * off)).max(least).min(BOUND_MOST);
+            self.bound = (self.bound * (1.0 + gain * off)).max(least);
         }
     }
 
@@ -406,7 +412,7 @@
             latency: None,
             heard_at: now,
             fraction: 0.0,
-            distrust: 0.0,
+            distrust: vec![0.0; self.terms.methods.len()],
             distrust_at: now,
             in_flight: 0,
             credit: 0.0,
@@ -418,7 +424,8 @@
         let e = self.endpoints[endpoint].get_or_insert_with(fresh);
         if started > e.started {
             // A new process: what the old one earned or lost says nothing of it.
-            (e.started, e.latency, e.distrust, e.new) = (started, None, 0.0, true);
+            (e.started, e.latency, e.new) = (started, None, true);
+            e.distrust.fill(0.0);
             // Danger: many instances that each send at once would push it over, however little each sends.
             (e.credit, e.credit_at) = (self.chance.rand_float(), now);
         }
@@ -585,7 +592,7 @@
     /// any will do; the draw still follows the weights.
     fn pick(&mut self, now: Moment, req: usize) -> Option<usize> {
         self.solve(now);
-        if self.crowded(now) {
+        if self.crowded(now, self.reqs[req].as_ref()?.method) {
             return None;
         }
         let (open, above) = self.open_endpoints(now, self.reqs[req].as_ref()?);
@@ -605,7 +612,7 @@
     /// Sends in a fall window that fall to what a whole warm endpoint can do, with trust.
     fn sends_per_place(&self, now: Moment) -> f64 {
         let kept = self.ready().filter(|(at, _)| self.circle.contains(at));
-        let places = kept.map(|(_, e)| e.cold_share(now, &self.terms) * e.trust(now)).sum::<f64>();
+        let places = kept.map(|(_, e)| e.cold_share(now, &self.terms) * e.trust(now, None)).sum::<f64>();
         (self.recent_sends() / places.max(1.0)).max(COLD_FLOOR / self.terms.instances)
     }
 
@@ -615,9 +622,9 @@
 
     /// The endpoints of the circle, or all, with their trust against that in the most trusted, so that all
     /// distrusted is the same as none; how many they count for, and the mean in flight.
-    fn trusted(&self, now: Moment, all: bool) -> (Vec<(usize, &Endpoint, f64)>, f64, f64) {
+    fn trusted(&self, now: Moment, method: usize, all: bool) -> (Vec<(usize, &Endpoint, f64)>, f64, f64) {
         let used = self.ready().filter(|(at, _)| all || self.circle.contains(at));
-        let mut used: Vec<_> = used.map(|(at, e)| (at, e, e.trust(now))).collect();
+        let mut used: Vec<_> = used.map(|(at, e)| (at, e, e.trust(now, Some(method)))).collect();
         let most = used.iter().map(|(_, _, trust)| *trust).fold(f64::MIN_POSITIVE, f64::max);
         used.iter_mut().for_each(|(_, _, trust)| *trust /= most);
         let count = used.iter().map(|(_, _, trust)| trust).sum::<f64>().max(1.0);
@@ -627,8 +634,8 @@
 
     /// Whether this instance holds its part of what its endpoints may hold. That goes by the mean over a
     /// while: many instances with few reqs each differ by chance, and together stay near the mean.
-    fn crowded(&mut self, now: Moment) -> bool {
-        let (_, count, mean) = self.trusted(now, false);
+    fn crowded(&mut self, now: Moment, method: usize) -> bool {
+        let (_, count, mean) = self.trusted(now, method, false);
         let gap = now.since(std::mem::replace(&mut self.crowd_at, now)).secs();
         let over = CROWD_OVER.secs() * self.terms.instances;
         self.crowd += gap / (gap + over).max(1e-9) * (mean - self.crowd);
@@ -645,7 +652,7 @@
         let m = &self.terms.methods[r.method];
         // A repeat may have to go to an endpoint outside the circle, as its group is there.
         let all = m.effect == Effect::Deduplicated && m.group != Group::All && !r.never_ran();
-        let (used, count, mean) = self.trusted(now, all);
+        let (used, count, mean) = self.trusted(now, r.method, all);
         let bound = self.bound_in_circle();
         let mean_weight = used.iter().map(|(_, e, trust)| trust * self.home_weight(e)).sum::<f64>() / count;
         let per_place = self.sends_per_place(now);
@@ -662,8 +669,7 @@
             let room = place.min(HOME_ROOM) * MARGIN_TIMES * mean + trust * (1.0 + share * MARGIN_PLUS);
             let tried = r.write_outs.iter().any(|w| w.endpoint == endpoint);
             let weight = e.fraction * place * if tried { TRIED_WEIGHT } else { 1.0 };
-            let fits = e.in_flight as f64 + 1.0 <= room;
-            if fits { &mut open } else { &mut above }.push((endpoint, weight));
+            if e.in_flight as f64 + 1.0 > room { &mut above } else { &mut open }.push((endpoint, weight));
         }
         (open, above)
     }
@@ -759,8 +765,8 @@
             let mut outside = Vec::new();
             for (at, e) in self.ready() {
                 match self.circle.contains(&at) {
-                    true => trusted += e.trust(now),
-                    false => outside.push((at, e.trust(now) * self.home_weight(e))),
+                    true => trusted += e.trust(now, None),
+                    false => outside.push((at, e.trust(now, None) * self.home_weight(e))),
                 }
             }
             match self.drawn(&outside) {
@@ -772,7 +778,7 @@
 
     /// Leaves out the one of the circle that serves worst.
     fn give_up_one(&mut self, now: Moment) {
-        let good = |at: &usize| self.endpoints[*at].as_ref().map_or(0.0, |e| e.fraction * e.trust(now));
+        let good = |at: &usize| self.endpoints[*at].as_ref().map_or(0.0, |e| e.fraction * e.trust(now, None));
         let worst =
             (0..self.circle.len()).min_by(|a, b| good(&self.circle[*a]).total_cmp(&good(&self.circle[*b])));
         if let Some(worst) = worst {
@@ -824,12 +830,14 @@
 }
 
 impl Endpoint {
-    fn faded(&self, now: Moment) -> f64 {
-        self.distrust * 0.5_f64.powf(now.since(self.distrust_at).secs() / DISTRUST_HALF.secs())
+    fn fade(&self, now: Moment) -> f64 {
+        0.5_f64.powf(now.since(self.distrust_at).secs() / DISTRUST_HALF.secs())
     }
 
-    fn trust(&self, now: Moment) -> f64 {
-        0.5_f64.powf(self.faded(now))
+    /// By method, or by that which fares worst.
+    fn trust(&self, now: Moment, method: Option<usize>) -> f64 {
+        let worst = || self.distrust.iter().copied().fold(0.0, f64::max);
+        0.5_f64.powf(method.map_or_else(worst, |method| self.distrust[method]) * self.fade(now))
     }
 
     fn cold(&self, now: Moment, terms: &Terms) -> bool {
