Tidy the module: credit and rate of sends in one place each, and the circle walked alone

The reading found: credit worked out twice (at the draw and at the send), and for endpoints that are not cold; the rate of sends written three times; every endpoint looked up in the circle for each req; the circle's size summed anew for each that joins; the header and three constants behind the code.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -8,7 +8,7 @@
 //! (no effect twice), `open_endpoints` (nothing to what drains; a started endpoint's budget), `list_*` (the
 //! list).
 //! Mechanisms beside the design, six at most:
-//! 1. Distrust: a score per endpoint that failures raise and time fades; traffic follows it.
+//! 1. Distrust: a score per endpoint and method that failures raise and time fades; traffic follows it.
 //! 2. Further write-outs: only as effects permit, and from a purse that arrivals fill.
 //! 3. Circle: an instance with too little traffic to hear from all endpoints keeps to some, drawn at random,
 //!    and exchanges one from time to time; where crossing zones is priced, those at home weigh more.
@@ -34,9 +34,9 @@
 const BUCKETS: usize = 40;
 /// Between two solves of the fractions: the design's start.
 const SOLVE_EVERY: Span = Span::from_millis(1000);
-/// Part of a new latency sample in the smoothed one: about the last ten samples count,
+/// Least part of a new latency sample in the smoothed one: about the last ten samples count.
 const SMOOTHING: f64 = 0.1;
-/// or the last of this time, where an endpoint is heard from less often: older ones say little of it now.
+/// Of an endpoint heard from less often, the samples of about this time: older ones say little of it now.
 const SMOOTHING_OVER: Span = Span::from_millis(2500);
 /// In flight beyond this multiple of the mean, plus this many, is well above it: half a write-out decides
 /// for instances with a trickle, the multiple for busy ones.
@@ -46,7 +46,7 @@
 const TRIED_WEIGHT: f64 = 0.01;
 /// Distrust that one failure adds, in halvings of traffic.
 const DISTRUST_STEP: f64 = 1.0;
-/// The same for a connection refused or broken: a process that is down fails every req, not some.
+/// The same for a connection refused or broken, and for an overdue write-out: mostly every req fails so.
 const DISTRUST_DOWN: f64 = 4.0;
 /// The same for an answer that took so many times what is usual: often chance, so it takes several to tell.
 const DISTRUST_SLOW: f64 = 0.5;
@@ -55,7 +55,7 @@
 const DISTRUST_OTHERS: f64 = 0.5;
 /// Part of its distrust that any other answer leaves an endpoint: three halve it.
 const DISTRUST_KEPT: f64 = 0.8;
-/// Most distrust: a thousandth of the traffic is a trickle that can still tell of recovery.
+/// Most distrust: a thousandth of the traffic can still tell of recovery.
 const DISTRUST_MOST: f64 = 10.0;
 /// Time in which distrust fades to half: a few solves, as a short fault is not to cost an endpoint.
 const DISTRUST_HALF: Span = Span::from_millis(4000);
@@ -70,7 +70,8 @@
 const HOME_ROOM: f64 = 2.0;
 /// Sends to each endpoint of the circle in a solve interval: as many as keep its latency known.
 const CIRCLE_SENDS: f64 = 2.0;
-/// Least endpoints in a circle, as a few may fall at once; least circles that an endpoint is in, in the mean.
+/// Least endpoints in a circle, as a few may fall at once. Least circles that an endpoint is in, in the mean:
+/// with fewer, chance loads endpoints too unevenly.
 const CIRCLE_LEAST: f64 = 4.0;
 const CIRCLES: f64 = 8.0;
 /// Between two exchanges, times one to two by chance: rare against the cost of a connection.
@@ -88,10 +89,10 @@
 /// in it: the more they are, the better chance evens out between them.
 const CROWD_OVER: Span = Span::from_millis(20);
 /// Least and first bound, in write-outs at an endpoint from all instances together: under the least its cores
-/// idle while what it holds waits for the next tier.
+/// idle while what it holds waits for the next tier; the first is a little more, until answers tell.
 const BOUND_LEAST: f64 = 6.0;
 const BOUND_FIRST: f64 = 8.0;
-/// Reqs that may be held whatever the recent rate of sends.
+/// Reqs that may be held whatever the recent rate of sends: few, for an instance that has just started.
 const HELD_FLOOR: f64 = 4.0;
 /// Part of the latency budget that a req may wait for an endpoint: long enough for the next answer to make
 /// room, short enough for a nacked client to come back within the budget.
@@ -361,13 +362,11 @@
             Outcome::Saturated | Outcome::Overdue => BOUND_AIM - 1.0,
             _ => 0.0,
         };
-        let count = self.ready().count() as f64;
         if off < 0.0 || self.crowd >= BOUND_USED * self.bound_in_circle() {
-            let in_second = self.recent_sends() / self.terms.fall_window.secs().max(1e-6);
-            let gain = (BOUND_GAIN / in_second.max(1e-6)).min(BOUND_GAIN_MOST);
-            // Danger: a least that each instance may hold adds up over them; but one write-out must be
-            // possible.
-            let least = (BOUND_LEAST / self.terms.instances).max(1.0 / count.max(1.0));
+            let gain = (BOUND_GAIN / self.sends_in_second().max(1e-6)).min(BOUND_GAIN_MOST);
+            // Danger: a least that each instance may hold adds up over them. One must be possible, though.
+            let one = 1.0 / (self.ready().count() as f64).max(1.0);
+            let least = (BOUND_LEAST / self.terms.instances).max(one);
             self.bound = (self.bound * (1.0 + gain * off)).max(least);
         }
     }
@@ -509,15 +508,15 @@
     }
 
     fn send(&mut self, now: Moment, req: usize, endpoint: usize, further: bool) {
-        let per_place = self.sends_per_place(now);
+        let cold = self.endpoints[endpoint].as_ref().filter(|e| e.cold_share(now, &self.terms) < 1.0);
+        let credit = cold.map(|e| self.credit(now, e) - 1.0);
         let r = self.reqs[req].as_mut().expect("only open reqs are sent");
         let e = self.endpoints[endpoint].as_mut().expect("only known endpoints are picked");
         r.write_outs.push(WriteOut { endpoint, sent: now, ended: None });
         let give_up = r.useful_until(&self.terms);
         e.in_flight += 1;
-        if e.cold(now, &self.terms) {
-            (e.credit, e.credit_at) =
-                (e.credit_now(now, per_place * e.cold_share(now, &self.terms), &self.terms) - 1.0, now);
+        if let Some(credit) = credit {
+            (e.credit, e.credit_at) = (credit, now);
         }
         self.sends.0 += 1.0;
         if further {
@@ -541,8 +540,7 @@
         let place = self.held.partition_point(|held| worth(held) >= worth(&req));
         self.held.insert(place, req);
         // Danger: a queue longer than what is sent in a wait only delays its nacks.
-        let rate = self.recent_sends() / self.terms.fall_window.secs().max(1e-6);
-        if self.held.len() as f64 > (rate * wait.secs()).max(HELD_FLOOR) {
+        if self.held.len() as f64 > (self.sends_in_second() * wait.secs()).max(HELD_FLOOR) {
             let last = self.held.pop().expect("just filled");
             self.end(last);
         }
@@ -609,11 +607,27 @@
         self.sends.0.max(self.sends.1)
     }
 
-    /// Sends in a fall window that fall to what a whole warm endpoint can do, with trust.
-    fn sends_per_place(&self, now: Moment) -> f64 {
-        let kept = self.ready().filter(|(at, _)| self.circle.contains(at));
-        let places = kept.map(|(_, e)| e.cold_share(now, &self.terms) * e.trust(now, None)).sum::<f64>();
-        (self.recent_sends() / places.max(1.0)).max(COLD_FLOOR / self.terms.instances)
+    fn sends_in_second(&self) -> f64 {
+        self.recent_sends() / self.terms.fall_window.secs().max(1e-9)
+    }
+
+    /// The ready endpoints of the circle, in the order of their indices.
+    fn kept(&self) -> Vec<(usize, &Endpoint)> {
+        let kept = self.circle.iter().filter_map(|at| Some((*at, self.endpoints[*at].as_ref()?)));
+        let mut kept: Vec<_> = kept.filter(|(_, e)| e.standing == Standing::Ready).collect();
+        kept.sort_unstable_by_key(|(at, _)| *at);
+        kept
+    }
+
+    /// Sends that a cold endpoint may get now: it gains what falls to its share of a whole warm one in a fall
+    /// window, and keeps no more than that.
+    fn credit(&self, now: Moment, e: &Endpoint) -> f64 {
+        let place = |e: &Endpoint| e.cold_share(now, &self.terms) * e.trust(now, None);
+        let places = self.kept().into_iter().map(|(_, e)| place(e)).sum::<f64>();
+        let per_place = (self.recent_sends() / places.max(1.0)).max(COLD_FLOOR / self.terms.instances);
+        let sends = per_place * e.cold_share(now, &self.terms);
+        let windows = now.since(e.credit_at).secs() / self.terms.fall_window.secs().max(1e-9);
+        (e.credit + sends * windows).min(sends.max(1.0))
     }
 
     fn bound_in_circle(&self) -> f64 {
@@ -623,8 +637,8 @@
     /// The endpoints of the circle, or all, with their trust against that in the most trusted, so that all
     /// distrusted is the same as none; how many they count for, and the mean in flight.
     fn trusted(&self, now: Moment, method: usize, all: bool) -> (Vec<(usize, &Endpoint, f64)>, f64, f64) {
-        let used = self.ready().filter(|(at, _)| all || self.circle.contains(at));
-        let mut used: Vec<_> = used.map(|(at, e)| (at, e, e.trust(now, Some(method)))).collect();
+        let used = if all { self.ready().collect() } else { self.kept() };
+        let mut used: Vec<_> = used.into_iter().map(|(at, e)| (at, e, e.trust(now, Some(method)))).collect();
         let most = used.iter().map(|(_, _, trust)| *trust).fold(f64::MIN_POSITIVE, f64::max);
         used.iter_mut().for_each(|(_, _, trust)| *trust /= most);
         let count = used.iter().map(|(_, _, trust)| trust).sum::<f64>().max(1.0);
@@ -655,11 +669,10 @@
         let (used, count, mean) = self.trusted(now, r.method, all);
         let bound = self.bound_in_circle();
         let mean_weight = used.iter().map(|(_, e, trust)| trust * self.home_weight(e)).sum::<f64>() / count;
-        let per_place = self.sends_per_place(now);
         for (endpoint, e, trust) in used.into_iter().filter(|(_, e, _)| self.may_repeat(now, r, m, e)) {
             let share = e.cold_share(now, &self.terms);
             // Danger: a burst onto a started endpoint can spend its budget before the window has passed.
-            let spent = share < 1.0 && e.credit_now(now, share * per_place, &self.terms) < 1.0;
+            let spent = share < 1.0 && self.credit(now, e) < 1.0;
             if spent || e.in_flight as f64 >= (bound * share).max(1.0) {
                 continue;
             }
@@ -737,12 +750,11 @@
         self.tend_circle(now);
     }
 
-    /// Sees to it that the circle has its size in endpoints that are trusted, and exchanges one when it is
-    /// time.
+    /// Sees to it that the circle has its size in trusted endpoints, and exchanges one when it is time.
     fn tend_circle(&mut self, now: Moment) {
         let ready: Vec<usize> = self.ready().map(|(at, _)| at).collect();
         self.circle.retain(|kept| ready.contains(kept));
-        let in_look = self.recent_sends() * SOLVE_EVERY.secs() / self.terms.fall_window.secs().max(1e-9);
+        let in_look = self.sends_in_second() * SOLVE_EVERY.secs();
         let places = CIRCLES * ready.len() as f64 / self.terms.instances;
         let wanted = (in_look / CIRCLE_SENDS).max(places).min(self.circle_most).max(CIRCLE_LEAST);
         // Danger: a fleet that doubles would leave its new half idle, as those who came first keep to the
@@ -760,20 +772,18 @@
             self.circle_most += 1.0;
             self.give_up_one(now);
         }
-        loop {
-            let mut trusted = 0.0;
-            let mut outside = Vec::new();
-            for (at, e) in self.ready() {
-                match self.circle.contains(&at) {
-                    true => trusted += e.trust(now, None),
-                    false => outside.push((at, e.trust(now, None) * self.home_weight(e))),
-                }
-            }
-            match self.drawn(&outside) {
-                Some(joins) if trusted < wanted => self.circle.push(joins),
-                _ => break,
+        let (mut trusted, mut outside) = (0.0, Vec::new());
+        for (at, e) in self.ready() {
+            match self.circle.contains(&at) {
+                true => trusted += e.trust(now, None),
+                false => outside.push((at, e.trust(now, None) * self.home_weight(e))),
             }
         }
+        while let Some(joins) = self.drawn(&outside).filter(|_| trusted < wanted) {
+            self.circle.push(joins);
+            outside.retain(|(at, _)| *at != joins);
+            trusted += self.endpoints[joins].as_ref().map_or(0.0, |e| e.trust(now, None));
+        }
     }
 
     /// Leaves out the one of the circle that serves worst.
@@ -791,7 +801,6 @@
         if self.terms.crossing_costs && e.zone == self.home { HOME_WEIGHT } else { 1.0 }
     }
 
-    /// One drawn by weight.
     fn drawn(&mut self, weights: &[(usize, f64)]) -> Option<usize> {
         let mut left = self.chance.rand_float() * weights.iter().map(|(_, weight)| weight).sum::<f64>();
         let found = weights.iter().find(|(_, weight)| {
@@ -840,22 +849,11 @@
         0.5_f64.powf(method.map_or_else(worst, |method| self.distrust[method]) * self.fade(now))
     }
 
-    fn cold(&self, now: Moment, terms: &Terms) -> bool {
-        self.started.is_some_and(|at| now.since(at) < terms.cold_for)
-    }
-
-    /// Sends that a cold endpoint may get now, at so many in a fall window and no more at once.
-    fn credit_now(&self, now: Moment, sends: f64, terms: &Terms) -> f64 {
-        let windows = now.since(self.credit_at).secs() / terms.fall_window.secs().max(1e-9);
-        (self.credit + sends * windows).min(sends.max(1.0))
-    }
-
     /// The part of its full capacity that an endpoint has at least, by the stated rise.
     fn cold_share(&self, now: Moment, terms: &Terms) -> f64 {
-        match self.started {
-            Some(at) if self.cold(now, terms) => {
-                let risen = now.since(at).secs() / terms.cold_for.secs().max(1e-9);
-                terms.cold_start + (1.0 - terms.cold_start) * risen
+        match self.started.map(|at| now.since(at)) {
+            Some(up) if up < terms.cold_for => {
+                terms.cold_start + (1.0 - terms.cold_start) * (up.secs() / terms.cold_for.secs().max(1e-9))
             }
             _ => 1.0,
         }
