SIGHUP reads the file again and moves the watch on the list to the address there

Ruled out: a panic (it aborts with 134 and writes a line) and the want of memory (0 MB of 48, and that kill is 137). 129 is what the shell says of SIGHUP, and Sidecar::start registered SIGTERM and SIGINT only (sidecar.rs, Signals::new).

Now told() takes every signal that is pending (before: only the first) and read_again() reads the file. There the file wins over BALANCER_DISCOVERY, which a running program keeps from its start and which would mask the new address (launch.rs, text). List::move_to closes the old watch and asks the new address from version 0: a version is the service's own. The old list stays until the new one comes; a faulty file changes nothing. The rest of the file waits for a restart, as docs/on-call.md says.

--- a/crates/sidecar/src/launch.rs
+++ b/crates/sidecar/src/launch.rs
@@ -1,5 +1,5 @@
-//! Reads the configuration from its file and the variables, checks it and fills in defaults. Every message
-//! names the faulty key.
+//! Reads the configuration from its file and the variables, at the start and again when told to; checks it and
+//! fills in defaults. Every message names the faulty key.
 
 use std::env;
 use std::fs;
@@ -23,8 +23,18 @@
 const SOCKETS: u64 = 1024;
 const MEMORY_MB: u64 = 192;
 
+/// Which has the last word where a variable and the file differ.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Winner {
+    Variable,
+    /// Danger: a running program's variables cannot be changed, and would hide what its file says anew.
+    File,
+}
+
 /// All that a sidecar is told at its start.
 pub struct Launch {
+    /// The file that this was read from.
+    pub path: PathBuf,
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
@@ -53,14 +63,15 @@
     }
 }
 
-/// What a variable says, else the configuration, and by which name it was found; `None` where neither says
-/// anything.
+/// What the variable or the file says, and by which name it was found; `None` where neither says anything.
 fn text(
     variable: &'static str,
     file: &Value,
     key: &'static str,
+    winner: Winner,
 ) -> Result<Option<(String, &'static str)>, String> {
     match (env::var(variable), &file[key]) {
+        (_, Value::String(value)) if winner == Winner::File => Ok(Some((value.clone(), key))),
         (Ok(value), _) => Ok(Some((value, variable))),
         (Err(_), Value::String(value)) => Ok(Some((value.clone(), key))),
         (Err(_), Value::Null) => Ok(None),
@@ -90,21 +101,26 @@
     pub fn read(path: Option<PathBuf>) -> Result<Launch, String> {
         let path = path.or_else(|| env::var("BALANCER_CONFIG").ok().map(PathBuf::from));
         let path = path.ok_or("BALANCER_CONFIG: no configuration is named, by this variable or --config")?;
+        Launch::read_from(path, Winner::Variable)
+    }
+
+    /// Reads a file that may have been read before.
+    pub fn read_from(path: PathBuf, winner: Winner) -> Result<Launch, String> {
         let place = |path: &Path, what: String| format!("{}: {what}", path.display());
         let file = fs::read(&path).map_err(|e| place(&path, e.to_string()))?;
         let file = serde_json::from_slice(&file).map_err(|e| place(&path, format!("not JSON: {e}")))?;
-        Launch::check(file).map_err(|what| place(&path, what))
+        Launch::check(file, path.clone(), winner).map_err(|what| place(&path, what))
     }
 
-    fn check(mut file: Value) -> Result<Launch, String> {
+    fn check(mut file: Value, path: PathBuf, winner: Winner) -> Result<Launch, String> {
         let address = |variable, key: &'static str| {
-            let found = text(variable, &file, key)?;
+            let found = text(variable, &file, key, winner)?;
             let (text, named) = found.ok_or_else(|| format!("{key}: missing"))?;
             text.parse::<SocketAddr>().map_err(|_| format!("{named}: expected address:port, not '{text}'"))
         };
         let (listen, discovery) =
             (address("BALANCER_LISTEN", "listen")?, address("BALANCER_DISCOVERY", "discovery")?);
-        let name = text("BALANCER_NAME", &file, "name")?;
+        let name = text("BALANCER_NAME", &file, "name", winner)?;
         let name = name.map_or_else(|| "sidecar".to_string(), |(name, _)| name);
         if !file["settings"].is_object() {
             return Err("settings: missing, or no object".to_string());
@@ -137,6 +153,7 @@
                 .map_err(|what| format!("known.{what}"))?;
         }
         Ok(Launch {
+            path,
             name,
             listen,
             discovery,
--- a/crates/sidecar/src/net/list.rs
+++ b/crates/sidecar/src/net/list.rs
@@ -79,7 +79,7 @@
     deadline: Option<Moment>,
     failures: i32,
     chance: Rand64,
-    /// The version that was last heard.
+    /// The version that was last heard, at this address.
     version: u64,
 }
 
@@ -103,6 +103,23 @@
         if std::mem::replace(&mut self.wanted, true) { false } else { self.open(turn) }
     }
 
+    /// The list is to be asked at this address from now on. Returns whether a call to it failed at once.
+    pub fn move_to(&mut self, at: SocketAddr, turn: &mut Turn) -> bool {
+        if std::mem::replace(&mut self.at, at) == at {
+            return false;
+        }
+        // Danger: another service counts versions of its own, and would tell only what came after ours.
+        (self.version, self.failures) = (0, 0);
+        self.close(turn);
+        self.wanted && self.open(turn)
+    }
+
+    fn close(&mut self, turn: &mut Turn) {
+        if let Some(watch) = self.open.take().and_then(|key| self.watches.remove(key)) {
+            watch.connection.close(&turn.registry);
+        }
+    }
+
     fn open(&mut self, turn: &mut Turn) -> bool {
         let (at, call) = (self.at, http::watch_call(self.at, self.version));
         let opened = self.watches.insert_with(|key| {
@@ -122,14 +139,12 @@
 
     /// The call has failed or the watch has ended: what is known of the list stays, and the next try waits.
     fn fail(&mut self, what: &str, turn: &mut Turn) -> bool {
-        if let Some(watch) = self.open.take().and_then(|key| self.watches.remove(key)) {
-            watch.connection.close(&turn.registry);
-        }
+        self.close(turn);
         // Danger: a service that comes back would be met by every sidecar at once.
         let wait = (RETRY_FIRST * 2.0_f64.powi(self.failures.min(10))).min(RETRY_MOST);
         let wait = wait * (0.5 + self.chance.rand_float() / 2.0);
         self.failures += 1;
-        log::warn!("list at version {}: {what}", self.version);
+        log::warn!("list at {}, version {}: {what}", self.at, self.version);
         turn.deadlines.shift(Due::List, &mut self.deadline, Some(turn.now + wait));
         true
     }
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::io;
+use std::path::PathBuf;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use appledyke::choice::Choice;
@@ -10,10 +11,10 @@
 use appledyke::{Decision, Outcome};
 use mio::{Events, Interest, Poll};
 use serde_json::Value;
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook_mio::v1_0::Signals;
 
-use crate::launch::Launch;
+use crate::launch::{Launch, Winner};
 use crate::net::clients::{Clients, Said};
 use crate::net::connection::Ending;
 use crate::net::deadlines::{Deadlines, Due};
@@ -53,6 +54,8 @@
 }
 
 pub struct Sidecar {
+    /// What configures it.
+    file: PathBuf,
     poll: Poll,
     signals: Signals,
     clock: Clock,
@@ -72,7 +75,7 @@
 impl Sidecar {
     pub fn start(launch: Launch) -> Result<Sidecar, String> {
         let poll = Poll::new().map_err(|e| format!("poll: {e}"))?;
-        let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(|e| format!("signals: {e}"))?;
+        let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|e| format!("signals: {e}"))?;
         let registered = poll.registry().register(&mut signals, Peer::Signal.token(), Interest::READABLE);
         registered.map_err(|e| format!("signals: {e}"))?;
         let clock = Clock {
@@ -90,6 +93,7 @@
         let mut zones = Names::default();
         let home = zones.index(&launch.terms.zone);
         let mut sidecar = Sidecar {
+            file: launch.path,
             signals,
             clock,
             turn,
@@ -130,7 +134,7 @@
             for event in &events {
                 match Peer::of(event.token()) {
                     Peer::Listener => self.accept(),
-                    Peer::Signal => self.leave(),
+                    Peer::Signal => self.told(),
                     Peer::Client(key) => self.client_ready(key),
                     Peer::Server(key) => {
                         let ended = self.servers.ready(key, &mut self.turn);
@@ -167,10 +171,30 @@
         }
     }
 
-    fn leave(&mut self) {
-        if self.signals.pending().next().is_none() || self.left_at.is_some() {
-            return;
+    fn told(&mut self) {
+        for signal in self.signals.pending().collect::<Vec<_>>() {
+            match signal {
+                SIGHUP => self.read_again(),
+                _ if self.left_at.is_none() => self.leave(),
+                _ => {}
+            }
+        }
+    }
+
+    /// Takes over what can change while reqs are under way: where the list is asked. The rest is for a start.
+    fn read_again(&mut self) {
+        match Launch::read_from(self.file.clone(), Winner::File) {
+            Ok(launch) => {
+                log::info!("read again: list at {}", launch.discovery);
+                if self.list.move_to(launch.discovery, &mut self.turn) {
+                    self.choice.list_failed(self.turn.now);
+                }
+            }
+            Err(what) => log::warn!("read again, and kept as it was: {what}"),
         }
+    }
+
+    fn leave(&mut self) {
         log::info!("told to leave");
         self.left_at = Some(self.turn.now);
         let brought = self.clients.leave(&mut self.turn);
--- a/crates/sidecar/tests/sockets.rs
+++ b/crates/sidecar/tests/sockets.rs
@@ -182,7 +182,7 @@
     endpoint.next();
     idle.send("GET /healthz HTTP/1.1\r\n\r\n");
     assert_eq!(idle.status(), "200");
-    sidecar.tell_to_leave();
+    sidecar.signal("-TERM");
     std::thread::sleep(Duration::from_millis(50));
     late.view();
     let mut new = Client::connect(&sidecar);
@@ -309,6 +309,38 @@
     assert!(silent.elapsed() > Duration::from_secs(2));
 }
 
+#[test]
+fn told_to_read_its_file_again_it_asks_the_list_that_is_named_there() {
+    let (old, new) = (Endpoint::start(|_| ok("old")), Endpoint::start(|_| ok("new")));
+    let ((before, watches), (after, moved)) = (list(), list());
+    let known = list_of(41, true, &[entry("e0", old.at, 0, "up")]);
+    // The variable of the start says as before, whatever the file says anew.
+    let sidecar = Sidecar::start_with(&configuration(before, 1024, &known), Some(before));
+    let mut client = Client::connect(&sidecar);
+    let mut served_by = || {
+        client.view();
+        client.answer().rsplit("\r\n").next().unwrap().to_string()
+    };
+    let (_, _watch) = watches.recv().unwrap();
+    std::fs::write(&sidecar.file, "{ faulty").unwrap();
+    sidecar.signal("-HUP");
+    std::thread::sleep(Duration::from_millis(100));
+    assert_eq!(served_by(), "old");
+    std::fs::write(&sidecar.file, configuration(after, 1024, "null")).unwrap();
+    sidecar.signal("-HUP");
+    // Another service, with versions of its own.
+    let (call, mut watch) = moved.recv_timeout(Duration::from_secs(1)).unwrap();
+    assert!(call.contains("since=0 "), "{call}");
+    assert_eq!(served_by(), "old");
+    watch.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
+    watch_line(&mut watch, &list_of(3, true, &[entry("e1", new.at, 1, "up")]));
+    let told = Instant::now();
+    while served_by() != "new" {
+        assert!(told.elapsed() < Duration::from_secs(1));
+    }
+    assert!(watches.try_recv().is_err());
+}
+
 #[test]
 fn a_faulty_configuration_is_named_by_its_key() {
     let good = configuration("127.0.0.1:1".parse().unwrap(), 1024, "null");
--- a/crates/sidecar/tests/stand_ins/mod.rs
+++ b/crates/sidecar/tests/stand_ins/mod.rs
@@ -2,6 +2,7 @@
 
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
@@ -127,7 +128,7 @@
 }
 
 /// Writes a configuration to a file of its own.
-pub fn file(text: &str) -> std::path::PathBuf {
+pub fn file(text: &str) -> PathBuf {
     static NUMBER: AtomicU32 = AtomicU32::new(0);
     let number = NUMBER.fetch_add(1, Ordering::Relaxed);
     let path = std::env::temp_dir().join(format!("appledyke-{}-{number}.json", std::process::id()));
@@ -138,13 +139,20 @@
 pub struct Sidecar {
     child: Child,
     pub at: SocketAddr,
+    /// Its configuration.
+    pub file: PathBuf,
 }
 
 impl Sidecar {
     pub fn start(configuration: &str) -> Sidecar {
+        Sidecar::start_with(configuration, None)
+    }
+
+    pub fn start_with(configuration: &str, discovery: Option<SocketAddr>) -> Sidecar {
         let path = file(configuration);
         let mut child = Command::new(env!("CARGO_BIN_EXE_appledyke-sidecar"))
             .args(["serve", "--config", path.to_str().unwrap()])
+            .envs(discovery.map(|at| ("BALANCER_DISCOVERY", at.to_string())))
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
@@ -154,10 +162,9 @@
             line.clear();
             assert!(log.read_line(&mut line).unwrap() > 0, "the sidecar starts");
         }
-        std::fs::remove_file(path).unwrap();
         let at = line.trim().rsplit(' ').next().unwrap().parse().expect("an address");
         std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
-        Sidecar { child, at }
+        Sidecar { child, at, file: path }
     }
 
     /// With these endpoints, each in a cell of its own, and a list that has no news.
@@ -167,8 +174,8 @@
         Sidecar::start(&configuration(list().0, 1024, &list_of(1, true, &entries)))
     }
 
-    pub fn tell_to_leave(&self) {
-        let told = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status().unwrap();
+    pub fn signal(&self, name: &str) {
+        let told = Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap();
         assert!(told.success());
     }
 
@@ -195,6 +202,7 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
     }
 }
 
