A leaving sidecar serves on; bad clients are told in 3 s; open ids are taken once

Logs: n0 is told to leave at 16.27 s, n1 listens again at 17.69 s, and n0 was gone at 17.12 s. The packets show that clients go on using the connections they hold, and that we closed those after 0.3 s. Ruled out: nacks (2.4%), time-outs and the reload itself (no loss at 3 to 5 s and 10 to 13 s). At fault: LEAVE_IDLE from the first moment on (clients.rs, leave and wait_for_req). Now all is served as before for 0.6 of the time in which all must be answered; a req taken meanwhile has no more time than that, and what is left then is failed, not lost.

A probe among stand-ins: a silent connection stood for 120 s and half a req for 10 s, both are owed an end within 3 s; a deadline of ms wrapped round to 0.4 ms; X-Lane or X-Remaining-Ms that is no text passed for absent, and "+5" for a number; a second req with an open id went out beside the first, where the endpoint would take it for a repeat (clients.rs, MESSAGE_IN, IDLE_MOST, asked; units.rs, from_millis).

Each has a test among stand-ins that fails without it.

--- a/crates/sidecar/src/net/clients.rs
+++ b/crates/sidecar/src/net/clients.rs
@@ -1,5 +1,6 @@
 //! The clients' side: the listener, reqs in, answers out. One req at a time on a connection.
 
+use std::collections::HashSet;
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 
@@ -16,19 +17,26 @@
 
 /// Part of all connections that clients may take. Danger: with none left for endpoints nothing can be served.
 const CLIENTS_SHARE: f64 = 0.75;
-/// How long a connection may stand idle between reqs: longer than clients pause.
-const IDLE_MOST: Span = Span::from_millis(120_000);
-/// In which a req must be whole from its first byte, and an answer taken: only the stuck need so long.
-const MESSAGE_IN: Span = Span::from_millis(10_000);
+/// How long a connection may stand idle between reqs: longer than most clients pause, and those that ask once
+/// and never close are not to fill the house.
+const IDLE_MOST: Span = Span::from_millis(10_000);
+/// In which a new connection must have brought a whole req, any other from its first byte on, and an answer be
+/// taken: who says nothing, or half a req, is owed an end within 3 s.
+const MESSAGE_IN: Span = Span::from_millis(2200);
 /// How long a connection that is being closed may take to read its last answer.
 const LINGER: Span = Span::from_millis(1000);
-/// How long a connection may bring its next req once this sidecar leaves: it was opened for one.
+/// How long a connection may bring its next req once connections part: it was opened for one.
 const LEAVE_IDLE: Span = Span::from_millis(300);
 /// How long a new connection is safe from making room: it was opened for a req, which is on its way.
 const FRESH: Span = Span::from_millis(1000);
 /// Until accepting is tried again where there was no room.
 const ACCEPT_AGAIN: Span = Span::from_millis(100);
 
+/// Stands for a req where a connection has an answer due that is not of one.
+const NO_REQ: usize = usize::MAX;
+/// The header that holds a req's id.
+const ID: &str = "X-Txn";
+
 enum Stage {
     Reading,
     Waiting {
@@ -62,13 +70,18 @@
 pub struct Clients {
     listener: Option<TcpListener>,
     slots: Slots<Client>,
+    /// The ids of the reqs that clients wait for.
+    open: HashSet<Box<str>>,
     /// Most connections that clients may take.
     most: usize,
     /// Connections may be waiting that could not be taken.
     pub held_back: bool,
     accept_at: Option<Moment>,
+    /// New clients are to go elsewhere, but those that come are served.
     leaving: bool,
-    pub last_accept: Moment,
+    /// Connections close between reqs.
+    parting: bool,
+    last_accept: Moment,
     head: Vec<u8>,
 }
 
@@ -78,6 +91,11 @@
     Req { method: usize, left: Span },
 }
 
+fn id(head: &[u8]) -> Box<str> {
+    http::with_request(head, |request| http::find(request.headers, ID).unwrap_or("").into())
+        .unwrap_or_default()
+}
+
 fn asked(head: &[u8], terms: &Terms) -> Result<Asked, Bad> {
     let read = |request: &httparse::Request| {
         let (verb, target) = (request.method.unwrap_or(""), request.path.unwrap_or(""));
@@ -85,18 +103,22 @@
         if path == "/healthz" {
             return if verb == "GET" { Ok(Asked::Health) } else { Err(Bad(405)) };
         }
-        let find = |name| http::find(request.headers, name);
-        let first = || path.trim_start_matches('/').split('/').next().unwrap_or("");
-        let name = find("X-Lane").unwrap_or_else(first);
-        let method = terms.methods.iter().position(|m| m.name == name).ok_or(Bad(404))?;
+        let text = |name| http::only(request.headers, name);
+        let first = path.trim_start_matches('/').split('/').next().unwrap_or("");
+        let name = text("X-Lane")?.unwrap_or(first);
+        let method = terms.methods.iter().position(|m| m.name == name && name == first).ok_or(Bad(404))?;
         let m = &terms.methods[method];
+        if (verb == "GET") != (m.effect == Effect::Retryable) {
+            return Err(Bad(405));
+        }
         // Danger: a req that no endpoint can tell from its repeats would have its effect twice.
-        if find("X-Txn").is_none() || (m.effect == Effect::Deduplicated && find("Idempotency-Key").is_none())
-        {
+        let marked = |name| Ok(text(name)?.is_some_and(|mark| !mark.is_empty()));
+        if !marked(ID)? || (m.effect == Effect::Deduplicated && !marked("Idempotency-Key")?) {
             return Err(Bad(400));
         }
-        let left = match find("X-Remaining-Ms") {
+        let left = match text("X-Remaining-Ms")? {
             None => m.deadline,
+            Some(millis) if !millis.bytes().all(|byte| byte.is_ascii_digit()) => return Err(Bad(400)),
             Some(millis) => millis.parse().map(Span::from_millis).map_err(|_| Bad(400))?.min(m.deadline),
         };
         Ok(Asked::Req { method, left })
@@ -111,10 +133,12 @@
         Ok(Clients {
             listener: Some(listener),
             slots: Slots::default(),
+            open: HashSet::new(),
             most: (turn.room as f64 * CLIENTS_SHARE) as usize,
             held_back: false,
             accept_at: None,
             leaving: false,
+            parting: false,
             last_accept: turn.now,
             head: Vec::new(),
         })
@@ -171,7 +195,7 @@
             match added {
                 Ok(key) => {
                     turn.room -= 1;
-                    self.wait_for_req(key, turn);
+                    self.time_out(key, turn.now + MESSAGE_IN, turn);
                 }
                 Err(e) => log::warn!("client: {e}"),
             }
@@ -212,18 +236,28 @@
     }
 
     fn close(&mut self, key: Key, turn: &mut Turn) {
+        self.end_req(key);
         let Some(mut client) = self.slots.remove(key) else { return };
         turn.room += 1;
         turn.deadlines.shift(Due::Client(key), &mut client.deadline, None);
         client.connection.close(&turn.registry);
     }
 
+    /// The client waits no more for the req that this connection has brought, if there is one.
+    fn end_req(&mut self, key: Key) {
+        let Some(client) = self.slots.get(key) else { return };
+        if let Stage::Waiting { req, frame } = client.stage
+            && req != NO_REQ
+        {
+            self.open.remove(&id(frame.head_in(&client.connection.input)));
+        }
+    }
+
     fn wait_for_req(&mut self, key: Key, turn: &mut Turn) {
         let Some(client) = self.slots.get_mut(key) else { return };
         (client.stage, client.timed, client.leave_given, client.since) =
             (Stage::Reading, false, false, turn.now);
-        let idle = if self.leaving { LEAVE_IDLE } else { IDLE_MOST };
-        self.time_out(key, turn.now + idle, turn);
+        self.time_out(key, turn.now + IDLE_MOST, turn);
     }
 
     fn time_out(&mut self, key: Key, at: Moment, turn: &mut Turn) {
@@ -272,7 +306,8 @@
                         // A failure shows at the next read.
                         let _ = client.connection.send(&[b"HTTP/1.1 100 Continue\r\n\r\n"]);
                     }
-                    if !std::mem::replace(&mut client.timed, true) {
+                    // Danger: the time of a first req that began anew with its first byte would be twice as long.
+                    if !std::mem::replace(&mut client.timed, true) && client.answered {
                         self.time_out(key, turn.now + MESSAGE_IN, turn);
                     }
                     return Said::Nothing;
@@ -283,6 +318,10 @@
                 }
             };
             match asked(frame.head_in(input), terms) {
+                // Danger: two reqs of one id would pass for repeats of each other wherever they go.
+                Ok(Asked::Req { .. }) if !self.open.insert(id(frame.head_in(input))) => {
+                    self.answer_own(key, frame, 409, turn);
+                }
                 Ok(Asked::Req { method, left }) => {
                     turn.deadlines.shift(Due::Client(key), &mut client.deadline, None);
                     return Said::Arrival { method, left, frame };
@@ -303,7 +342,7 @@
     /// Answers what this connection has brought, with no req of it.
     fn answer_own(&mut self, key: Key, frame: Frame, status: u16, turn: &mut Turn) {
         let Some(client) = self.slots.get_mut(key) else { return };
-        client.stage = Stage::Waiting { req: usize::MAX, frame };
+        client.stage = Stage::Waiting { req: NO_REQ, frame };
         let head = |out: &mut Vec<u8>, keep| http::own_answer(out, status, None, keep);
         self.answer(key, head, b"", turn);
     }
@@ -333,25 +372,23 @@
     /// Answers the req that this connection waits for. `head` writes the answer's head, and is told whether
     /// the connection stays open.
     pub fn answer(&mut self, key: Key, head: impl FnOnce(&mut Vec<u8>, bool), body: &[u8], turn: &mut Turn) {
+        self.end_req(key);
         let Some(client) = self.slots.get_mut(key) else { return };
         let Stage::Waiting { frame, .. } = client.stage else { return };
-        let keep = frame.keep && !self.leaving;
+        let keep = frame.keep && !self.parting;
         self.head.clear();
         head(&mut self.head, keep);
         client.connection.consume(frame.end);
-        client.answered = true;
+        (client.stage, client.answered) = (Stage::Closing, true);
         if client.connection.send(&[&self.head, body]).is_err() {
             return self.close(key, turn);
         }
         let all_sent = client.connection.all_sent();
         if keep {
             self.wait_for_req(key, turn);
-        } else {
-            client.stage = Stage::Closing;
-            if all_sent {
-                // Danger: closed outright with something unread, the answer itself could be lost on the way.
-                client.connection.finish();
-            }
+        } else if all_sent {
+            // Danger: closed outright with something unread, the answer itself could be lost on the way.
+            client.connection.finish();
         }
         if !(keep && all_sent) {
             self.time_out(key, turn.now + if all_sent { LINGER } else { MESSAGE_IN }, turn);
@@ -379,24 +416,31 @@
         None
     }
 
-    /// From now on connections close between reqs. Those that have brought something are returned.
-    pub fn leave(&mut self, turn: &mut Turn) -> Vec<Key> {
+    /// Said to who asks for its health from now on.
+    pub fn leave(&mut self) {
         self.leaving = true;
-        let brought = self.accept(turn);
-        let between = self.slots.iter().filter(|(_, c)| c.idle() || c.begun()).map(|(key, _)| key);
-        for key in between.collect::<Vec<Key>>() {
-            // Its next req may be under way, so it has a moment for it.
-            self.time_out(key, turn.now + LEAVE_IDLE, turn);
-        }
-        brought
     }
 
-    /// Takes the last of the backlog, and listens no more.
-    pub fn stop_listening(&mut self, turn: &mut Turn) -> Vec<Key> {
+    /// Nobody is here, or has come of late.
+    pub fn quiet(&self, turn: &Turn) -> bool {
+        self.slots.len() == 0 && turn.now.since(self.last_accept) >= LEAVE_IDLE
+    }
+
+    /// Takes the last of the backlog and listens no more; connections close between reqs. To be called until
+    /// none is left. Those that have brought something are returned.
+    pub fn part(&mut self, turn: &mut Turn) -> Vec<Key> {
+        self.parting = true;
         let brought = self.accept(turn);
         if let Some(mut listener) = self.listener.take_if(|_| !self.held_back) {
             let _ = turn.registry.deregister(&mut listener);
         }
+        // The next req of any of them may be under way, so it has a moment for it.
+        let until = turn.now + LEAVE_IDLE;
+        let late = |c: &Client| (c.idle() || c.begun()) && c.deadline.is_none_or(|at| at > until);
+        let between = self.slots.iter().filter(|(_, c)| late(c)).map(|(key, _)| key);
+        for key in between.collect::<Vec<Key>>() {
+            self.time_out(key, until, turn);
+        }
         brought
     }
 }
--- a/crates/sidecar/src/net/http.rs
+++ b/crates/sidecar/src/net/http.rs
@@ -67,6 +67,16 @@
     std::str::from_utf8(header.value).ok().map(str::trim)
 }
 
+/// What a header says that a message may have once, and as text.
+pub fn only<'a>(headers: &'a [Header<'a>], name: &str) -> Result<Option<&'a str>, Bad> {
+    let mut found = headers.iter().filter(|h| h.name.eq_ignore_ascii_case(name));
+    match (found.next(), found.next()) {
+        (None, _) => Ok(None),
+        (Some(h), None) => std::str::from_utf8(h.value).map(|text| Some(text.trim())).map_err(|_| MALFORMED),
+        _ => Err(MALFORMED),
+    }
+}
+
 fn lists(headers: &[Header], name: &str, item: &str) -> bool {
     headers.iter().filter(|h| h.name.eq_ignore_ascii_case(name)).any(|h| {
         let value = std::str::from_utf8(h.value).unwrap_or("");
@@ -280,6 +290,7 @@
         404 => "Not Found",
         405 => "Method Not Allowed",
         408 => "Request Timeout",
+        409 => "Conflict",
         413 => "Content Too Large",
         431 => "Request Header Fields Too Large",
         502 => "Bad Gateway",
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -25,12 +25,18 @@
 
 /// Events taken from one poll.
 const EVENTS: usize = 512;
-/// After SIGTERM new connections are taken for this long at least, until none has come for the quiet time,
-/// and for the most at the most: who sends them learns of the end only then.
+/// After SIGTERM all must be answered within the longest deadline, at most this, and so much more: whoever
+/// sent it ends what is left soon after.
+const LEAVE_DEADLINE: Span = Span::from_millis(3000);
+const LEAVE_MORE: Span = Span::from_millis(400);
+/// Part of that time in which reqs are taken as ever: other sidecars may be away as well, and clients lose
+/// least while the connections that they have go on. The rest is time to answer.
+const LEAVE_TAKING: f64 = 0.6;
+/// Least time in which new connections may still come.
 const LEAVE_LEAST: Span = Span::from_millis(600);
-const LEAVE_QUIET: Span = Span::from_millis(300);
-const LEAVE_MOST: Span = Span::from_millis(2000);
-/// Between two looks at whether new connections have ceased.
+/// Time in which last answers go out.
+const LEAVE_LAST: Span = Span::from_millis(150);
+/// Between two looks at how far leaving has come.
 const LEAVE_LOOK: Span = Span::from_millis(50);
 
 /// A clock that only advances, started at the machine's time: the list tells starts by that.
@@ -69,7 +75,14 @@
     list: List,
     /// Clients whose next req may have come already.
     look_again: Vec<Key>,
-    left_at: Option<Moment>,
+    leaving: Option<Leaving>,
+}
+
+/// Since when it leaves, and by when all must be answered.
+#[derive(Clone, Copy)]
+struct Leaving {
+    since: Moment,
+    until: Moment,
 }
 
 impl Sidecar {
@@ -105,7 +118,7 @@
             servers: Servers::new(launch.connection_idle, launch.connect_timeout),
             list: List::new(launch.discovery, known.map_or(0, |(version, _)| version), launch.seed),
             look_again: Vec::new(),
-            left_at: None,
+            leaving: None,
             poll,
         };
         if known.is_some() {
@@ -151,7 +164,8 @@
                 self.accept();
                 self.decide();
             }
-            if self.clients.none_left() {
+            let over = self.leaving.is_some_and(|leaving| self.turn.now >= leaving.until + LEAVE_LAST);
+            if over || self.clients.none_left() {
                 log::info!("left with all answered");
                 return Ok(());
             }
@@ -175,7 +189,7 @@
         for signal in self.signals.pending().collect::<Vec<_>>() {
             match signal {
                 SIGHUP => self.read_again(),
-                _ if self.left_at.is_none() => self.leave(),
+                _ if self.leaving.is_none() => self.leave(),
                 _ => {}
             }
         }
@@ -196,10 +210,33 @@
 
     fn leave(&mut self) {
         log::info!("told to leave");
-        self.left_at = Some(self.turn.now);
-        let brought = self.clients.leave(&mut self.turn);
-        self.look_again.extend(brought);
-        self.turn.deadlines.add(self.turn.now + LEAVE_LEAST, Due::Leave);
+        let longest = self.choice.terms().methods.iter().map(|m| m.deadline).max().unwrap_or(LEAVE_DEADLINE);
+        let since = self.turn.now;
+        let until = since + (longest.min(LEAVE_DEADLINE) + LEAVE_MORE);
+        self.leaving = Some(Leaving { since, until });
+        self.clients.leave();
+        self.turn.deadlines.add(since + LEAVE_LOOK, Due::Leave);
+    }
+
+    /// Looks how far leaving has come.
+    fn leave_further(&mut self, Leaving { since, until }: Leaving) {
+        let now = self.turn.now;
+        let gone = now.since(since);
+        let alone = gone >= LEAVE_LEAST && self.clients.quiet(&self.turn);
+        if alone || gone >= until.since(since) * LEAVE_TAKING {
+            self.look_again.extend(self.clients.part(&mut self.turn));
+        }
+        if now >= until {
+            // Danger: what has no answer when this process is killed is lost.
+            let open: Vec<_> = self.reqs.iter().map(|(key, _)| key.index()).collect();
+            for req in open {
+                self.answer(req, 502, None);
+                self.choice.hangup(req);
+            }
+        }
+        if !self.clients.none_left() {
+            self.turn.deadlines.add(now + LEAVE_LOOK, Due::Leave);
+        }
     }
 
     fn due(&mut self, due: Due) {
@@ -218,12 +255,8 @@
             }
             Due::Accept => self.accept(),
             Due::Leave => {
-                let since = self.left_at.map_or(Span::ZERO, |at| now.since(at));
-                if now.since(self.clients.last_accept) >= LEAVE_QUIET || since >= LEAVE_MOST {
-                    self.look_again.extend(self.clients.stop_listening(turn));
-                }
-                if !self.clients.none_left() {
-                    self.turn.deadlines.add(now + LEAVE_LOOK, Due::Leave);
+                if let Some(leaving) = self.leaving {
+                    self.leave_further(leaving);
                 }
             }
         }
@@ -235,6 +268,7 @@
             Said::Arrival { method, left, frame } => {
                 let req = Req { client: Some(key), write_outs: Vec::new() };
                 let Ok(at) = self.reqs.insert_with(|_| Ok::<_, Infallible>(req));
+                let left = self.leaving.map_or(left, |leaving| left.min(leaving.until.since(self.turn.now)));
                 self.clients.waits(key, at.index(), frame);
                 self.choice.arrival(self.turn.now, at.index(), method, left);
             }
--- a/src/units.rs
+++ b/src/units.rs
@@ -40,7 +40,7 @@
     }
 
     pub const fn from_millis(millis: u64) -> Self {
-        Span(millis * 1_000_000)
+        Span(millis.saturating_mul(1_000_000))
     }
 
     pub const fn nanos(self) -> u64 {
