Answers that seem lost are given up early; what endpoints reject goes on to its client

Lost answers. Ruled out: errors, slow endpoints, connections, the list, CPU and memory. Now a write-out ends after five times the usual where a repeat may go anywhere and half the budget is left.

What endpoints reject. A probe among stand-ins: a req that every endpoint answers 404 was sent to one after the other, held against each, and failed (connection.rs, outcome). A 4xx but 408 and 429 now goes on to the client, once.

A probe: a second copy 1 ms behind an answer was served as the answer to the next req (servers.rs, send). After bytes that nobody asked for, connections rest 2 ms between reqs for a minute.

Each has a test that fails without it.

--- a/crates/sidecar/src/net/connection.rs
+++ b/crates/sidecar/src/net/connection.rs
@@ -37,6 +37,8 @@
         match self {
             Ending::Answered { status: 200, .. } => Outcome::Satisfied,
             Ending::Answered { status: 503 | 504, turned_away: true } => Outcome::Saturated,
+            // Danger: what a bad client sends would be sent on from endpoint to endpoint, and held against each.
+            Ending::Answered { status: 400..=407 | 409..=428 | 430..=499, .. } => Outcome::Rejected,
             Ending::Answered { .. } | Ending::Garbled => Outcome::Errored,
             // Danger: before its last byte left, a req cannot have run; after it, it may have, whatever came.
             Ending::NeverUp | Ending::Broken { whole: false } | Ending::GivenUp { whole: false } => {
--- a/crates/sidecar/src/net/http.rs
+++ b/crates/sidecar/src/net/http.rs
@@ -273,10 +273,11 @@
 
 /// The head of an endpoint's answer as it goes on to a client.
 pub fn relayed_head(out: &mut Vec<u8>, head: &[u8], body: usize, keep: bool) {
-    out.extend_from_slice(b"HTTP/1.1 200 OK\r\n");
     let mut headers = [EMPTY_HEADER; HEADERS_MOST];
     let mut response = Response::new(&mut headers);
     if response.parse(head).is_ok() {
+        let (status, reason) = (response.code.unwrap_or(502), response.reason.unwrap_or(""));
+        write(out, format_args!("HTTP/1.1 {status} {reason}\r\n"));
         write_headers(out, passed_on(response.headers));
     }
     finish_head(out, body, keep);
--- a/crates/sidecar/src/net/servers.rs
+++ b/crates/sidecar/src/net/servers.rs
@@ -13,6 +13,11 @@
 
 /// Part of the endpoints' limit on idle connections after which this side closes one: well before them.
 const IDLE_SHARE: f64 = 0.75;
+/// How long a connection rests after an answer before it carries the next req, where bytes that nobody asked
+/// for have come of late: what follows an answer shows by then. Else it goes on at once, as another
+/// connection costs the endpoint work.
+const REST: Span = Span::from_millis(2);
+const WARY_FOR: Span = Span::from_millis(60_000);
 
 /// A write-out that a connection carries.
 #[derive(Clone, Copy)]
@@ -35,8 +40,15 @@
 struct Place {
     address: Option<SocketAddr>,
     started: Option<Moment>,
-    /// Idle connections, the one used last at the end.
-    idle: Vec<Key>,
+    /// Idle connections and since when, the one used last at the end.
+    idle: Vec<(Key, Moment)>,
+}
+
+impl Link {
+    /// Whether it has neither ended nor brought what nobody asked for.
+    fn still_idle(&mut self) -> bool {
+        self.connection.fill(1).is_ok() && !self.connection.ended && self.connection.input.is_empty()
+    }
 }
 
 /// How a write-out ended, and the answer if it has one, still in its connection's buffer.
@@ -51,6 +63,8 @@
     places: Vec<Place>,
     idle_most: Span,
     connect_timeout: Span,
+    /// Until when connections rest.
+    wary_until: Moment,
     head: Vec<u8>,
 }
 
@@ -61,6 +75,7 @@
             places: Vec::new(),
             idle_most: idle_limit * IDLE_SHARE,
             connect_timeout,
+            wary_until: Moment::from_nanos(0),
             head: Vec::new(),
         }
     }
@@ -81,7 +96,7 @@
 
     pub fn close_idle(&mut self, endpoint: usize, turn: &mut Turn) {
         let idle = self.places.get_mut(endpoint).map(|place| std::mem::take(&mut place.idle));
-        for key in idle.unwrap_or_default() {
+        for (key, _) in idle.unwrap_or_default() {
             self.close(key, turn);
         }
     }
@@ -97,10 +112,18 @@
         let Some(mut link) = self.links.remove(key) else { return };
         turn.room += 1;
         turn.deadlines.shift(Due::Server(key), &mut link.deadline, None);
-        self.places[link.endpoint].idle.retain(|idle| *idle != key);
+        self.places[link.endpoint].idle.retain(|(idle, _)| *idle != key);
         link.connection.close(&turn.registry);
     }
 
+    /// Closes a connection that carries nothing, and remembers if it brought what nobody asked for.
+    fn close_unasked(&mut self, key: Key, turn: &mut Turn) {
+        if self.links.get(key).is_some_and(|link| !link.connection.input.is_empty()) {
+            self.wary_until = turn.now + WARY_FOR;
+        }
+        self.close(key, turn);
+    }
+
     /// Starts a write-out of the req with this head and body, on an idle connection or a new one.
     pub fn send(
         &mut self,
@@ -113,13 +136,19 @@
         let left = carried.give_up.since(turn.now);
         let out = &mut self.head;
         http::with_request(head, |request| http::forwarded_head(out, request, body.len(), left));
-        while let Some(key) = self.places.get_mut(endpoint).and_then(|place| place.idle.pop()) {
+        // Danger: what comes late behind an answer would pass for the answer to the next req.
+        let now = turn.now;
+        let rest = if now < self.wary_until { REST } else { Span::ZERO };
+        let rested = |place: &mut Place| {
+            let at = place.idle.iter().rposition(|(_, since)| now.since(*since) >= rest)?;
+            Some(place.idle.remove(at).0)
+        };
+        while let Some(key) = self.places.get_mut(endpoint).and_then(rested) {
             let Some(link) = self.links.get_mut(key) else { continue };
             // Danger: written to a connection that the endpoint has ended, a req may have run for all that
             // can be told; so look for an end, and for bytes nobody asked for, before it is used again.
-            let works = link.connection.fill(1).is_ok() && !link.connection.ended;
-            if !works || !link.connection.input.is_empty() {
-                self.close(key, turn);
+            if !link.still_idle() {
+                self.close_unasked(key, turn);
                 continue;
             }
             if link.connection.send(&[&self.head, body]).is_err() {
@@ -165,9 +194,8 @@
         let link = self.links.get_mut(key)?;
         let Some(carried) = link.carries else {
             // Idle: it has ended, or brought what nobody asked for.
-            let works = link.connection.fill(1).is_ok() && !link.connection.ended;
-            if !works || !link.connection.input.is_empty() {
-                self.close(key, turn);
+            if !link.still_idle() {
+                self.close_unasked(key, turn);
             }
             return None;
         };
@@ -220,10 +248,10 @@
         link.connection.consume(frame.end);
         let moved = self.places[link.endpoint].address != Some(link.to);
         if !frame.keep || moved || !link.connection.input.is_empty() {
-            return self.close(key, turn);
+            return self.close_unasked(key, turn);
         }
         turn.deadlines.shift(Due::Server(key), &mut link.deadline, Some(turn.now + self.idle_most));
-        self.places[link.endpoint].idle.push(key);
+        self.places[link.endpoint].idle.push((key, turn.now));
     }
 
     /// Stops waiting for a write-out. Closing its connection tells the endpoint.
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -286,14 +286,15 @@
         self.reqs.get_mut(key)
     }
 
-    /// A write-out on this connection has ended: its answer goes to the client if that is the first.
+    /// A write-out on this connection has ended: its answer goes to the client if no other could be better.
     fn ended(&mut self, key: Key, ended: Option<Ended>) {
         let Some(Ended { carried: Carried { req, write_out, .. }, ending, answer }) = ended else { return };
         let outcome = ending.outcome();
         let mut closed = true;
         if let Some(r) = self.req(req) {
             r.write_outs[write_out] = None;
-            let client = if outcome == Outcome::Satisfied { r.client.take() } else { None };
+            let last = matches!(outcome, Outcome::Satisfied | Outcome::Rejected);
+            let client = if last { r.client.take() } else { None };
             closed = r.client.is_none();
             let message = answer.and_then(|frame| self.servers.message(key, frame));
             if let (Some(client), Some((head, body))) = (client, message) {
--- a/crates/sidecar/tests/sockets.rs
+++ b/crates/sidecar/tests/sockets.rs
@@ -2,7 +2,7 @@
 
 mod stand_ins;
 
-use std::io::Write;
+use std::io::{BufReader, Write};
 use std::process::Command;
 use std::time::{Duration, Instant};
 
@@ -181,6 +181,26 @@
     }
 }
 
+#[test]
+fn what_an_endpoint_rejects_is_not_sent_on_and_not_held_against_it() {
+    let bad = "HTTP/1.1 404 No Such Dish\r\nContent-Length: 4\r\n\r\nsoup";
+    let answer = |req: &str| if req.contains("GET /view/odd") { Some(bad.to_string()) } else { ok("menu") };
+    let endpoints = [Endpoint::start(answer), Endpoint::start(answer)];
+    let sidecar = Sidecar::before(&endpoints.each_ref().map(|endpoint| endpoint.at));
+    let mut client = Client::connect(&sidecar);
+    for number in 0..40 {
+        client.send(format!("GET /view/odd HTTP/1.1\r\nX-Txn: odd{number}\r\n\r\n"));
+        let answer = client.answer();
+        assert!(answer.starts_with("HTTP/1.1 404 No Such Dish") && answer.ends_with("soup"), "{answer}");
+    }
+    assert_eq!(endpoints.iter().flat_map(|endpoint| endpoint.reqs.try_iter()).count(), 40);
+    // Nor do others pay for it.
+    for _ in 0..20 {
+        client.view();
+        assert_eq!(client.status(), "200");
+    }
+}
+
 #[test]
 fn an_idle_connection_that_has_ended_is_not_used_again() {
     // It ends each connection after an answer, and does not say so.
@@ -195,6 +215,34 @@
     }
 }
 
+#[test]
+fn what_comes_late_behind_an_answer_is_not_taken_for_the_next() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let sidecar = Sidecar::before(&[listener.local_addr().unwrap()]);
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            std::thread::spawn(move || {
+                while !stand_ins::message(&mut BufReader::new(&stream)).is_empty() {
+                    stream.write_all(ok("menu").unwrap().as_bytes()).unwrap();
+                    std::thread::sleep(Duration::from_millis(1));
+                    // A second copy, or what was meant for somebody else.
+                    let _ = stream.write_all(ok("late").unwrap().as_bytes());
+                }
+            });
+        }
+    });
+    let mut client = Client::connect(&sidecar);
+    for number in 0..20 {
+        client.view();
+        let answer = client.answer();
+        assert!(answer.ends_with("menu"), "{answer}");
+        if number == 0 {
+            // From the first that is seen on it looks out for more.
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+}
+
 #[test]
 fn a_client_that_closes_has_gone_and_its_write_out_is_withdrawn() {
     let endpoint = Endpoint::start(|_| {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -9,7 +9,7 @@
 //! list).
 //! Mechanisms beside the design, six at most:
 //! 1. Distrust: a score per endpoint and method that failures raise and time fades; traffic follows it.
-//! 2. Further write-outs: only as effects permit, and from a purse that arrivals fill.
+//! 2. Further write-outs: only as effects permit, from a purse that arrivals fill; early for a lost answer.
 //! 3. Circle: an instance with too little traffic to hear from all endpoints keeps to some, drawn at random,
 //!    and exchanges one from time to time; where crossing zones is priced, those at home weigh more.
 //! 4. Bound: the most that an endpoint may hold from here in the mean, learned from latency against its
@@ -63,6 +63,10 @@
 /// a moment enough to carry reqs past one endpoint's fall.
 const PURSE_SHARE: f64 = 0.2;
 const PURSE_MOST: f64 = 10.0;
+/// Times what is usual that a write-out may take while another may follow, as few answers take so long; least
+/// and most of it as parts of the latency budget: with more, no time is left for another.
+const PATIENCE: f64 = 5.0;
+const PATIENCE_PARTS: (f64, f64) = (0.2, 0.5);
 /// Weight of an endpoint at home against one in another zone, where crossing has a price: most of the traffic
 /// stays at home, and the rest keeps the latencies of the others known.
 const HOME_WEIGHT: f64 = 30.0;
@@ -273,9 +277,7 @@
     // What is heard.
 
     pub fn arrival(&mut self, now: Moment, req: usize, method: usize, left: Span) {
-        if self.reqs.len() <= req {
-            self.reqs.resize_with(req + 1, || None);
-        }
+        self.reqs.resize_with(self.reqs.len().max(req + 1), || None);
         // Danger: a client that returns late would take a place for an answer that is worth nothing any more.
         // Tries have one length; one with less left is cut by its client's whole deadline. A vote finds that
         // length: where tries differ (a caller's time left, odd clients) it is never sure.
@@ -307,13 +309,14 @@
         w.ended = Some(outcome);
         r.closed |= closed;
         let (endpoint, took, method) = (w.endpoint, now.since(w.sent), r.method);
+        let in_vain = outcome == Outcome::Overdue && now >= r.useful_until(&self.terms);
         self.due.push_back(req);
         self.look_at_held = true;
         let e = self.endpoints[endpoint].as_mut().expect("an endpoint with a write-out is kept");
         e.in_flight -= 1;
         self.close_idle(endpoint);
         let e = self.endpoints[endpoint].as_mut().expect("an endpoint with a write-out is kept");
-        if matches!(outcome, Outcome::Recalled | Outcome::NeverSent) {
+        if matches!(outcome, Outcome::Recalled | Outcome::NeverSent | Outcome::Rejected) {
             return;
         }
         let satisfied = outcome == Outcome::Satisfied;
@@ -344,7 +347,7 @@
             }
             failed = match e.latency {
                 None if down => DISTRUST_MOST,
-                _ if down || outcome == Outcome::Overdue => DISTRUST_DOWN,
+                _ if down || in_vain => DISTRUST_DOWN,
                 _ => DISTRUST_STEP,
             };
         }
@@ -358,8 +361,10 @@
         self.window.book(now, satisfied && took <= budget);
         // Danger: crowded endpoints turn slower and stay so; the crowd must be kept from forming.
         let off = match outcome {
-            Outcome::Satisfied => BOUND_AIM - (took.secs() / budget.secs().max(1e-6)).min(1.0),
-            Outcome::Saturated | Outcome::Overdue => BOUND_AIM - 1.0,
+            Outcome::Satisfied | Outcome::Overdue => {
+                BOUND_AIM - (took.secs() / budget.secs().max(1e-6)).min(1.0)
+            }
+            Outcome::Saturated => BOUND_AIM - 1.0,
             _ => 0.0,
         };
         if off < 0.0 || self.crowd >= BOUND_USED * self.bound_in_circle() {
@@ -372,9 +377,7 @@
     }
 
     pub fn streaming(&mut self, req: usize) {
-        if let Some(Some(r)) = self.reqs.get_mut(req) {
-            r.streaming = true;
-        }
+        self.reqs.get_mut(req).into_iter().flatten().for_each(|r| r.streaming = true);
     }
 
     pub fn hangup(&mut self, req: usize) {
@@ -386,9 +389,7 @@
 
     /// A list follows: all of it, or only what changed.
     pub fn list_opens(&mut self, complete: bool) {
-        for e in self.endpoints.iter_mut().flatten() {
-            e.listed = !complete;
-        }
+        self.endpoints.iter_mut().flatten().for_each(|e| e.listed = !complete);
     }
 
     pub fn listed(
@@ -399,9 +400,7 @@
         standing: Standing,
         started: Option<Moment>,
     ) {
-        if self.endpoints.len() <= endpoint {
-            self.endpoints.resize_with(endpoint + 1, || None);
-        }
+        self.endpoints.resize_with(self.endpoints.len().max(endpoint + 1), || None);
         let fresh = || Endpoint {
             standing,
             zone,
@@ -433,9 +432,8 @@
     }
 
     pub fn list_closes(&mut self, now: Moment) {
-        if std::mem::take(&mut self.asking) {
-            self.ask_at = None;
-        }
+        let asked = std::mem::take(&mut self.asking);
+        self.ask_at = self.ask_at.filter(|_| !asked);
         for e in self.endpoints.iter_mut().flatten().filter(|e| !e.listed && e.standing != Standing::Gone) {
             (e.standing, e.gone_at) = (Standing::Gone, now);
         }
@@ -511,20 +509,28 @@
         let cold = self.endpoints[endpoint].as_ref().filter(|e| e.cold_share(now, &self.terms) < 1.0);
         let credit = cold.map(|e| self.credit(now, e) - 1.0);
         let r = self.reqs[req].as_mut().expect("only open reqs are sent");
-        let e = self.endpoints[endpoint].as_mut().expect("only known endpoints are picked");
         r.write_outs.push(WriteOut { endpoint, sent: now, ended: None });
-        let give_up = r.useful_until(&self.terms);
+        let give_up = self.give_up(now, req);
+        let e = self.endpoints[endpoint].as_mut().expect("only known endpoints are picked");
         e.in_flight += 1;
-        if let Some(credit) = credit {
-            (e.credit, e.credit_at) = (credit, now);
-        }
+        (e.credit, e.credit_at) = credit.map_or((e.credit, e.credit_at), |credit| (credit, now));
         self.sends.0 += 1.0;
-        if further {
-            self.purse -= 1.0;
-        }
+        self.purse -= f64::from(u8::from(further));
         self.out.push_back(Decision::Send { req, endpoint, give_up });
     }
 
+    /// Up to when to wait for the write-out that sets out now. Danger: an answer that was lost would hold its
+    /// req, and a place here, until the client gives up; so another is tried while that may help.
+    fn give_up(&self, now: Moment, req: usize) -> Moment {
+        let r = self.reqs[req].as_ref().expect("only open reqs are sent");
+        let (m, last) = (&self.terms.methods[r.method], r.write_outs.len() == self.terms.most_write_outs);
+        let others = self.ready().count() > 1 && self.ready().all(|(_, e)| self.may_repeat(now, r, m, e));
+        let usual = self.usual[r.method].filter(|_| !last && self.purse >= PURSE_MOST / 2.0);
+        let parts = usual.map(|usual| PATIENCE * usual / m.latency_budget.secs().max(1e-6));
+        let parts = parts.filter(|parts| others && *parts < PATIENCE_PARTS.1).unwrap_or(f64::MAX);
+        r.useful_until(&self.terms).min(now + m.latency_budget * parts.max(PATIENCE_PARTS.0))
+    }
+
     /// Nothing can take the req now: it waits a little, the most worth in front, if that is likely to help.
     fn hold(&mut self, now: Moment, req: usize) {
         let r = self.reqs[req].as_ref().expect("only open reqs are held");
@@ -572,14 +578,11 @@
     /// Withdraws what a closed req still has out, and forgets it when nothing more can be heard of it.
     fn settle(&mut self, req: usize) {
         let Some(r) = self.reqs[req].as_ref() else { return };
-        let mut out = false;
-        for (write_out, _) in r.write_outs.iter().enumerate().filter(|(_, w)| w.ended.is_none()) {
-            out = true;
-            if self.terms.may_revoke {
-                self.out.push_back(Decision::Revoke { req, write_out });
-            }
-        }
-        if !out {
+        let out = r.write_outs.iter().enumerate().filter(|(_, w)| w.ended.is_none());
+        let revokes = out.map(|(write_out, _)| Decision::Revoke { req, write_out }).collect::<Vec<_>>();
+        if !revokes.is_empty() {
+            self.out.extend(revokes.into_iter().filter(|_| self.terms.may_revoke));
+        } else {
             self.reqs[req] = None;
             self.held.retain(|held| *held != req);
             self.out.push_back(Decision::ForgetReq { req });
@@ -728,9 +731,9 @@
             }
         }
         let mut heard = (0.0, 0.0);
-        for (e, age) in self.endpoints.iter_mut().zip(&oldest) {
-            let Some(e) = e.as_mut().filter(|e| e.standing == Standing::Ready) else { continue };
-            if let Some(latency) = e.latency {
+        for (e, age) in self.endpoints.iter_mut().zip(&oldest).filter_map(|(e, age)| Some((e.as_mut()?, age)))
+        {
+            if let Some(latency) = e.latency.filter(|_| e.standing == Standing::Ready) {
                 e.fraction = 1.0 / latency.max(*age).max(1e-3);
                 heard = (heard.0 + e.fraction, heard.1 + 1.0);
             }
@@ -788,9 +791,9 @@
 
     /// Leaves out the one of the circle that serves worst.
     fn give_up_one(&mut self, now: Moment) {
-        let good = |at: &usize| self.endpoints[*at].as_ref().map_or(0.0, |e| e.fraction * e.trust(now, None));
-        let worst =
-            (0..self.circle.len()).min_by(|a, b| good(&self.circle[*a]).total_cmp(&good(&self.circle[*b])));
+        let kept = |place: usize| self.endpoints[self.circle[place]].as_ref();
+        let good = |place: usize| kept(place).map_or(0.0, |e| e.fraction * e.trust(now, None));
+        let worst = (0..self.circle.len()).min_by(|a, b| good(*a).total_cmp(&good(*b)));
         if let Some(worst) = worst {
             let leaves = self.circle.swap_remove(worst);
             self.close_idle(leaves);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,8 @@
 pub enum Outcome {
     Satisfied,
     Errored,
+    /// The endpoint found fault with the req itself, as any other would: it says nothing of the endpoint.
+    Rejected,
     Saturated,
     Overdue,
     RefusedConnection,
