Early give-ups act up to the whole budget, as half of it kept them from the lower tier

At fault: PATIENCE_PARTS; five times what is usual there is 1.0 to 1.75 s of a budget of 2 to 2.5 s, over half. Ruled out: that give-ups find no other endpoint (errors of the lower tier did not rise).

--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -268,6 +268,7 @@
             Said::Arrival { method, left, frame } => {
                 let req = Req { client: Some(key), write_outs: Vec::new() };
                 let Ok(at) = self.reqs.insert_with(|_| Ok::<_, Infallible>(req));
+                // Danger: once it leaves there may be less time than the client would wait.
                 let left = self.leaving.map_or(left, |leaving| left.min(leaving.until.since(self.turn.now)));
                 self.clients.waits(key, at.index(), frame);
                 self.choice.arrival(self.turn.now, at.index(), method, left);
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -64,9 +64,9 @@
 const PURSE_SHARE: f64 = 0.2;
 const PURSE_MOST: f64 = 10.0;
 /// Times what is usual that a write-out may take while another may follow, as few answers take so long; least
-/// and most of it as parts of the latency budget: with more, no time is left for another.
+/// and most of it as parts of the latency budget: past it, another earns little.
 const PATIENCE: f64 = 5.0;
-const PATIENCE_PARTS: (f64, f64) = (0.2, 0.5);
+const PATIENCE_PARTS: (f64, f64) = (0.2, 1.0);
 /// Weight of an endpoint at home against one in another zone, where crossing has a price: most of the traffic
 /// stays at home, and the rest keeps the latencies of the others known.
 const HOME_WEIGHT: f64 = 30.0;
