--- a/crates/sidecar/src/net/clients.rs
+++ b/crates/sidecar/src/net/clients.rs
@@ -88,7 +88,7 @@
 /// What a req's head asks for.
 enum Asked {
     Health,
-    Req { method: usize, left: Span },
+    Req { method: usize, left: Span, id: Box<str> },
 }
 
 fn id(head: &[u8]) -> Box<str> {
@@ -112,16 +112,17 @@
             return Err(Bad(405));
         }
         // Danger: a req that no endpoint can tell from its repeats would have its effect twice.
-        let marked = |name| Ok(text(name)?.is_some_and(|mark| !mark.is_empty()));
-        if !marked(ID)? || (m.effect == Effect::Deduplicated && !marked("Idempotency-Key")?) {
-            return Err(Bad(400));
+        let mark = |name| text(name)?.filter(|mark| !mark.is_empty()).ok_or(Bad(400));
+        let id = mark(ID)?.into();
+        if m.effect == Effect::Deduplicated {
+            mark("Idempotency-Key")?;
         }
         let left = match text("X-Remaining-Ms")? {
             None => m.deadline,
             Some(millis) if !millis.bytes().all(|byte| byte.is_ascii_digit()) => return Err(Bad(400)),
             Some(millis) => millis.parse().map(Span::from_millis).map_err(|_| Bad(400))?.min(m.deadline),
         };
-        Ok(Asked::Req { method, left })
+        Ok(Asked::Req { method, left, id })
     };
     http::with_request(head, read).unwrap_or(Err(Bad(400)))
 }
@@ -318,14 +319,14 @@
                 }
             };
             match asked(frame.head_in(input), terms) {
-                // Danger: two reqs of one id would pass for repeats of each other wherever they go.
-                Ok(Asked::Req { .. }) if !self.open.insert(id(frame.head_in(input))) => {
+                Ok(Asked::Req { method, left, id }) => {
+                    // Danger: two reqs of one id would pass for repeats of each other wherever they go.
+                    if self.open.insert(id) {
+                        turn.deadlines.shift(Due::Client(key), &mut client.deadline, None);
+                        return Said::Arrival { method, left, frame };
+                    }
                     self.answer_own(key, frame, 409, turn);
                 }
-                Ok(Asked::Req { method, left }) => {
-                    turn.deadlines.shift(Due::Client(key), &mut client.deadline, None);
-                    return Said::Arrival { method, left, frame };
-                }
                 Ok(Asked::Health) => {
                     let status = if self.leaving { 503 } else { 200 };
                     self.answer_own(key, frame, status, turn);
@@ -416,7 +417,7 @@
         None
     }
 
-    /// Said to who asks for its health from now on.
+    /// Who asks for its health hears from now on that it leaves.
     pub fn leave(&mut self) {
         self.leaving = true;
     }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -520,7 +520,7 @@
     }
 
     /// Up to when to wait for the write-out that sets out now. Danger: an answer that was lost would hold its
-    /// req, and a place here, until the client gives up; so another is tried while that may help.
+    /// req, and a place here, until the client gives up; so another is tried, if half the purse is there.
     fn give_up(&self, now: Moment, req: usize) -> Moment {
         let r = self.reqs[req].as_ref().expect("only open reqs are sent");
         let (m, last) = (&self.terms.methods[r.method], r.write_outs.len() == self.terms.most_write_outs);
