--- a/crates/sidecar/src/net/connection.rs
+++ b/crates/sidecar/src/net/connection.rs
@@ -63,6 +63,7 @@
     pub ended: bool,
     /// Reading stopped at the limit, so no event will tell of what is left.
     pub full: bool,
+    finished: bool,
 }
 
 impl Connection {
@@ -74,7 +75,15 @@
         registry.register(&mut stream, token, Interest::READABLE | Interest::WRITABLE)?;
         // It would wait for more to send; without the option it is only slower.
         let _ = stream.set_nodelay(true);
-        Ok(Connection { stream, input: Vec::new(), unsent: Vec::new(), sent: 0, ended: false, full: false })
+        Ok(Connection {
+            stream,
+            input: Vec::new(),
+            unsent: Vec::new(),
+            sent: 0,
+            ended: false,
+            full: false,
+            finished: false,
+        })
     }
 
     /// Whether a connection that was being opened is up by now.
@@ -160,9 +169,12 @@
         }
     }
 
-    /// Ends the sending; what was written still arrives.
+    /// Ends the sending; what was written still arrives. Danger: each shutdown wakes who polls this socket,
+    /// so one that answered every event with another would keep the loop turning until the peer closes.
     pub fn finish(&mut self) {
-        let _ = self.stream.shutdown(Shutdown::Write);
+        if !std::mem::replace(&mut self.finished, true) {
+            let _ = self.stream.shutdown(Shutdown::Write);
+        }
     }
 
     pub fn close(mut self, registry: &Registry) {
@@ -175,6 +187,27 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn a_connection_that_ends_its_sending_again_and_again_wakes_the_poll_once() {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let mut poll = mio::Poll::new().unwrap();
+        let mut connection =
+            Connection::open(listener.local_addr().unwrap(), poll.registry(), Token(0)).unwrap();
+        let _peer = listener.accept().unwrap();
+        let mut events = mio::Events::with_capacity(8);
+        let mut turns = 0;
+        connection.finish();
+        loop {
+            poll.poll(&mut events, Some(std::time::Duration::ZERO)).unwrap();
+            if events.is_empty() {
+                break;
+            }
+            connection.finish();
+            turns += 1;
+            assert!(turns < 10, "each shutdown brings another event");
+        }
+    }
+
     #[test]
     fn what_the_socket_does_not_take_at_once_is_sent_later_and_in_order() {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
