--- a/src/choice.rs
+++ b/src/choice.rs
@@ -87,8 +87,10 @@
 /// answer: all instances together learn in seconds, however few answers each hears.
 const BOUND_GAIN: f64 = 0.8;
 const BOUND_GAIN_MOST: f64 = 0.25;
-/// The bound grows only while this part of it is in use: else it would learn nothing from its answers.
+/// The bound grows only while this part of it is in use, and all of it but so many instances' parts where that
+/// is more: else it would learn nothing from its answers.
 const BOUND_USED: f64 = 0.7;
+const BOUND_SPARE: f64 = 2.0;
 /// Time over which the mean in flight is smoothed to be held against the bound, for each instance that shares
 /// in it: the more they are, the better chance evens out between them.
 const CROWD_OVER: Span = Span::from_millis(20);
@@ -367,7 +369,9 @@
             Outcome::Saturated => BOUND_AIM - 1.0,
             _ => 0.0,
         };
-        if off < 0.0 || self.crowd >= BOUND_USED * self.bound_in_circle() {
+        // Danger: what many instances grew in a calm, past its use by chance, they send at once in trouble.
+        let used = BOUND_USED.max(1.0 - BOUND_SPARE / self.terms.instances);
+        if off < 0.0 || self.crowd >= used * self.bound_in_circle() {
             let gain = (BOUND_GAIN / self.sends_in_second().max(1e-6)).min(BOUND_GAIN_MOST);
             // Danger: a least that each instance may hold adds up over them. One must be possible, though.
             let one = 1.0 / (self.ready().count() as f64).max(1.0);
