Idle connections to what drains or is gone are closed at once; tests of odd lists

Need: connections at endpoints are scarce in a large fleet. Found by the test of an endpoint that comes back under its old address with a new id: the sidecar kept its idle connections to the id that was removed, for up to 60 s. Cause: choice.rs, tend_circle() dropped what is not ready from the circle without closing what was open to it.

--- a/crates/sidecar/tests/sockets.rs
+++ b/crates/sidecar/tests/sockets.rs
@@ -485,3 +485,152 @@
         assert!(!fine && message.contains(key), "{to}: {message}");
     }
 }
+
+/// A sidecar that follows a list before one endpoint, and the watch on that list.
+fn following(endpoint: &Endpoint) -> (Sidecar, std::net::TcpStream) {
+    let (at, watches) = list();
+    let known = list_of(1, true, &[entry("e0", endpoint.at, 0, "up")]);
+    let sidecar = Sidecar::start(&configuration(at, 1024, &known));
+    let (_, mut watch) = watches.recv().unwrap();
+    watch.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
+    (sidecar, watch)
+}
+
+/// Asks until this endpoint serves, as a list takes effect a moment after it was written. Whatever else is
+/// listed, each req is answered.
+fn until_served_by(sidecar: &Sidecar, body: &str) {
+    let mut client = Client::connect(sidecar);
+    for _ in 0..2000 {
+        client.view();
+        let answer = client.answer();
+        if answer.ends_with(body) {
+            return;
+        }
+        assert!(answer.starts_with("HTTP/1.1 200 ") || answer.starts_with("HTTP/1.1 503 "), "{answer}");
+    }
+    panic!("never served by {body}");
+}
+
+/// An address at which nobody listens.
+fn nobody() -> std::net::SocketAddr {
+    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+#[test]
+fn odd_lists_lose_no_req_and_the_next_good_one_is_followed() {
+    let (one, other) = (Endpoint::start(|_| ok("one")), Endpoint::start(|_| ok("other")));
+    let (sidecar, mut watch) = following(&one);
+    let nobody = nobody();
+    let long: Vec<_> = (0..8000).map(|at| entry(&format!("long-{at}"), nobody, at, "draining")).collect();
+    let lists = [
+        // Empty; stale; an id twice, with two addresses; an address twice, under two ids; far too long.
+        list_of(5, true, &[]),
+        list_of(3, true, &[entry("gone", nobody, 0, "up"), entry("e0", one.at, 0, "up")]),
+        list_of(6, true, &[entry("e1", nobody, 0, "up"), entry("e1", other.at, 0, "up")]),
+        list_of(7, true, &[entry("e2", one.at, 0, "up"), entry("e3", one.at, 1, "up")]),
+        list_of(8, true, &[&long[..], &[entry("e4", other.at, 0, "up")]].concat()),
+    ];
+    let served = ["", "one", "other", "one", "other"];
+    for (list, body) in lists.iter().zip(served) {
+        watch_line(&mut watch, list);
+        if body.is_empty() {
+            // With no endpoint a req is nacked, with a time to come back, as soon as the list has come.
+            let mut client = Client::connect(&sidecar);
+            let nacked = |_| {
+                client.view();
+                let answer = client.answer();
+                answer.starts_with("HTTP/1.1 503 ") && answer.contains("Retry-After: ")
+            };
+            assert!((0..2000).any(nacked));
+        } else {
+            until_served_by(&sidecar, body);
+        }
+    }
+    // Torn in the middle of a line, in pieces of one chunk each.
+    let torn = list_of(9, true, &[entry("e5", one.at, 0, "up")]);
+    let (front, back) = torn.split_at(torn.len() / 2);
+    write!(watch, "{:x}\r\n{front}\r\n", front.len()).unwrap();
+    until_served_by(&sidecar, "other");
+    watch_line(&mut watch, back);
+    until_served_by(&sidecar, "one");
+    assert!(sidecar.memory() < 64 << 20, "{} bytes", sidecar.memory());
+}
+
+#[test]
+fn a_flood_of_changes_in_one_turn_ends_in_the_last_of_them() {
+    let (one, other) = (Endpoint::start(|_| ok("one")), Endpoint::start(|_| ok("other")));
+    let (sidecar, mut watch) = following(&one);
+    let nobody = nobody();
+    let mut flood = String::new();
+    for index in 0..3000 {
+        let status = ["up", "draining", "removed"][index % 3];
+        let name = format!("e{}", 1 + index % 200);
+        flood.push_str(&list_of(2 + index as u32, false, &[entry(&name, nobody, 0, status)]));
+        flood.push('\n');
+    }
+    // At the end none of those is there, and the first endpoint has moved.
+    flood.push_str(&list_of(4000, true, &[entry("e0", other.at, 0, "up")]));
+    watch_line(&mut watch, &flood);
+    until_served_by(&sidecar, "other");
+    let mut client = Client::connect(&sidecar);
+    for _ in 0..20 {
+        client.view();
+        assert!(client.answer().ends_with("other"));
+    }
+    assert!(sidecar.memory() < 32 << 20, "{} bytes", sidecar.memory());
+}
+
+#[test]
+fn an_endpoint_back_under_its_old_address_with_a_new_id_gets_connections_of_its_own() {
+    let endpoint = Endpoint::start(|_| ok("menu"));
+    let (sidecar, mut watch) = following(&endpoint);
+    until_served_by(&sidecar, "menu");
+    // Danger: a connection to the process before would take one from its successor, and pass for one to it.
+    let changes = [entry("e0", endpoint.at, 0, "removed"), entry("e9", endpoint.at, 1, "up")];
+    watch_line(&mut watch, &list_of(2, false, &changes));
+    let mut client = Client::connect(&sidecar);
+    for _ in 0..2000 {
+        client.view();
+        assert_eq!(client.status(), "200");
+        if endpoint.reqs.try_iter().any(|heard| heard == "end") {
+            return;
+        }
+    }
+    panic!("the old connection stays open");
+}
+
+#[test]
+fn an_endpoint_with_room_for_one_connection_serves_all_that_it_may() {
+    use std::sync::atomic::{AtomicUsize, Ordering};
+    // Whoever comes while another req is inside finds no room.
+    let inside = std::sync::Arc::new(AtomicUsize::new(0));
+    let endpoint = Endpoint::start(move |_| {
+        let others = inside.fetch_add(1, Ordering::SeqCst);
+        if others == 0 {
+            std::thread::sleep(Duration::from_millis(2));
+        }
+        inside.fetch_sub(1, Ordering::SeqCst);
+        let full = "HTTP/1.1 503 Full\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+        if others == 0 { ok("menu") } else { Some(full.to_string()) }
+    });
+    let sidecar = Sidecar::before(&[endpoint.at]);
+    let mut clients: Vec<_> = (0..8).map(|_| Client::connect(&sidecar)).collect();
+    let mut served = 0;
+    for _ in 0..10 {
+        clients.iter_mut().for_each(Client::view);
+        for client in &mut clients {
+            let status = client.status();
+            assert!(["200", "503"].contains(&status.as_str()), "{status}");
+            served += usize::from(status == "200");
+        }
+    }
+    // Whoever is alone is served, and nobody is left without an answer.
+    assert!(served >= 1);
+    for _ in 0..200 {
+        clients[0].view();
+        if clients[0].status() == "200" {
+            return;
+        }
+    }
+    panic!("one client alone is never served");
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -760,7 +760,9 @@
     /// Sees to it that the circle has its size in trusted endpoints, and exchanges one when it is time.
     fn tend_circle(&mut self, now: Moment) {
         let ready: Vec<usize> = self.ready().map(|(at, _)| at).collect();
-        self.circle.retain(|kept| ready.contains(kept));
+        // Danger: a successor at an address would have its connections taken by those to what was there before.
+        let left: Vec<usize> = self.circle.extract_if(.., |kept| !ready.contains(kept)).collect();
+        left.into_iter().for_each(|at| self.close_idle(at));
         let in_look = self.sends_in_second() * SOLVE_EVERY.secs();
         let places = CIRCLES * ready.len() as f64 / self.terms.instances;
         let wanted = (in_look / CIRCLE_SENDS).max(places).min(self.circle_most).max(CIRCLE_LEAST);
