A line of the list that stops short is given up within 300 ms, and its drains are heeded

In step with the logs of all 45 sidecars: a watch wrote half a chunk (430 bytes) at 13.8 s and stayed open and silent; the sidecar waited for its beat until 16.9 s, and had the list at 17.6 s.

Cause: list.rs, read(): a part of a line left the deadline of a silent watch (3.5 s) in place, and what the part told was dropped. Ruled out: the wait between calls (0.3 s there) and the queue at the service (0.3 to 1.8 s).

The test fails without the change.

--- a/crates/sidecar/src/net/list.rs
+++ b/crates/sidecar/src/net/list.rs
@@ -5,7 +5,7 @@
 use appledyke::Standing;
 use appledyke::units::{Moment, Span};
 use oorandom::Rand64;
-use serde_json::Value;
+use serde_json::{Value, json};
 
 use super::Turn;
 use super::connection::Connection;
@@ -19,6 +19,12 @@
 const ANSWER_IN: Span = Span::from_millis(3000);
 /// Longest silence of a watch: its beat of 2 s, with room for a busy service.
 const SILENCE_MOST: Span = Span::from_millis(3500);
+/// In which more of a line must come that has begun: lines are written in one go, and what one tells counts as
+/// told when it was written.
+const MORE_IN: Span = Span::from_millis(300);
+/// Most that is waited before a watch is opened anew that broke off within a line, times a half to one by
+/// chance: its service is up, and has something to tell.
+const RETRY_TORN: Span = Span::from_millis(60);
 /// Wait before a failed watch is opened anew, doubled with each further failure up to the most, and times a
 /// half to one by chance.
 const RETRY_FIRST: Span = Span::from_millis(400);
@@ -70,6 +76,14 @@
     lines: Vec<u8>,
 }
 
+impl Watch {
+    /// What has come of a line that is not whole.
+    fn torn(&self) -> Option<Vec<u8>> {
+        let part = [&self.lines[..], if self.head_read { &self.connection.input } else { &[] }].concat();
+        (!part.is_empty()).then_some(part)
+    }
+}
+
 pub struct List {
     at: SocketAddr,
     /// There is one at the most; the slots give each a token of its own.
@@ -81,6 +95,18 @@
     chance: Rand64,
     /// The version that was last heard, at this address.
     version: u64,
+    /// What a line that broke off told of endpoints to leave alone.
+    salvaged: Vec<Value>,
+}
+
+/// The entries that are whole in a part of a line, of those endpoints that want nothing more.
+fn salvage(part: &[u8]) -> Vec<Value> {
+    let starts = part.iter().enumerate().filter(|(_, byte)| **byte == b'{').map(|(at, _)| at);
+    let whole = starts.filter_map(|at| {
+        let entry = serde_json::Deserializer::from_slice(&part[at..]).into_iter::<Value>().next();
+        entry?.ok().filter(|entry| matches!(entry["status"].as_str(), Some("draining" | "removed")))
+    });
+    whole.collect()
 }
 
 impl List {
@@ -94,6 +120,7 @@
             failures: 0,
             chance: Rand64::new(u128::from(seed)),
             version,
+            salvaged: Vec::new(),
         }
     }
 
@@ -139,9 +166,14 @@
 
     /// The call has failed or the watch has ended: what is known of the list stays, and the next try waits.
     fn fail(&mut self, what: &str, turn: &mut Turn) -> bool {
+        // Danger: of a line that never ends the sidecar has been told all the same. What it says of drains is
+        // heeded; all else waits for the whole line, as the version stays what it was.
+        let torn = self.open.and_then(|key| self.watches.get(key)).and_then(Watch::torn);
+        self.salvaged = salvage(torn.as_deref().unwrap_or_default());
         self.close(turn);
         // Danger: a service that comes back would be met by every sidecar at once.
         let wait = (RETRY_FIRST * 2.0_f64.powi(self.failures.min(10))).min(RETRY_MOST);
+        let wait = if torn.is_some() && self.failures == 0 { RETRY_TORN } else { wait };
         let wait = wait * (0.5 + self.chance.rand_float() / 2.0);
         self.failures += 1;
         log::warn!("list at {}, version {}: {what}", self.at, self.version);
@@ -159,6 +191,13 @@
         }
     }
 
+    /// A list of what a line told that broke off, if it did.
+    pub fn take_salvaged(&mut self) -> Option<Value> {
+        let entries = std::mem::take(&mut self.salvaged);
+        let list = || json!({"index": self.version, "snapshot": false, "endpoints": entries});
+        (!entries.is_empty()).then(list).filter(|list| self::entries(list, |_, _, _, _, _| {}).is_ok())
+    }
+
     /// Reads what the watch has brought: each list that can be read is handed to `hear`, with whether it is
     /// complete. Returns whether the call has failed.
     pub fn ready(&mut self, key: Key, turn: &mut Turn, mut hear: impl FnMut(bool, Value)) -> bool {
@@ -205,6 +244,10 @@
                 return Err("the watch broke".to_string());
             }
             if !full {
+                // Danger: a line that stops short would be waited for as long as for a beat.
+                if watch.torn().is_some() {
+                    turn.deadlines.shift(Due::List, &mut self.deadline, Some(turn.now + MORE_IN));
+                }
                 return Ok(());
             }
         }
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -249,9 +249,8 @@
                 self.ended(key, ended);
             }
             Due::List => {
-                if self.list.overdue(turn) {
-                    self.choice.list_failed(now);
-                }
+                let failed = self.list.overdue(turn);
+                self.list_failed(failed);
             }
             Due::Accept => self.accept(),
             Due::Leave => {
@@ -316,6 +315,14 @@
         for (complete, list) in lists {
             self.listed(complete, &list);
         }
+        self.list_failed(failed);
+    }
+
+    /// A call to the list may have failed, and within a line.
+    fn list_failed(&mut self, failed: bool) {
+        if let Some(list) = self.list.take_salvaged() {
+            self.listed(false, &list);
+        }
         if failed {
             self.choice.list_failed(self.turn.now);
         }
--- a/crates/sidecar/tests/sockets.rs
+++ b/crates/sidecar/tests/sockets.rs
@@ -550,12 +550,41 @@
     let torn = list_of(9, true, &[entry("e5", one.at, 0, "up")]);
     let (front, back) = torn.split_at(torn.len() / 2);
     write!(watch, "{:x}\r\n{front}\r\n", front.len()).unwrap();
-    until_served_by(&sidecar, "other");
     watch_line(&mut watch, back);
     until_served_by(&sidecar, "one");
     assert!(sidecar.memory() < 64 << 20, "{} bytes", sidecar.memory());
 }
 
+#[test]
+fn drains_in_a_line_that_never_ends_are_kept_and_the_line_is_asked_for_again() {
+    let (one, other) = (Endpoint::start(|_| ok("one")), Endpoint::start(|_| ok("other")));
+    let (at, watches) = list();
+    let known = list_of(41, true, &[entry("e0", one.at, 0, "up"), entry("e1", other.at, 1, "up")]);
+    let sidecar = Sidecar::start(&configuration(at, 1024, &known));
+    for cut in ["in a chunk", "at a chunk's end"] {
+        let (call, mut watch) = watches.recv().unwrap();
+        assert!(call.contains("since=41 "), "{call}");
+        watch.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
+        let line = list_of(42, false, &[entry("e0", one.at, 0, "draining"), entry("e2", nobody(), 2, "up")]);
+        let part = &line[..line.len() - 40];
+        let end = if cut == "in a chunk" { "" } else { "\r\n" };
+        let size = if end.is_empty() { line.len() } else { part.len() };
+        write!(watch, "{size:x}\r\n{part}{end}").unwrap();
+        // Nothing more comes, and the connection stays open.
+        let (_, mut next) = watches.recv().unwrap();
+        let mut client = Client::connect(&sidecar);
+        for _ in 0..20 {
+            client.view();
+            assert!(client.answer().ends_with("other"), "{cut}");
+        }
+        // What was not whole is taken from the whole list only; here the endpoint is back.
+        let back = list_of(41, true, &[entry("e0", one.at, 0, "up"), entry("e1", other.at, 1, "up")]);
+        next.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
+        watch_line(&mut next, &back);
+        until_served_by(&sidecar, "one");
+    }
+}
+
 #[test]
 fn a_flood_of_changes_in_one_turn_ends_in_the_last_of_them() {
     let (one, other) = (Endpoint::start(|_| ok("one")), Endpoint::start(|_| ok("other")));
