--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,11 @@
+//! A laboratory for the decisions: a seeded model of a fleet and its faults in virtual time, an independent check
+//! of the four rules, plain policies to compare with, and reports. What it says is simulated.
+
+pub mod faults;
+pub mod policy;
+pub mod referee;
+pub mod report;
+pub mod scenario;
+pub mod simulate;
+pub mod station;
+pub mod sweep;
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,254 @@
+//! The laboratory's command line.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::thread::available_parallelism;
+use std::time::Instant;
+
+use appledyke_lab::policy::Which;
+use appledyke_lab::report::{Outcomes, paired};
+use appledyke_lab::scenario::Scenario;
+use appledyke_lab::{simulate, sweep};
+use argh::FromArgs;
+
+/// A laboratory for appledyke: plays fleets and their faults in virtual time.
+#[derive(FromArgs)]
+struct Arguments {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Simulate(Simulate),
+    Report(Report),
+    Compare(Compare),
+    Sweep(Sweep),
+    Check(Check),
+}
+
+/// plays a scenario once and tells what it came to
+#[derive(FromArgs)]
+#[argh(subcommand, name = "simulate")]
+struct Simulate {
+    /// the scenario's file
+    #[argh(positional)]
+    scenario: PathBuf,
+    /// module, random or least-of-two
+    #[argh(option, default = "\"module\".to_string()")]
+    policy: String,
+    /// the seed of all chance
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// a file for the result, as JSON
+    #[argh(option)]
+    out: Option<PathBuf>,
+}
+
+/// tells of a result file, and draws it
+#[derive(FromArgs)]
+#[argh(subcommand, name = "report")]
+struct Report {
+    /// the result's file
+    #[argh(positional)]
+    result: PathBuf,
+    /// a file for the drawing, as SVG
+    #[argh(option)]
+    svg: Option<PathBuf>,
+}
+
+/// plays two policies on the same seeds, or compares the result files of two builds, in pairs
+#[derive(FromArgs)]
+#[argh(subcommand, name = "compare")]
+struct Compare {
+    /// the scenario's file; or two folders of result files, paired by their names
+    #[argh(positional)]
+    what: Vec<PathBuf>,
+    /// the policies, apart by a comma
+    #[argh(option, default = "\"module,least-of-two\".to_string()")]
+    policies: String,
+    /// how many seeds
+    #[argh(option, default = "10")]
+    seeds: u64,
+    /// for tools
+    #[argh(switch)]
+    json: bool,
+}
+
+/// plays seeds and sizes on all cores, and writes each result
+#[derive(FromArgs)]
+#[argh(subcommand, name = "sweep")]
+struct Sweep {
+    /// the scenario's file
+    #[argh(positional)]
+    scenario: PathBuf,
+    /// module, random or least-of-two
+    #[argh(option, default = "\"module\".to_string()")]
+    policy: String,
+    /// how many seeds
+    #[argh(option, default = "10")]
+    seeds: u64,
+    /// times the scenario's size, apart by commas: sidecars, endpoints and load grow together
+    #[argh(option, default = "\"1\".to_string()")]
+    sizes: String,
+    /// threads; all cores if not said
+    #[argh(option)]
+    workers: Option<usize>,
+    /// a folder for the results
+    #[argh(option)]
+    out: Option<PathBuf>,
+}
+
+/// reads a scenario, and names the key that is at fault
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check")]
+struct Check {
+    /// the scenario's file
+    #[argh(positional)]
+    scenario: PathBuf,
+}
+
+fn main() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    let done = match arguments.command {
+        Command::Simulate(asked) => simulate_once(asked),
+        Command::Report(asked) => report(asked),
+        Command::Compare(asked) => compare(asked),
+        Command::Sweep(asked) => sweep_all(asked),
+        Command::Check(asked) => Scenario::read(&asked.scenario).map(|_| true),
+    };
+    match done {
+        Ok(true) => ExitCode::SUCCESS,
+        // A broken rule.
+        Ok(false) => ExitCode::FAILURE,
+        Err(what) => {
+            eprintln!("{what}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+/// Writes a file whole or not at all.
+fn write(path: &Path, text: &str) -> Result<(), String> {
+    let named = |e: std::io::Error| format!("{}: {e}", path.display());
+    let beside = path.with_extension("part");
+    std::fs::write(&beside, text).map_err(named)?;
+    std::fs::rename(&beside, path).map_err(named)
+}
+
+fn simulate_once(asked: Simulate) -> Result<bool, String> {
+    let scenario = Scenario::read(&asked.scenario)?;
+    let which: Which = asked.policy.parse()?;
+    let began = Instant::now();
+    let outcomes = simulate::play(&scenario, which, asked.seed).outcomes(&asked.policy, asked.seed);
+    print!("{}", outcomes.text());
+    eprintln!("{} events in {:.2} s", outcomes.events, began.elapsed().as_secs_f64());
+    if let Some(path) = asked.out {
+        write(&path, &outcomes.json())?;
+    }
+    Ok(outcomes.broken.is_empty())
+}
+
+fn report(asked: Report) -> Result<bool, String> {
+    let outcomes = Outcomes::read(&asked.result)?;
+    print!("{}", outcomes.text());
+    if let Some(path) = asked.svg {
+        write(&path, &outcomes.svg()?)?;
+    }
+    Ok(outcomes.broken.is_empty())
+}
+
+fn cores() -> usize {
+    available_parallelism().map_or(1, usize::from)
+}
+
+fn compare(asked: Compare) -> Result<bool, String> {
+    let (names, pairs) = match &asked.what[..] {
+        [scenario] => {
+            let scenario = Scenario::read(scenario)?;
+            let names: Vec<String> = asked.policies.split(',').map(str::to_string).collect();
+            let [one, other] = &names[..] else { return Err("--policies: expected two".to_string()) };
+            let (a, b): (Which, Which) = (one.parse()?, other.parse()?);
+            let seeds: Vec<u64> = (1..=asked.seeds).collect();
+            let play = |seed: &u64| {
+                let of = |which, name: &str| simulate::play(&scenario, which, *seed).outcomes(name, *seed);
+                (of(a, one), of(b, other))
+            };
+            ([one.clone(), other.clone()], sweep::each(&seeds, cores(), play))
+        }
+        [one, other] => {
+            let mut pairs = Vec::new();
+            let named = |e: std::io::Error| format!("{}: {e}", one.display());
+            let mut files: Vec<_> = std::fs::read_dir(one)
+                .map_err(named)?
+                .filter_map(|entry| Some(entry.ok()?.file_name()))
+                .collect();
+            files.sort();
+            for file in
+                files.iter().filter(|file| Path::new(file).extension().is_some_and(|end| end == "json"))
+            {
+                pairs.push((Outcomes::read(&one.join(file))?, Outcomes::read(&other.join(file))?));
+            }
+            ([one.display().to_string(), other.display().to_string()], pairs)
+        }
+        _ => return Err("compare: expected a scenario, or two folders of results".to_string()),
+    };
+    if pairs.is_empty() {
+        return Err("compare: nothing to compare".to_string());
+    }
+    let whole = paired(&pairs.iter().map(|(a, b)| a.whole.goodput() - b.whole.goodput()).collect::<Vec<_>>());
+    let p99 = |o: &Outcomes| o.latency_us[2] as f64 / 1e3;
+    let slow = paired(&pairs.iter().map(|(a, b)| p99(a) - p99(b)).collect::<Vec<_>>());
+    let broken = |of: fn(&(Outcomes, Outcomes)) -> &Outcomes| {
+        pairs.iter().filter(|pair| !of(pair).broken.is_empty()).count()
+    };
+    let (one, other) = (broken(|pair| &pair.0), broken(|pair| &pair.1));
+    if asked.json {
+        let names = [&names[0], &names[1]];
+        println!(
+            "{}",
+            serde_json::json!({"of": names, "worth": whole, "p99_ms": slow, "broken": [one, other]})
+        );
+    } else {
+        println!("{} less {} (simulated), {} pairs", names[0], names[1], whole.pairs);
+        for (what, of) in [("worth served", whole), ("p99 in ms", slow)] {
+            println!(
+                "{what:<14} mean {:+.4}, spread {:.4}, 95% interval {:+.4} to {:+.4}",
+                of.mean, of.spread, of.low, of.high
+            );
+        }
+        println!("runs that broke a rule: {one} and {other}");
+    }
+    Ok(one == 0)
+}
+
+fn sweep_all(asked: Sweep) -> Result<bool, String> {
+    let scenario = Scenario::read(&asked.scenario)?;
+    let which: Which = asked.policy.parse()?;
+    let mut work = Vec::new();
+    for size in asked.sizes.split(',') {
+        let times: usize =
+            size.parse().map_err(|_| format!("--sizes: expected whole numbers, not '{size}'"))?;
+        let grown = scenario.grown(times).map_err(|what| format!("--sizes: {what}"))?;
+        work.extend((1..=asked.seeds).map(|seed| (times, grown.clone(), seed)));
+    }
+    if let Some(folder) = &asked.out {
+        std::fs::create_dir_all(folder).map_err(|e| format!("{}: {e}", folder.display()))?;
+    }
+    let results = sweep::each(&work, asked.workers.unwrap_or_else(cores), |(_, scenario, seed)| {
+        simulate::play(scenario, which, *seed).outcomes(&asked.policy, *seed)
+    });
+    println!("  size  seed   worth  nacked%  p99 ms  events  rules");
+    for ((times, _, seed), outcomes) in work.iter().zip(&results) {
+        let nacked = outcomes.whole.nacked as f64 / (outcomes.whole.offered as f64).max(1.0) * 100.0;
+        let (worth, p99) = (outcomes.whole.goodput(), outcomes.latency_us[2] as f64 / 1e3);
+        let rules =
+            if outcomes.broken.is_empty() { "kept".to_string() } else { format!("{:?}", outcomes.broken) };
+        println!("{times:>6} {seed:>5} {worth:>7.4} {nacked:>8.2} {p99:>7.1} {:>7} {rules}", outcomes.events);
+        if let Some(folder) = &asked.out {
+            write(&folder.join(format!("{times}-{seed}.json")), &outcomes.json())?;
+        }
+    }
+    Ok(results.iter().all(|outcomes| outcomes.broken.is_empty()))
+}
--- /dev/null
+++ b/crates/lab/src/policy.rs
@@ -0,0 +1,231 @@
+//! What the laboratory drives: the module itself, plain policies to compare it with, and bad ones that show
+//! that the check of the rules sees what they do.
+
+use std::collections::VecDeque;
+
+use appledyke::choice::Choice;
+use appledyke::terms::{Effect, Terms};
+use appledyke::units::{Moment, Span};
+use appledyke::{Decision, Outcome, Standing};
+use oorandom::Rand64;
+
+/// An entry of a list as it reaches an instance.
+#[derive(Clone, Copy, Debug)]
+pub struct Entry {
+    pub endpoint: usize,
+    pub zone: usize,
+    pub cell: u64,
+    pub standing: Standing,
+    pub started: Option<Moment>,
+}
+
+/// The module's interface, as a host uses it.
+pub trait Policy {
+    fn arrival(&mut self, now: Moment, req: usize, method: usize, left: Span);
+    fn outcome(&mut self, now: Moment, req: usize, write_out: usize, outcome: Outcome, closed: bool);
+    fn hangup(&mut self, req: usize);
+    fn list(&mut self, now: Moment, complete: bool, entries: &[Entry]);
+    fn list_failed(&mut self, now: Moment);
+    fn wake(&mut self, now: Moment);
+    fn next(&mut self, now: Moment) -> Option<Decision>;
+}
+
+impl Policy for Choice {
+    fn arrival(&mut self, now: Moment, req: usize, method: usize, left: Span) {
+        Choice::arrival(self, now, req, method, left);
+    }
+
+    fn outcome(&mut self, now: Moment, req: usize, write_out: usize, outcome: Outcome, closed: bool) {
+        Choice::outcome(self, now, req, write_out, outcome, closed);
+    }
+
+    fn hangup(&mut self, req: usize) {
+        Choice::hangup(self, req);
+    }
+
+    fn list(&mut self, now: Moment, complete: bool, entries: &[Entry]) {
+        self.list_opens(complete);
+        for e in entries {
+            self.listed(now, e.endpoint, (e.zone, e.cell), e.standing, e.started);
+        }
+        self.list_closes(now);
+    }
+
+    fn list_failed(&mut self, now: Moment) {
+        Choice::list_failed(self, now);
+    }
+
+    fn wake(&mut self, now: Moment) {
+        Choice::wake(self, now);
+    }
+
+    fn next(&mut self, now: Moment) -> Option<Decision> {
+        self.next_decision(now)
+    }
+}
+
+/// Which policy a run drives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Which {
+    Module,
+    Random,
+    LeastOfTwo,
+    /// Deliberately bad, each against one rule.
+    Bad(Flaw),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Flaw {
+    GivesNoAnswer,
+    RepeatsWhatMayHaveRun,
+    SendsToWhatDrains,
+    CrowdsWhatIsCold,
+}
+
+impl std::str::FromStr for Which {
+    type Err = String;
+    fn from_str(name: &str) -> Result<Which, String> {
+        match name {
+            "module" => Ok(Which::Module),
+            "random" => Ok(Which::Random),
+            "least-of-two" => Ok(Which::LeastOfTwo),
+            other => Err(format!("policy: unknown '{other}'; module, random and least-of-two are known")),
+        }
+    }
+}
+
+impl Which {
+    pub fn make(self, now: Moment, terms: Terms, home: usize, seed: u64) -> Box<dyn Policy> {
+        match self {
+            Which::Module => Box::new(Choice::new(now, terms, home, seed)),
+            other => Box::new(Plain {
+                which: other,
+                terms,
+                chance: Rand64::new(u128::from(seed)),
+                endpoints: Vec::new(),
+                reqs: Vec::new(),
+                out: VecDeque::new(),
+            }),
+        }
+    }
+}
+
+/// A policy that picks an endpoint, waits until the deadline, and gives up at the first failure.
+struct Plain {
+    which: Which,
+    terms: Terms,
+    chance: Rand64,
+    endpoints: Vec<Option<(Entry, i64)>>,
+    reqs: Vec<Option<PlainReq>>,
+    out: VecDeque<Decision>,
+}
+
+struct PlainReq {
+    method: usize,
+    deadline: Moment,
+    sent_to: Vec<usize>,
+}
+
+impl Plain {
+    fn flawed(&self, flaw: Flaw) -> bool {
+        self.which == Which::Bad(flaw)
+    }
+
+    fn pick(&mut self) -> Option<usize> {
+        let drains_too = self.flawed(Flaw::SendsToWhatDrains);
+        let open =
+            |e: &Entry| e.standing == Standing::Ready || drains_too && e.standing == Standing::Draining;
+        let mut listed: Vec<_> = self.endpoints.iter().flatten().filter(|(e, _)| open(e)).copied().collect();
+        if self.flawed(Flaw::CrowdsWhatIsCold)
+            && let Some(last) = listed.iter().max_by_key(|(e, _)| e.started).copied()
+        {
+            listed = vec![last];
+        }
+        let mut draw = || match listed.len() as u64 {
+            0 => None,
+            some => Some(listed[self.chance.rand_range(0..some) as usize]),
+        };
+        let first = draw()?;
+        if self.which != Which::LeastOfTwo {
+            return Some(first.0.endpoint);
+        }
+        let second = draw()?;
+        Some(if second.1 < first.1 { second } else { first }.0.endpoint)
+    }
+
+    fn send(&mut self, req: usize) -> bool {
+        let Some(endpoint) = self.pick() else { return false };
+        let Some(r) = self.reqs[req].as_mut() else { return false };
+        r.sent_to.push(endpoint);
+        self.endpoints[endpoint].as_mut().expect("picked from these").1 += 1;
+        self.out.push_back(Decision::Send { req, endpoint, give_up: r.deadline });
+        true
+    }
+
+    fn forget(&mut self, req: usize) {
+        self.reqs[req] = None;
+        self.out.push_back(Decision::ForgetReq { req });
+    }
+
+    fn end(&mut self, req: usize, harmless: bool) {
+        if !self.flawed(Flaw::GivesNoAnswer) {
+            let nack = Decision::Nack { req, come_back: self.terms.longest_come_back.map(|most| most * 0.2) };
+            self.out.push_back(if harmless { nack } else { Decision::Fail { req } });
+        }
+        self.forget(req);
+    }
+}
+
+impl Policy for Plain {
+    fn arrival(&mut self, now: Moment, req: usize, method: usize, left: Span) {
+        self.reqs.resize_with(self.reqs.len().max(req + 1), || None);
+        self.reqs[req] = Some(PlainReq { method, deadline: now + left, sent_to: Vec::new() });
+        if !self.send(req) {
+            self.end(req, true);
+        }
+    }
+
+    fn outcome(&mut self, now: Moment, req: usize, write_out: usize, outcome: Outcome, closed: bool) {
+        let Some(Some(r)) = self.reqs.get(req) else { return };
+        let (method, deadline, tries) = (r.method, r.deadline, r.sent_to.len());
+        if let Some(Some((_, out))) = self.endpoints.get_mut(r.sent_to[write_out]) {
+            *out -= 1;
+        }
+        if closed {
+            return self.forget(req);
+        }
+        let again = self.flawed(Flaw::RepeatsWhatMayHaveRun) && now < deadline;
+        if again && tries < self.terms.most_write_outs && self.send(req) {
+            return;
+        }
+        let harmless = self.terms.methods[method].effect == Effect::Retryable || outcome.never_ran();
+        self.end(req, harmless);
+    }
+
+    fn hangup(&mut self, req: usize) {
+        let Some(Some(r)) = self.reqs.get(req) else { return };
+        let write_out = r.sent_to.len().saturating_sub(1);
+        if self.terms.may_revoke && !r.sent_to.is_empty() {
+            self.out.push_back(Decision::Revoke { req, write_out });
+        }
+    }
+
+    fn list(&mut self, _: Moment, complete: bool, entries: &[Entry]) {
+        if complete {
+            self.endpoints.iter_mut().flatten().for_each(|(e, _)| e.standing = Standing::Gone);
+        }
+        for e in entries {
+            self.endpoints.resize_with(self.endpoints.len().max(e.endpoint + 1), || None);
+            let out = self.endpoints[e.endpoint].map_or(0, |(_, out)| out);
+            self.endpoints[e.endpoint] = Some((*e, out));
+        }
+    }
+
+    fn list_failed(&mut self, _: Moment) {}
+
+    fn wake(&mut self, _: Moment) {}
+
+    fn next(&mut self, _: Moment) -> Option<Decision> {
+        self.out.pop_front()
+    }
+}
--- /dev/null
+++ b/crates/lab/src/referee.rs
@@ -0,0 +1,164 @@
+//! The four rules, checked from the world's side: from what reaches endpoints and clients, never from what an
+//! instance says of itself.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use appledyke::units::{Moment, Span};
+
+use crate::scenario::{Effect, Method, Rules};
+
+/// So much later than a client's deadline an answer still counts as given: a turn of a loop and a hop.
+const ANSWER_SLACK: Span = Span::from_millis(50);
+/// Broken rules that are told in full; all are counted.
+const TOLD: usize = 20;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rule {
+    NoReqLost,
+    NoEffectTwice,
+    DrainsKept,
+    ColdNotPushedOver,
+}
+
+/// Where and when an effect took place.
+struct Ran {
+    group: (usize, u64),
+    at: Moment,
+}
+
+/// What a cold endpoint was given of late: work in core seconds, and when.
+#[derive(Default)]
+struct Given {
+    given: VecDeque<(Moment, f64)>,
+    sum: f64,
+}
+
+#[derive(Default)]
+pub struct Referee {
+    /// Reqs that clients wait for, with their deadline.
+    open: BTreeMap<u64, Moment>,
+    ran: BTreeMap<u64, Ran>,
+    cold: BTreeMap<(usize, usize), Given>,
+    counts: BTreeMap<Rule, u64>,
+    told: Vec<String>,
+}
+
+impl Referee {
+    pub fn broken(&self) -> &BTreeMap<Rule, u64> {
+        &self.counts
+    }
+
+    pub fn told(&self) -> &[String] {
+        &self.told
+    }
+
+    fn breaks(&mut self, rule: Rule, now: Moment, what: String) {
+        *self.counts.entry(rule).or_default() += 1;
+        if self.told.len() < TOLD {
+            self.told.push(format!("{:.3} s: {rule:?}: {what}", now.nanos() as f64 / 1e9));
+        }
+    }
+
+    /// A sidecar has taken a client's req.
+    pub fn taken(&mut self, req: u64, deadline: Moment) {
+        self.open.insert(req, deadline);
+    }
+
+    /// The client of a req has an answer, or asks no more; or its sidecar was killed by the schedule.
+    pub fn closed(&mut self, req: u64) -> bool {
+        self.open.remove(&req).is_some()
+    }
+
+    pub fn answered(&mut self, now: Moment, req: u64) {
+        if !self.closed(req) {
+            self.breaks(Rule::NoReqLost, now, format!("req {req} has a second answer"));
+        }
+    }
+
+    /// The req's deadline has passed by more than the slack.
+    pub fn overdue(&mut self, now: Moment, req: u64) {
+        if self.closed(req) {
+            self.breaks(Rule::NoReqLost, now, format!("req {req} has no answer"));
+        }
+    }
+
+    pub fn slack(&self) -> Span {
+        ANSWER_SLACK
+    }
+
+    /// An endpoint begins work on a req. Returns whether it takes effect; a repeat may be discarded.
+    pub fn effect(&mut self, now: Moment, req: u64, method: &Method, group: (usize, u64)) -> bool {
+        let Some(ran) = self.ran.get(&req) else {
+            if method.effect != Effect::Retryable {
+                self.ran.insert(req, Ran { group, at: now });
+            }
+            return true;
+        };
+        let kept = method.effect == Effect::Deduplicated
+            && ran.group == group
+            && now.since(ran.at) < Span::from_millis(method.window_ms);
+        if !kept {
+            self.breaks(Rule::NoEffectTwice, now, format!("req {req} of {} ran twice", method.name));
+        }
+        !kept
+    }
+
+    /// A write-out sets out to an endpoint, of which its sidecar was told at a moment that it drains.
+    pub fn sent(&mut self, now: Moment, told: Option<Moment>, rules: &Rules, whom: (usize, usize)) {
+        if told.is_some_and(|told| now > told + Span::from_millis(rules.drain_grace_ms)) {
+            self.breaks(Rule::DrainsKept, now, format!("endpoint {whom:?} was sent to while it drained"));
+        }
+    }
+
+    /// A started endpoint is given work: in core seconds, against what its cores do in one.
+    pub fn given(
+        &mut self,
+        now: Moment,
+        whom: (usize, usize),
+        started: Moment,
+        (work, cores): (f64, f64),
+        rules: &Rules,
+    ) {
+        let up = now.since(started).secs() / (rules.cold_ms as f64 / 1e3).max(1e-9);
+        if up >= 1.0 {
+            self.cold.remove(&whom);
+            return;
+        }
+        let share = rules.cold_start + (1.0 - rules.cold_start) * up;
+        let window = Span::from_millis(rules.fall_ms);
+        let cold = self.cold.entry(whom).or_default();
+        while let Some((at, old)) = cold.given.front().copied().filter(|(at, _)| now.since(*at) >= window) {
+            debug_assert!(at <= now);
+            cold.given.pop_front();
+            cold.sum -= old;
+        }
+        cold.given.push_back((now, work));
+        cold.sum += work;
+        // A few reqs are never a crowd, however small the endpoint.
+        let can = (share * cores * window.secs() * rules.fall_multiple).max(work * 4.0);
+        if cold.sum > can && cold.given.len() > 4 {
+            let text = format!("endpoint {whom:?} was given {:.2} s of work where {can:.2} fit", cold.sum);
+            cold.given.clear();
+            cold.sum = 0.0;
+            self.breaks(Rule::ColdNotPushedOver, now, text);
+        }
+    }
+
+    /// A new process: what the old one was given says nothing of it.
+    pub fn started(&mut self, whom: (usize, usize)) {
+        self.cold.remove(&whom);
+    }
+
+    /// The end of the run: reqs whose time is not up yet are neither answered nor lost.
+    pub fn ends(&mut self, end: Moment) {
+        let lost: Vec<u64> = self
+            .open
+            .iter()
+            .filter(|(_, deadline)| **deadline + ANSWER_SLACK < end)
+            .map(|(req, _)| *req)
+            .collect();
+        for req in lost {
+            self.overdue(end, req);
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/scenario.rs
@@ -0,0 +1,468 @@
+//! What a scenario file may say, read and checked in this one place. Every message names the file and the key.
+
+use std::path::Path;
+
+use appledyke::terms::Terms;
+use appledyke::units::{Moment, Span};
+use serde::Deserialize;
+
+/// A fleet larger than this is a slip of the pen: it would take hours.
+const MOST_MACHINES: usize = 20_000;
+/// Longest run, in virtual milliseconds: a day.
+const MOST_LENGTH_MS: u64 = 86_400_000;
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scenario {
+    pub name: String,
+    pub length_ms: u64,
+    /// What is offered before this counts for nothing in the report.
+    #[serde(default)]
+    pub warm_up_ms: u64,
+    #[serde(default = "one")]
+    pub zones: usize,
+    pub load: Load,
+    pub method: Vec<Method>,
+    pub tier: Vec<Tier>,
+    #[serde(default)]
+    pub net: Net,
+    #[serde(default)]
+    pub list: ListService,
+    #[serde(default)]
+    pub rules: Rules,
+    #[serde(default)]
+    pub fault: Vec<Fault>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Load {
+    pub per_second: f64,
+    #[serde(default = "one")]
+    pub tenants: usize,
+    /// Further tries of a client after the first.
+    #[serde(default)]
+    pub retries: u32,
+    /// Wait before a further try where the answer names none.
+    #[serde(default = "hundred")]
+    pub back_off_ms: u64,
+    /// Part of the tries whose client goes before its time is up.
+    #[serde(default)]
+    pub impatient: f64,
+    /// Moments of arrival in place of Poisson's, as of the start: a trace.
+    #[serde(default)]
+    pub trace_ms: Vec<u64>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Method {
+    pub name: String,
+    pub share: f64,
+    pub effect: Effect,
+    #[serde(default)]
+    pub group: Group,
+    #[serde(default = "ten_seconds")]
+    pub window_ms: u64,
+    pub latency_budget_ms: u64,
+    pub deadline_ms: u64,
+    #[serde(default = "one_whole")]
+    pub criticality: f64,
+    #[serde(default)]
+    pub overdue_criticality: f64,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "kebab-case")]
+pub enum Effect {
+    Retryable,
+    Deduplicated,
+    NonRetryable,
+}
+
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "kebab-case")]
+pub enum Group {
+    #[default]
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "kebab-case")]
+pub enum Spread {
+    Fixed,
+    #[default]
+    Exponential,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Tier {
+    /// Sidecars before the first tier; later tiers have one beside each endpoint of the tier before.
+    #[serde(default)]
+    pub sidecars: usize,
+    pub endpoints: usize,
+    #[serde(default = "one")]
+    pub cores: usize,
+    /// Reqs that may be inside at once, waiting ones included.
+    #[serde(default = "many")]
+    pub places: usize,
+    #[serde(default = "many")]
+    pub connections: usize,
+    #[serde(default)]
+    pub handshake_ms: f64,
+    /// Work of a req on one core, for each method in its order, or one for all.
+    pub work_ms: Vec<f64>,
+    #[serde(default)]
+    pub spread: Spread,
+    /// Relative difference in speed between the quickest and the slowest endpoint.
+    #[serde(default)]
+    pub uneven: f64,
+    /// Calls of a req to the next tier, one after the other.
+    #[serde(default)]
+    pub calls: usize,
+    /// Endpoints that discard each other's repeats.
+    #[serde(default = "three")]
+    pub cell_size: usize,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Net {
+    pub hop_ms: f64,
+    pub connect_timeout_ms: u64,
+}
+
+impl Default for Net {
+    fn default() -> Net {
+        // Half a millisecond each way is a machine room's; a fifth of a second is long for a handshake there.
+        Net { hop_ms: 0.5, connect_timeout_ms: 200 }
+    }
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct ListService {
+    /// It answers only those who have asked.
+    pub asked: bool,
+    pub ask_within_ms: u64,
+    /// From a change to the sidecars' knowledge of it, times one to two by chance.
+    pub delay_ms: f64,
+}
+
+impl Default for ListService {
+    fn default() -> ListService {
+        // A second or two is what lists on health checks take.
+        ListService { asked: false, ask_within_ms: 10_000, delay_ms: 1000.0 }
+    }
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Rules {
+    pub drain_grace_ms: u64,
+    pub cold_start: f64,
+    pub cold_ms: u64,
+    pub fall_ms: u64,
+    /// Times its cold capacity that an endpoint may be given in a fall window.
+    pub fall_multiple: f64,
+    pub most_write_outs: usize,
+    pub may_revoke: bool,
+    pub longest_come_back_ms: u64,
+}
+
+impl Default for Rules {
+    fn default() -> Rules {
+        Rules {
+            drain_grace_ms: 1500,
+            cold_start: 0.3,
+            cold_ms: 8000,
+            fall_ms: 1500,
+            fall_multiple: 3.0,
+            most_write_outs: 3,
+            may_revoke: true,
+            longest_come_back_ms: 2000,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "kebab-case")]
+pub enum Kind {
+    Crash,
+    Silence,
+    Slow,
+    QuickErrors,
+    Pause,
+    Spoilt,
+    Cut,
+    Reset,
+    LostAnswers,
+    Refuse,
+    Deploy,
+    ZoneLoss,
+    ListLate,
+    ListAbsent,
+    RestartSidecars,
+    Burst,
+    HotSidecar,
+}
+
+impl Kind {
+    /// Whether it strikes endpoints; else sidecars, or the fleet as a whole.
+    fn strikes_endpoints(self) -> bool {
+        !matches!(
+            self,
+            Kind::ListLate | Kind::ListAbsent | Kind::RestartSidecars | Kind::Burst | Kind::HotSidecar
+        )
+    }
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Fault {
+    pub kind: Kind,
+    pub from_ms: u64,
+    pub for_ms: u64,
+    #[serde(default)]
+    pub tier: usize,
+    /// Part of the endpoints or sidecars, drawn by the seed; or the very ones.
+    pub share: Option<f64>,
+    #[serde(default)]
+    pub ids: Vec<usize>,
+    /// How much: times slower, chance of an error, times the load; by kind.
+    pub size: Option<f64>,
+}
+
+fn one() -> usize {
+    1
+}
+
+fn three() -> usize {
+    3
+}
+
+fn many() -> usize {
+    1_000_000
+}
+
+fn hundred() -> u64 {
+    100
+}
+
+fn ten_seconds() -> u64 {
+    10_000
+}
+
+fn one_whole() -> f64 {
+    1.0
+}
+
+pub fn millis(ms: f64) -> Span {
+    Span::from_nanos((ms * 1e6).max(0.0) as u64)
+}
+
+pub fn at_ms(ms: u64) -> Moment {
+    Moment::from_nanos(ms.saturating_mul(1_000_000))
+}
+
+impl Scenario {
+    pub fn read(path: &Path) -> Result<Scenario, String> {
+        let name = path.display();
+        let text = std::fs::read_to_string(path).map_err(|e| format!("{name}: {e}"))?;
+        Scenario::parse(&text).map_err(|what| format!("{name}: {what}"))
+    }
+
+    pub fn parse(text: &str) -> Result<Scenario, String> {
+        let reader = toml::Deserializer::parse(text).map_err(|e| format!("no TOML: {}", e.message()))?;
+        let scenario: Scenario = serde_path_to_error::deserialize(reader)
+            .map_err(|e| format!("{}: {}", e.path(), e.inner().message().replace('\n', " ")))?;
+        scenario.check()?;
+        Ok(scenario)
+    }
+
+    fn check(&self) -> Result<(), String> {
+        let within = |key: String, value: f64, least: f64, most: f64| {
+            let fits = value.is_finite() && (least..=most).contains(&value);
+            fits.then_some(()).ok_or(format!("{key}: expected {least} to {most}, not {value}"))
+        };
+        within("length_ms".into(), self.length_ms as f64, 1.0, MOST_LENGTH_MS as f64)?;
+        within("warm_up_ms".into(), self.warm_up_ms as f64, 0.0, self.length_ms as f64)?;
+        within("zones".into(), self.zones as f64, 1.0, 64.0)?;
+        within("load.per_second".into(), self.load.per_second, 0.0, 1e6)?;
+        within("load.impatient".into(), self.load.impatient, 0.0, 1.0)?;
+        within("load.tenants".into(), self.load.tenants as f64, 1.0, 1000.0)?;
+        within("load.retries".into(), f64::from(self.load.retries), 0.0, 20.0)?;
+        if self.load.trace_ms.windows(2).any(|pair| pair[1] < pair[0]) {
+            return Err("load.trace_ms: not in order".to_string());
+        }
+        within("method".into(), self.method.len() as f64, 1.0, 64.0)?;
+        for (at, m) in self.method.iter().enumerate() {
+            let key = |name: &str| format!("method.{at}.{name}");
+            within(key("share"), m.share, 0.0, 1.0)?;
+            within(key("latency_budget_ms"), m.latency_budget_ms as f64, 1.0, m.deadline_ms as f64)?;
+            within(key("criticality"), m.criticality, 0.0, 1e6)?;
+            within(key("overdue_criticality"), m.overdue_criticality, 0.0, m.criticality)?;
+        }
+        let shares = self.method.iter().map(|m| m.share).sum::<f64>();
+        within("method.share, all of them together".into(), shares, 0.999, 1.001)?;
+        within("tier".into(), self.tier.len() as f64, 1.0, 8.0)?;
+        for (at, t) in self.tier.iter().enumerate() {
+            let key = |name: &str| format!("tier.{at}.{name}");
+            let (least, most) = if at == 0 { (1.0, MOST_MACHINES as f64) } else { (0.0, 0.0) };
+            within(key("sidecars"), t.sidecars as f64, least, most)?;
+            within(key("endpoints"), t.endpoints as f64, 0.0, MOST_MACHINES as f64)?;
+            within(key("cores"), t.cores as f64, 1.0, 1024.0)?;
+            within(key("places"), t.places as f64, 1.0, 1e6)?;
+            within(key("connections"), t.connections as f64, 1.0, 1e6)?;
+            within(key("handshake_ms"), t.handshake_ms, 0.0, 60_000.0)?;
+            within(key("uneven"), t.uneven, 0.0, 0.9)?;
+            within(key("cell_size"), t.cell_size as f64, 1.0, MOST_MACHINES as f64)?;
+            let calls = if at + 1 < self.tier.len() { 64.0 } else { 0.0 };
+            within(key("calls"), t.calls as f64, 0.0, calls)?;
+            if t.work_ms.len() != 1 && t.work_ms.len() != self.method.len() {
+                return Err(format!("{}: expected one figure, or one for each method", key("work_ms")));
+            }
+            for work in &t.work_ms {
+                within(key("work_ms"), *work, 0.001, 600_000.0)?;
+            }
+        }
+        within("net.hop_ms".into(), self.net.hop_ms, 0.0, 10_000.0)?;
+        within("list.delay_ms".into(), self.list.delay_ms, 0.0, 600_000.0)?;
+        within("rules.cold_start".into(), self.rules.cold_start, 0.01, 1.0)?;
+        within("rules.fall_ms".into(), self.rules.fall_ms as f64, 1.0, 600_000.0)?;
+        within("rules.fall_multiple".into(), self.rules.fall_multiple, 1.0, 1000.0)?;
+        within("rules.most_write_outs".into(), self.rules.most_write_outs as f64, 1.0, 64.0)?;
+        for (at, f) in self.fault.iter().enumerate() {
+            let key = |name: &str| format!("fault.{at}.{name}");
+            within(key("tier"), f.tier as f64, 0.0, (self.tier.len() - 1) as f64)?;
+            within(key("share"), f.share.unwrap_or(0.0), 0.0, 1.0)?;
+            within(key("size"), f.size.unwrap_or(0.0), 0.0, 1e6)?;
+            let there = self.things(f);
+            for id in &f.ids {
+                if *id >= there {
+                    return Err(format!("{}: there is no {id}, only 0 to {}", key("ids"), there as i64 - 1));
+                }
+            }
+            if f.share.is_some() && !f.ids.is_empty() {
+                return Err(format!("{}: either a share or ids", key("ids")));
+            }
+        }
+        Ok(())
+    }
+
+    /// The same world so many times larger: sidecars, endpoints and load.
+    pub fn grown(&self, times: usize) -> Result<Scenario, String> {
+        let mut grown = self.clone();
+        grown.load.per_second *= times as f64;
+        for tier in &mut grown.tier {
+            tier.sidecars = tier.sidecars.saturating_mul(times);
+            tier.endpoints = tier.endpoints.saturating_mul(times);
+        }
+        grown.check()?;
+        Ok(grown)
+    }
+
+    /// How many there are of what a fault may strike.
+    pub fn things(&self, fault: &Fault) -> usize {
+        match fault.kind {
+            Kind::ZoneLoss => self.zones,
+            kind if kind.strikes_endpoints() => self.tier[fault.tier].endpoints,
+            Kind::RestartSidecars | Kind::HotSidecar => self.tier[0].sidecars,
+            _ => 1,
+        }
+    }
+
+    pub fn sidecars(&self, tier: usize) -> usize {
+        if tier == 0 { self.tier[0].sidecars } else { self.tier[tier - 1].endpoints }
+    }
+
+    pub fn work(&self, tier: usize, method: usize) -> f64 {
+        let work = &self.tier[tier].work_ms;
+        work[method.min(work.len() - 1)]
+    }
+
+    /// The settings of a sidecar before this tier, as dotted paths and values.
+    pub fn settings(&self, tier: usize) -> Vec<(String, String)> {
+        let nanos = |ms: u64| (ms * 1_000_000).to_string();
+        let mut pairs: Vec<(String, String)> = [
+            ("zone", "z0".to_string()),
+            ("nInstances", self.sidecars(tier).to_string()),
+            ("tickNs", "1000000".to_string()),
+            ("deductions.crossZone", "0".to_string()),
+            ("discovery", if self.list.asked { "subscribe" } else { "automatic" }.to_string()),
+            ("ceilings.cancel", self.rules.may_revoke.to_string()),
+            ("ceilings.retryAfter", "true".to_string()),
+            ("ceilings.maxRetryAfterNs", nanos(self.rules.longest_come_back_ms)),
+            ("ceilings.mostWriteOuts", self.rules.most_write_outs.to_string()),
+            ("ceilings.connectTimeoutNs", nanos(self.net.connect_timeout_ms)),
+            ("ceilings.connIdleNs", nanos(60_000)),
+            ("rules.askWithinNs", nanos(self.list.ask_within_ms)),
+            ("rules.startCapacity", self.rules.cold_start.to_string()),
+            ("rules.coldNs", nanos(self.rules.cold_ms)),
+            ("rules.overloadForNs", nanos(self.rules.fall_ms)),
+            ("methods.count", self.method.len().to_string()),
+        ]
+        .map(|(key, value)| (key.to_string(), value))
+        .into();
+        for (at, m) in self.method.iter().enumerate() {
+            let effect = match m.effect {
+                Effect::Retryable => "retryable",
+                Effect::Deduplicated => "dedup",
+                Effect::NonRetryable => "fragile",
+            };
+            let group = match m.group {
+                Group::All => "all",
+                Group::Zone => "zone",
+                Group::Cell => "cell",
+            };
+            let figures = [
+                ("name", m.name.clone()),
+                ("effect", effect.to_string()),
+                ("group", group.to_string()),
+                ("windowNs", nanos(m.window_ms)),
+                ("latencyBudgetNs", nanos(m.latency_budget_ms)),
+                ("deadlineNs", nanos(m.deadline_ms)),
+                ("criticality", m.criticality.to_string()),
+                ("overdueCriticality", m.overdue_criticality.to_string()),
+            ];
+            pairs.extend(figures.map(|(key, value)| (format!("methods.{at}.{key}"), value)));
+        }
+        pairs
+    }
+
+    pub fn terms(&self, tier: usize) -> Terms {
+        let pairs = self.settings(tier);
+        Terms::decode(pairs.iter().map(|(key, value)| (key.as_str(), value.as_str())))
+            .expect("a checked scenario makes readable terms")
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const GOOD: &str = "name='a'\nlength_ms=1000\n[load]\nper_second=10\n[[method]]\nname='view'\nshare=1.0\n\
+        effect='retryable'\nlatency_budget_ms=100\ndeadline_ms=300\n[[tier]]\nsidecars=1\nendpoints=2\nwork_ms=[5]\n";
+
+    #[test]
+    fn a_fault_in_the_file_is_named_by_its_key() {
+        assert!(Scenario::parse(GOOD).is_ok());
+        for (more, key) in [
+            ("colour=1\n", "unknown field `colour`"),
+            ("[[fault]]\nkind='slow'\nfrom_ms=0\nfor_ms=1\nshare=1.5\n", "fault.0.share: "),
+            ("[[fault]]\nkind='slow'\nfrom_ms=0\nfor_ms=1\nids=[2]\n", "fault.0.ids: there is no 2"),
+            ("[[fault]]\nkind='slow'\nfrom_ms=0\nfor_ms=1\ntier=1\n", "fault.0.tier: "),
+            ("[[fault]]\nkind='gloom'\nfrom_ms=0\nfor_ms=1\n", "fault[0].kind: "),
+            ("[rules]\ncold_start=0\n", "rules.cold_start: "),
+        ] {
+            let said = Scenario::parse(&format!("{GOOD}{more}")).expect_err(more);
+            assert!(said.contains(key) && !said.contains('\n'), "{said}");
+        }
+        assert!(Scenario::parse(&GOOD.replace("share=1.0", "share=0.5")).is_err());
+        assert!(Scenario::parse(&GOOD.replace("[5]", "[5, 6]")).unwrap_err().contains("tier.0.work_ms"));
+        assert!(Scenario::parse("name=").unwrap_err().starts_with("no TOML"));
+    }
+}
--- /dev/null
+++ b/crates/lab/src/simulate.rs
@@ -0,0 +1,1077 @@
+//! A fleet in virtual time: clients, sidecars of every tier, endpoints, the network between them and the list,
+//! as one queue of events. Of two events at one moment the one that was scheduled first comes first.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+
+use appledyke::ids::Names;
+use appledyke::units::{Moment, Span};
+use appledyke::{Decision, Outcome, Standing};
+use oorandom::Rand64;
+
+use crate::faults::{Faults, Turn};
+use crate::policy::{Entry, Policy, Which};
+use crate::referee::Referee;
+use crate::report::Tally;
+use crate::scenario::{Effect, Group, Scenario, Spread, at_ms, millis};
+use crate::station::{Admission, Station};
+
+/// Between two looks at the state of all endpoints.
+const LOOK_EVERY: Span = Span::from_millis(1000);
+/// After which a call to a list that is absent has failed.
+const LIST_TIMEOUT: Span = Span::from_millis(2000);
+/// How long an endpoint that errs at once takes for it, in milliseconds.
+const QUICK_ERROR_MS: f64 = 1.0;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    /// The next client comes.
+    Arrives,
+    /// A client tries again, or for the first time.
+    Tries {
+        client: usize,
+    },
+    /// A client's time is up, and it goes.
+    Goes {
+        client: usize,
+        attempt: u32,
+    },
+    /// A client loses patience before its time is up.
+    Leaves {
+        client: usize,
+        attempt: u32,
+    },
+    Wake {
+        node: usize,
+        life: u32,
+    },
+    /// A write-out's last byte reaches its endpoint.
+    Reaches {
+        job: usize,
+    },
+    CoreDone {
+        job: usize,
+    },
+    /// What comes back reaches the sidecar.
+    Back {
+        job: usize,
+        outcome: Told,
+    },
+    GiveUp {
+        job: usize,
+    },
+    /// A final answer reaches the client.
+    Answered {
+        client: usize,
+        attempt: u32,
+        answer: Answer,
+    },
+    Turns {
+        at: usize,
+    },
+    Told {
+        node: usize,
+        life: u32,
+        told: usize,
+    },
+    /// A sidecar's call to the list is answered, or fails.
+    Asked {
+        node: usize,
+        life: u32,
+        answered: bool,
+    },
+    Restart {
+        at: usize,
+    },
+    Returns {
+        node: usize,
+    },
+    Look,
+}
+
+/// `Outcome` in an order, as events want one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Told {
+    Satisfied,
+    Errored,
+    Saturated,
+    Refused,
+    Severed,
+}
+
+impl Told {
+    fn outcome(self) -> Outcome {
+        match self {
+            Told::Satisfied => Outcome::Satisfied,
+            Told::Errored => Outcome::Errored,
+            Told::Saturated => Outcome::Saturated,
+            Told::Refused => Outcome::RefusedConnection,
+            Told::Severed => Outcome::Severed,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Answer {
+    Served,
+    Nacked { come_back: Option<u64> },
+    Failed,
+}
+
+/// For a client's wish, over all its tries.
+struct Client {
+    method: usize,
+    tenant: usize,
+    born: Moment,
+    deadline: Moment,
+    /// The id that effects are told apart by: a repeat carries the same.
+    effect: u64,
+    attempt: u32,
+    /// Where the try that is under way is, and the referee's number of it.
+    at: Option<(usize, usize)>,
+    open: Option<u64>,
+    done: bool,
+}
+
+enum From {
+    Client {
+        client: usize,
+        attempt: u32,
+    },
+    /// A job at an endpoint of the tier before.
+    Job(usize),
+}
+
+/// For a req at a sidecar, until nothing more can be heard of it.
+struct Req {
+    from: From,
+    method: usize,
+    effect: u64,
+    deadline: Moment,
+    write_outs: Vec<usize>,
+    answered: bool,
+}
+
+/// For a write-out, and the work that it makes at its endpoint.
+struct Job {
+    node: usize,
+    life: u32,
+    req: usize,
+    write_out: usize,
+    endpoint: usize,
+    /// Which process of the endpoint it was written to.
+    process: u32,
+    method: usize,
+    effect: u64,
+    deadline: Moment,
+    /// What the sidecar still waits for.
+    awaited: bool,
+    inside: bool,
+    works: bool,
+    calls_left: usize,
+    told: Told,
+    lost: bool,
+    holds_connection: bool,
+}
+
+struct Endpoint {
+    tier: usize,
+    /// Its number in its tier.
+    number: usize,
+    station: Station,
+    process: u32,
+    started: Option<Moment>,
+    up: bool,
+    /// Down without a word, or with the process still there behind it.
+    silent: bool,
+    drains: bool,
+    speed: f64,
+    connections: usize,
+    inside_jobs: Vec<usize>,
+    /// The sidecar beside it, for its calls to the next tier.
+    node: Option<usize>,
+}
+
+/// A sidecar.
+struct Node {
+    tier: usize,
+    zone: usize,
+    life: u32,
+    policy: Option<Box<dyn Policy>>,
+    names: Names,
+    /// By the index that the policy knows it by: which endpoint, which process, and since when it is known to
+    /// drain.
+    known: Vec<(usize, u32, Option<Moment>)>,
+    reqs: Vec<Option<Req>>,
+    free: Vec<usize>,
+    /// Idle connections, by endpoint and process.
+    idle: BTreeMap<(usize, u32), usize>,
+    subscribed: bool,
+}
+
+/// Something that a list tells: one endpoint's process and its standing.
+#[derive(Clone, Copy)]
+struct News {
+    endpoint: usize,
+    process: u32,
+    standing: Standing,
+    started: Option<Moment>,
+}
+
+pub struct World<'a> {
+    scenario: &'a Scenario,
+    which: Which,
+    faults: Faults,
+    now: Moment,
+    queue: BinaryHeap<Reverse<(Moment, u64, Event)>>,
+    scheduled: u64,
+    chance: Rand64,
+    clients: Vec<Client>,
+    nodes: Vec<Node>,
+    endpoints: Vec<Endpoint>,
+    /// The first endpoint of each tier.
+    first: Vec<usize>,
+    jobs: Vec<Job>,
+    turns: Vec<(Moment, usize, usize, Turn)>,
+    restarts: Vec<(Moment, usize, u64)>,
+    news: Vec<News>,
+    effects: u64,
+    referee: Referee,
+    pub tally: Tally,
+    work: Vec<usize>,
+}
+
+/// Plays a scenario with a policy and a seed.
+pub fn play(scenario: &Scenario, which: Which, seed: u64) -> Tally {
+    let mut world = World::new(scenario, which, seed);
+    world.run();
+    world.tally
+}
+
+impl<'a> World<'a> {
+    pub fn new(scenario: &'a Scenario, which: Which, seed: u64) -> World<'a> {
+        let faults = Faults::draw(scenario, seed);
+        let mut chance = Rand64::new(u128::from(seed));
+        let (mut endpoints, mut first, mut nodes) = (Vec::new(), Vec::new(), Vec::new());
+        for _ in 0..scenario.tier[0].sidecars {
+            nodes.push(Node::new(0, nodes.len() % scenario.zones));
+        }
+        for (tier, t) in scenario.tier.iter().enumerate() {
+            first.push(endpoints.len());
+            for number in 0..t.endpoints {
+                let zone = number % scenario.zones;
+                let node = (tier + 1 < scenario.tier.len()).then(|| {
+                    nodes.push(Node::new(tier + 1, zone));
+                    nodes.len() - 1
+                });
+                endpoints.push(Endpoint {
+                    tier,
+                    number,
+                    station: Station::new(t.cores, t.places),
+                    process: 0,
+                    started: None,
+                    up: true,
+                    silent: false,
+                    drains: false,
+                    speed: 1.0 - t.uneven * chance.rand_float(),
+                    connections: 0,
+                    inside_jobs: Vec::new(),
+                    node,
+                });
+            }
+        }
+        let mut world = World {
+            turns: faults.turns(scenario),
+            restarts: faults.restarts(),
+            scenario,
+            which,
+            faults,
+            now: Moment::from_nanos(0),
+            queue: BinaryHeap::new(),
+            scheduled: 0,
+            chance,
+            clients: Vec::new(),
+            nodes,
+            endpoints,
+            first,
+            jobs: Vec::new(),
+            news: Vec::new(),
+            effects: 0,
+            referee: Referee::default(),
+            tally: Tally::new(scenario),
+            work: Vec::new(),
+        };
+        (0..world.nodes.len()).for_each(|node| world.start(node));
+        for at in 0..world.turns.len() {
+            world.schedule(world.turns[at].0, Event::Turns { at });
+        }
+        for at in 0..world.restarts.len() {
+            world.schedule(world.restarts[at].0, Event::Restart { at });
+        }
+        for at in &scenario.load.trace_ms {
+            if *at < scenario.length_ms {
+                world.come(at_ms(*at));
+            }
+        }
+        if scenario.load.trace_ms.is_empty() && scenario.load.per_second > 0.0 {
+            world.schedule(Moment::from_nanos(0), Event::Arrives);
+        }
+        world.schedule(Moment::from_nanos(0), Event::Look);
+        world
+    }
+
+    fn schedule(&mut self, at: Moment, event: Event) {
+        self.scheduled += 1;
+        self.queue.push(Reverse((at, self.scheduled, event)));
+    }
+
+    fn soon(&mut self, after: Span, event: Event) {
+        self.schedule(self.now + after, event);
+    }
+
+    fn hop(&self) -> Span {
+        millis(self.scenario.net.hop_ms)
+    }
+
+    pub fn run(&mut self) {
+        // Nobody comes any more after the length; who is there is seen to the end.
+        let longest = self.scenario.method.iter().map(|m| m.deadline_ms).max().unwrap_or(0);
+        let end = at_ms(self.scenario.length_ms + longest) + self.referee.slack() * 2.0;
+        while let Some(Reverse((at, _, event))) = self.queue.pop() {
+            if at > end {
+                break;
+            }
+            self.now = at;
+            self.tally.events += 1;
+            self.happens(event);
+            while let Some(node) = self.work.pop() {
+                self.pull(node);
+            }
+        }
+        self.referee.ends(end);
+        self.tally.judged(&self.referee);
+    }
+
+    fn happens(&mut self, event: Event) {
+        match event {
+            Event::Arrives => self.arrives(),
+            Event::Tries { client } => self.tries(client),
+            Event::Goes { client, attempt } => self.goes(client, attempt),
+            Event::Leaves { client, attempt } => {
+                if let Some(open) =
+                    self.clients[client].open.filter(|_| self.clients[client].attempt == attempt)
+                {
+                    self.referee.closed(open);
+                    self.goes(client, attempt);
+                }
+            }
+            Event::Wake { node, life } => {
+                let now = self.now;
+                self.with(node, life, |policy| policy.wake(now));
+            }
+            Event::Reaches { job } => self.reaches(job),
+            Event::CoreDone { job } => self.core_done(job),
+            Event::Back { job, outcome } => self.back(job, outcome.outcome()),
+            Event::GiveUp { job } => {
+                if self.jobs[job].awaited {
+                    self.withdraw(job);
+                    self.heard(job, Outcome::Overdue, false);
+                }
+            }
+            Event::Answered { client, attempt, answer } => self.answered(client, attempt, answer),
+            Event::Turns { at } => self.turns_round(at),
+            Event::Told { node, life, told } => self.told(node, life, told),
+            Event::Asked { node, life, answered } => self.asked(node, life, answered),
+            Event::Restart { at } => self.restart(at),
+            Event::Returns { node } => self.start(node),
+            Event::Look => self.look(),
+        }
+    }
+
+    fn with(&mut self, node: usize, life: u32, what: impl FnOnce(&mut dyn Policy)) {
+        let n = &mut self.nodes[node];
+        if let Some(policy) = n.policy.as_deref_mut().filter(|_| n.life == life) {
+            what(policy);
+            self.work.push(node);
+        }
+    }
+
+    // Clients.
+
+    fn arrives(&mut self) {
+        if self.now >= at_ms(self.scenario.length_ms) {
+            return;
+        }
+        self.come(self.now);
+        let rate = self.scenario.load.per_second * self.faults.load(self.now);
+        let gap = -(1.0 - self.chance.rand_float()).ln() / rate.max(1e-9);
+        self.soon(millis(gap * 1e3), Event::Arrives);
+    }
+
+    fn come(&mut self, at: Moment) {
+        let mut left = self.chance.rand_float();
+        let drawn = self.scenario.method.iter().position(|m| {
+            left -= m.share;
+            left < 0.0
+        });
+        let method = drawn.unwrap_or(self.scenario.method.len() - 1);
+        let tenant = self.chance.rand_range(0..self.scenario.load.tenants as u64) as usize;
+        let deadline = at + Span::from_millis(self.scenario.method[method].deadline_ms);
+        self.effects += 1;
+        let effect = self.effects;
+        let client = Client {
+            method,
+            tenant,
+            born: at,
+            deadline,
+            effect,
+            attempt: 0,
+            at: None,
+            open: None,
+            done: false,
+        };
+        self.clients.push(client);
+        self.schedule(at, Event::Tries { client: self.clients.len() - 1 });
+    }
+
+    fn tries(&mut self, client: usize) {
+        let c = &mut self.clients[client];
+        c.attempt += 1;
+        let (attempt, method, deadline, effect, tenant, born) =
+            (c.attempt, c.method, c.deadline, c.effect, c.tenant, c.born);
+        if attempt == 1 {
+            self.tally.offered(born, method, tenant);
+        } else {
+            self.tally.retried(self.now);
+        }
+        let sidecars = 0..self.scenario.tier[0].sidecars;
+        let heat: Vec<f64> = sidecars.map(|node| self.faults.heat(node, self.now)).collect();
+        let mut left = self.chance.rand_float() * heat.iter().sum::<f64>();
+        let drawn = heat.iter().position(|weight| {
+            left -= weight;
+            left < 0.0
+        });
+        let node = drawn.unwrap_or(heat.len() - 1);
+        if self.nodes[node].policy.is_none() {
+            // Its front has yet to notice that this sidecar is away.
+            return self.soon(self.hop() * 2.0, Event::Answered { client, attempt, answer: Answer::Failed });
+        }
+        let from = From::Client { client, attempt };
+        let req = self.arrival(node, from, method, effect, deadline);
+        self.effects += 1;
+        let open = self.effects;
+        self.referee.taken(open, deadline);
+        (self.clients[client].at, self.clients[client].open) = (Some((node, req)), Some(open));
+        // An answer at the very deadline is still on its way when the client's time is up.
+        self.schedule(deadline + self.referee.slack(), Event::Goes { client, attempt });
+        if self.chance.rand_float() < self.scenario.load.impatient {
+            let after = deadline.since(self.now) * self.chance.rand_float();
+            self.soon(after, Event::Leaves { client, attempt });
+        }
+    }
+
+    fn arrival(&mut self, node: usize, from: From, method: usize, effect: u64, deadline: Moment) -> usize {
+        let now = self.now;
+        let n = &mut self.nodes[node];
+        let at = n.free.pop().unwrap_or(n.reqs.len());
+        let req = Req { from, method, effect, deadline, write_outs: Vec::new(), answered: false };
+        if at == n.reqs.len() {
+            n.reqs.push(Some(req));
+        } else {
+            n.reqs[at] = Some(req);
+        }
+        let life = n.life;
+        self.with(node, life, |policy| policy.arrival(now, at, method, deadline.since(now)));
+        at
+    }
+
+    /// A client that has no answer when its time is up goes.
+    fn goes(&mut self, client: usize, attempt: u32) {
+        let c = &mut self.clients[client];
+        if c.done || c.attempt != attempt {
+            return;
+        }
+        c.done = true;
+        let open = c.open.take();
+        self.tally.failed(c.born, c.method, c.tenant);
+        if let Some(open) = open {
+            self.referee.overdue(self.now, open);
+        }
+        let c = &mut self.clients[client];
+        if let Some((node, req)) = c.at.take() {
+            let life = self.nodes[node].life;
+            self.with(node, life, |policy| policy.hangup(req));
+        }
+    }
+
+    fn answered(&mut self, client: usize, attempt: u32, answer: Answer) {
+        let c = &mut self.clients[client];
+        if c.done || c.attempt != attempt {
+            return;
+        }
+        c.at = None;
+        let m = &self.scenario.method[c.method];
+        let took = self.now.since(c.born);
+        if answer == Answer::Served && self.now <= c.deadline {
+            c.done = true;
+            let in_time = took <= Span::from_millis(m.latency_budget_ms);
+            return self.tally.served((c.born, took), c.method, c.tenant, in_time, m);
+        }
+        let harmless = matches!(answer, Answer::Nacked { .. }) || m.effect == Effect::Retryable;
+        let told = match answer {
+            Answer::Nacked { come_back: Some(nanos) } => Span::from_nanos(nanos),
+            _ => Span::from_millis(self.scenario.load.back_off_ms),
+        };
+        if harmless && c.attempt <= self.scenario.load.retries && self.now + told < c.deadline {
+            return self.soon(told, Event::Tries { client });
+        }
+        c.done = true;
+        match answer {
+            Answer::Nacked { .. } => self.tally.nacked(c.born, c.method, c.tenant),
+            _ => self.tally.failed(c.born, c.method, c.tenant),
+        }
+    }
+
+    // Sidecars.
+
+    fn start(&mut self, node: usize) {
+        let (tier, zone) = (self.nodes[node].tier, self.nodes[node].zone);
+        let mut terms = self.scenario.terms(tier);
+        terms.zone = format!("z{zone}");
+        let seed = self.chance.rand_u64();
+        self.nodes[node].policy = Some(self.which.make(self.now, terms, zone, seed));
+        let known = self.whole(tier);
+        let life = self.nodes[node].life;
+        self.hear(node, true, &known);
+        self.nodes[node].subscribed = !self.scenario.list.asked;
+        debug_assert_eq!(life, self.nodes[node].life);
+    }
+
+    /// The whole list of a tier as it is now.
+    fn whole(&self, tier: usize) -> Vec<News> {
+        let listed = self.endpoints.iter().enumerate().filter(|(_, e)| e.tier == tier && (e.up || e.silent));
+        let standing = |e: &Endpoint| if e.drains { Standing::Draining } else { Standing::Ready };
+        let news = |(endpoint, e): (usize, &Endpoint)| News {
+            endpoint,
+            process: e.process,
+            standing: standing(e),
+            started: e.started,
+        };
+        listed.map(news).collect()
+    }
+
+    fn hear(&mut self, node: usize, complete: bool, news: &[News]) {
+        let now = self.now;
+        let mut entries = Vec::new();
+        for told in news {
+            let e = &self.endpoints[told.endpoint];
+            let (zone, cell) =
+                (e.number % self.scenario.zones, (e.number / self.scenario.tier[e.tier].cell_size) as u64);
+            let n = &mut self.nodes[node];
+            let index = n.names.index(&format!("{}.{}", told.endpoint, told.process));
+            n.known.resize(n.known.len().max(index + 1), (usize::MAX, 0, None));
+            let drains = (told.standing != Standing::Ready).then_some(now);
+            let before = n.known[index];
+            let since = if before.0 == told.endpoint { before.2.filter(|_| drains.is_some()) } else { None };
+            n.known[index] = (told.endpoint, told.process, since.or(drains));
+            entries.push(Entry {
+                endpoint: index,
+                zone,
+                cell,
+                standing: told.standing,
+                started: told.started,
+            });
+        }
+        let life = self.nodes[node].life;
+        self.with(node, life, |policy| policy.list(now, complete, &entries));
+    }
+
+    fn restart(&mut self, at: usize) {
+        let (_, node, away) = self.restarts[at];
+        self.kill(node);
+        self.soon(Span::from_millis(away), Event::Returns { node });
+    }
+
+    /// A sidecar dies with all that it held; its clients see their connections break.
+    fn kill(&mut self, node: usize) {
+        let n = &mut self.nodes[node];
+        n.life += 1;
+        n.policy = None;
+        n.names = Names::default();
+        n.known.clear();
+        n.free.clear();
+        let reqs = std::mem::take(&mut n.reqs);
+        let idle = std::mem::take(&mut n.idle);
+        for ((endpoint, process), count) in idle {
+            self.release(endpoint, process, count);
+        }
+        for r in reqs.into_iter().flatten() {
+            for job in &r.write_outs {
+                if self.jobs[*job].awaited {
+                    self.withdraw(*job);
+                }
+            }
+            if r.answered {
+                continue;
+            }
+            if let From::Client { client, attempt } = r.from
+                && self.clients[client].attempt == attempt
+            {
+                if let Some(open) = self.clients[client].open.take() {
+                    self.referee.closed(open);
+                }
+                self.soon(self.hop(), Event::Answered { client, attempt, answer: Answer::Failed });
+            }
+        }
+    }
+
+    fn pull(&mut self, node: usize) {
+        loop {
+            let now = self.now;
+            let Some(decision) = self.nodes[node].policy.as_deref_mut().and_then(|p| p.next(now)) else {
+                return;
+            };
+            self.carry_out(node, decision);
+        }
+    }
+
+    fn carry_out(&mut self, node: usize, decision: Decision) {
+        let life = self.nodes[node].life;
+        match decision {
+            Decision::Send { req, endpoint, give_up } => self.send(node, req, endpoint, give_up),
+            Decision::Nack { req, come_back } => {
+                self.final_answer(node, req, Answer::Nacked { come_back: come_back.map(Span::nanos) });
+            }
+            Decision::Fail { req } => self.final_answer(node, req, Answer::Failed),
+            Decision::Revoke { req, write_out } => {
+                let job = self.nodes[node].reqs[req].as_ref().map(|r| r.write_outs[write_out]);
+                if let Some(job) = job.filter(|job| self.jobs[*job].awaited) {
+                    self.withdraw(job);
+                    self.heard(job, Outcome::Recalled, true);
+                }
+            }
+            Decision::CloseIdle { endpoint } => {
+                let (at, process, _) = self.nodes[node].known[endpoint];
+                let count = self.nodes[node].idle.remove(&(at, process)).unwrap_or(0);
+                self.release(at, process, count);
+            }
+            Decision::ForgetReq { req } => {
+                self.nodes[node].reqs[req] = None;
+                self.nodes[node].free.push(req);
+            }
+            Decision::ForgetEndpoint { endpoint } => self.nodes[node].names.release(endpoint),
+            Decision::Wake { at } => self.schedule(at.max(self.now), Event::Wake { node, life }),
+            Decision::Subscribe => {
+                let absent = self.faults.list_absent(self.now);
+                let late = millis(self.faults.list_late_ms(self.now));
+                let after = if absent { LIST_TIMEOUT } else { self.hop() * 2.0 + late };
+                self.soon(after, Event::Asked { node, life, answered: !absent });
+            }
+        }
+    }
+
+    fn final_answer(&mut self, node: usize, req: usize, answer: Answer) {
+        let Some(r) = self.nodes[node].reqs[req].as_mut().filter(|r| !r.answered) else { return };
+        r.answered = true;
+        match r.from {
+            From::Client { client, attempt } => {
+                if self.clients[client].attempt == attempt
+                    && let Some(open) = self.clients[client].open.take()
+                {
+                    self.referee.answered(self.now, open);
+                }
+                self.soon(self.hop(), Event::Answered { client, attempt, answer });
+            }
+            From::Job(job) => self.called(job, answer),
+        }
+    }
+
+    fn send(&mut self, node: usize, req: usize, index: usize, give_up: Moment) {
+        let (endpoint, process, drains) = self.nodes[node].known[index];
+        let n = &mut self.nodes[node];
+        let Some(r) = n.reqs[req].as_mut() else { return };
+        let job = self.jobs.len();
+        let (write_out, method, effect, deadline) = (r.write_outs.len(), r.method, r.effect, r.deadline);
+        r.write_outs.push(job);
+        self.jobs.push(Job {
+            node,
+            life: n.life,
+            req,
+            write_out,
+            endpoint,
+            process,
+            method,
+            effect,
+            deadline,
+            awaited: true,
+            inside: false,
+            works: false,
+            calls_left: 0,
+            told: Told::Satisfied,
+            lost: false,
+            holds_connection: false,
+        });
+        self.tally.sent(self.now, n.tier);
+        let e = &self.endpoints[endpoint];
+        let whom = (e.tier, e.number);
+        self.referee.sent(self.now, drains, &self.scenario.rules, whom);
+        let tier = &self.scenario.tier[whom.0];
+        let reached = e.up && e.process == process;
+        let silent = e.silent;
+        let kept = n.idle.get_mut(&(endpoint, process)).filter(|count| **count > 0);
+        let kept = kept.map(|count| *count -= 1).is_some();
+        let timeout = Span::from_millis(self.scenario.net.connect_timeout_ms);
+        let hop = self.hop();
+        self.schedule(give_up.max(self.now), Event::GiveUp { job });
+        if kept {
+            // On a connection that is there, the req goes out whatever has become of the other side.
+            self.jobs[job].holds_connection = true;
+            return self.soon(hop, Event::Reaches { job });
+        }
+        if !reached {
+            // Nobody there says so at once; a machine out of reach says nothing.
+            let after = if silent { timeout } else { hop * 2.0 };
+            return self.soon(after, Event::Back { job, outcome: Told::Refused });
+        }
+        let weather = self.faults.weather(whom.0, whom.1, self.now);
+        if weather.refuses || self.endpoints[endpoint].connections >= tier.connections {
+            return self.soon(hop * 2.0, Event::Back { job, outcome: Told::Refused });
+        }
+        self.endpoints[endpoint].connections += 1;
+        self.jobs[job].holds_connection = true;
+        self.tally.opened(self.now);
+        let handshake = millis(tier.handshake_ms) + hop * 2.0;
+        self.soon(hop + handshake, Event::Reaches { job });
+    }
+
+    /// Connections to an endpoint's process are closed.
+    fn release(&mut self, endpoint: usize, process: u32, count: usize) {
+        if let Some(e) = self.endpoints.get_mut(endpoint).filter(|e| e.process == process) {
+            e.connections -= count.min(e.connections);
+        }
+    }
+
+    /// The sidecar waits no more for a write-out; its connection is closed, which tells the endpoint.
+    fn withdraw(&mut self, job: usize) {
+        let j = &mut self.jobs[job];
+        let (endpoint, process) = (j.endpoint, j.process);
+        if std::mem::take(&mut j.holds_connection) {
+            self.release(endpoint, process, 1);
+        }
+        let j = &mut self.jobs[job];
+        let e = &mut self.endpoints[endpoint];
+        if j.inside && !j.works && e.process == process && e.station.withdraw(job) {
+            j.inside = false;
+            e.inside_jobs.retain(|inside| *inside != job);
+        }
+    }
+
+    /// The sidecar hears how a write-out ended.
+    fn heard(&mut self, job: usize, outcome: Outcome, closed: bool) {
+        let j = &mut self.jobs[job];
+        if !std::mem::take(&mut j.awaited) {
+            return;
+        }
+        let (node, life, req, write_out, endpoint, process) =
+            (j.node, j.life, j.req, j.write_out, j.endpoint, j.process);
+        let keeps = matches!(outcome, Outcome::Satisfied | Outcome::Errored | Outcome::Saturated);
+        if std::mem::take(&mut j.holds_connection) {
+            if keeps && self.endpoints[endpoint].process == process && self.nodes[node].life == life {
+                *self.nodes[node].idle.entry((endpoint, process)).or_default() += 1;
+            } else {
+                self.release(endpoint, process, 1);
+            }
+        }
+        if self.nodes[node].life != life {
+            return;
+        }
+        self.tally.ended(self.now, self.nodes[node].tier, outcome);
+        if outcome == Outcome::Satisfied {
+            self.final_answer(node, req, Answer::Served);
+        }
+        let closed = closed || self.nodes[node].reqs[req].as_ref().is_none_or(|r| r.answered);
+        let now = self.now;
+        self.with(node, life, |policy| policy.outcome(now, req, write_out, outcome, closed));
+    }
+
+    fn back(&mut self, job: usize, outcome: Outcome) {
+        if self.jobs[job].awaited {
+            self.heard(job, outcome, false);
+        }
+    }
+
+    // Endpoints.
+
+    fn reaches(&mut self, job: usize) {
+        let j = &self.jobs[job];
+        let (endpoint, process, method) = (j.endpoint, j.process, j.method);
+        if !j.awaited {
+            return;
+        }
+        let e = &self.endpoints[endpoint];
+        let (tier, number) = (e.tier, e.number);
+        if e.silent && !e.up {
+            return;
+        }
+        let hop = self.hop();
+        if !e.up || e.process != process {
+            return self.soon(hop, Event::Back { job, outcome: Told::Severed });
+        }
+        let weather = self.faults.weather(tier, number, self.now);
+        if e.drains {
+            return self.soon(hop, Event::Back { job, outcome: Told::Saturated });
+        }
+        if self.chance.rand_float() < weather.error {
+            self.jobs[job].told = Told::Errored;
+            let after = hop + millis(QUICK_ERROR_MS);
+            return self.soon(after, Event::Back { job, outcome: Told::Errored });
+        }
+        let draw = self.chance.rand_float();
+        let j = &mut self.jobs[job];
+        let endings = [
+            (weather.spoilt, Told::Errored, false),
+            (weather.cut, Told::Severed, false),
+            (weather.reset, Told::Severed, false),
+            (weather.lost, Told::Satisfied, true),
+        ];
+        let mut left = draw;
+        for (chance, told, lost) in endings {
+            if left >= 0.0 && left < chance {
+                (j.told, j.lost) = (told, lost);
+            }
+            left -= chance;
+        }
+        j.calls_left = self.scenario.tier[tier].calls;
+        let mean = self.scenario.work(tier, method);
+        let work = match self.scenario.tier[tier].spread {
+            Spread::Fixed => mean,
+            Spread::Exponential => -(1.0 - self.chance.rand_float()).ln() * mean,
+        };
+        let e = &mut self.endpoints[endpoint];
+        let rules = &self.scenario.rules;
+        let cold = match e.started.map(|at| self.now.since(at).secs() * 1e3 / rules.cold_ms.max(1) as f64) {
+            Some(up) if up < 1.0 => rules.cold_start + (1.0 - rules.cold_start) * up,
+            _ => 1.0,
+        };
+        let mut takes = millis(work * weather.slower / (e.speed * cold));
+        if let Some(until) = weather.paused_until {
+            takes = takes + until.since(self.now);
+        }
+        if let Some(started) = e.started {
+            let cores = self.scenario.tier[tier].cores as f64;
+            self.referee.given(self.now, (tier, number), started, (work / 1e3, cores), rules);
+        }
+        match e.station.admit(self.now, job, takes) {
+            Admission::Full => self.soon(hop, Event::Back { job, outcome: Told::Saturated }),
+            Admission::Waits => {
+                self.jobs[job].inside = true;
+                e.inside_jobs.push(job);
+            }
+            Admission::Works(until) => {
+                self.jobs[job].inside = true;
+                e.inside_jobs.push(job);
+                self.begins(job, until);
+            }
+        }
+    }
+
+    fn begins(&mut self, job: usize, until: Moment) {
+        let j = &mut self.jobs[job];
+        j.works = true;
+        let (effect, method, number) = (j.effect, j.method, self.endpoints[j.endpoint].number);
+        let tier = self.endpoints[j.endpoint].tier;
+        let m = &self.scenario.method[method];
+        let group = match m.group {
+            Group::All => 0,
+            Group::Zone => number % self.scenario.zones,
+            Group::Cell => number / self.scenario.tier[tier].cell_size,
+        };
+        // Calls to later tiers have ids of their own, so they are told apart by those.
+        self.referee.effect(self.now, effect, m, (tier, group as u64));
+        self.schedule(until, Event::CoreDone { job });
+    }
+
+    fn core_done(&mut self, job: usize) {
+        let (endpoint, process) = (self.jobs[job].endpoint, self.jobs[job].process);
+        if self.endpoints[endpoint].process != process || !self.jobs[job].inside {
+            return;
+        }
+        if let Some((next, until)) = self.endpoints[endpoint].station.core_done(self.now) {
+            self.begins(next, until);
+        }
+        self.goes_on(job);
+    }
+
+    /// A job's own work is done: it calls the next tier, or answers.
+    fn goes_on(&mut self, job: usize) {
+        let j = &mut self.jobs[job];
+        let node = self.endpoints[j.endpoint].node;
+        if let (Some(node), true) = (node, j.calls_left > 0 && j.awaited) {
+            j.calls_left -= 1;
+            let (method, deadline) = (j.method, j.deadline);
+            self.effects += 1;
+            let effect = self.effects;
+            if self.nodes[node].policy.is_some() && deadline > self.now {
+                self.arrival(node, From::Job(job), method, effect, deadline);
+                return;
+            }
+            j_fails(&mut self.jobs[job]);
+        }
+        self.answers(job);
+    }
+
+    /// A call to the next tier has come to its end.
+    fn called(&mut self, job: usize, answer: Answer) {
+        if !self.jobs[job].inside {
+            return;
+        }
+        if answer != Answer::Served {
+            j_fails(&mut self.jobs[job]);
+        }
+        self.goes_on(job);
+    }
+
+    fn answers(&mut self, job: usize) {
+        let j = &mut self.jobs[job];
+        j.inside = false;
+        let (endpoint, told, lost) = (j.endpoint, j.told, j.lost);
+        let e = &mut self.endpoints[endpoint];
+        e.station.leave();
+        e.inside_jobs.retain(|inside| *inside != job);
+        if !lost && (e.up || !e.silent) {
+            self.soon(self.hop(), Event::Back { job, outcome: told });
+        }
+    }
+
+    fn turns_round(&mut self, at: usize) {
+        let (_, tier, number, turn) = self.turns[at];
+        let endpoint = self.first[tier] + number;
+        let e = &mut self.endpoints[endpoint];
+        match turn {
+            Turn::Drains => e.drains = true,
+            Turn::Ends | Turn::Vanishes => {
+                (e.up, e.silent) = (false, turn == Turn::Vanishes);
+                if turn == Turn::Ends {
+                    let node = e.node;
+                    self.breaks(endpoint);
+                    node.into_iter().for_each(|node| self.kill(node));
+                }
+            }
+            Turn::Starts | Turn::Returns => {
+                if turn == Turn::Starts {
+                    self.breaks(endpoint);
+                }
+                let e = &mut self.endpoints[endpoint];
+                (e.up, e.silent, e.drains) = (true, false, false);
+                if turn == Turn::Starts {
+                    e.process += 1;
+                    e.started = Some(self.now);
+                    e.station = Station::new(self.scenario.tier[tier].cores, self.scenario.tier[tier].places);
+                    e.connections = 0;
+                    self.referee.started((tier, number));
+                }
+                if let Some(node) = self.endpoints[endpoint].node.filter(|_| turn == Turn::Starts) {
+                    self.kill(node);
+                    self.start(node);
+                }
+            }
+        }
+        let e = &self.endpoints[endpoint];
+        let standing = match turn {
+            Turn::Drains => Standing::Draining,
+            Turn::Ends | Turn::Vanishes => Standing::Gone,
+            Turn::Starts | Turn::Returns => Standing::Ready,
+        };
+        let (started, process) = (e.started, e.process);
+        if turn == Turn::Starts && process > 0 {
+            // The process before is gone for good.
+            let gone = News { endpoint, process: process - 1, standing: Standing::Gone, started: None };
+            self.spread(tier, gone);
+        }
+        self.spread(tier, News { endpoint, process, standing, started });
+    }
+
+    /// What an endpoint held is lost; who waits for it hears so.
+    fn breaks(&mut self, endpoint: usize) {
+        for job in std::mem::take(&mut self.endpoints[endpoint].inside_jobs) {
+            self.jobs[job].inside = false;
+            self.soon(self.hop(), Event::Back { job, outcome: Told::Severed });
+        }
+    }
+
+    /// The list notices, and tells each sidecar of the tier in its own time.
+    fn spread(&mut self, tier: usize, news: News) {
+        let told = self.news.len();
+        self.news.push(news);
+        for node in 0..self.nodes.len() {
+            if self.nodes[node].tier != tier {
+                continue;
+            }
+            let delay = self.scenario.list.delay_ms * (1.0 + self.chance.rand_float());
+            let delay = delay + self.faults.list_late_ms(self.now);
+            let life = self.nodes[node].life;
+            self.soon(millis(delay), Event::Told { node, life, told });
+        }
+    }
+
+    fn told(&mut self, node: usize, life: u32, told: usize) {
+        if self.faults.list_absent(self.now) {
+            // It is told once the list is there again.
+            return self.soon(LIST_TIMEOUT, Event::Told { node, life, told });
+        }
+        if self.nodes[node].life == life && self.nodes[node].subscribed {
+            let news = self.news[told];
+            self.hear(node, false, &[news]);
+        }
+    }
+
+    fn asked(&mut self, node: usize, life: u32, answered: bool) {
+        if self.nodes[node].life != life || self.nodes[node].policy.is_none() {
+            return;
+        }
+        if !answered {
+            let now = self.now;
+            return self.with(node, life, |policy| policy.list_failed(now));
+        }
+        self.nodes[node].subscribed = true;
+        let whole = self.whole(self.nodes[node].tier);
+        self.hear(node, true, &whole);
+    }
+
+    fn look(&mut self) {
+        if self.now >= at_ms(self.scenario.length_ms) {
+            return;
+        }
+        for tier in 0..self.scenario.tier.len() {
+            let of_tier = || self.endpoints.iter().filter(|e| e.tier == tier);
+            let up = of_tier().filter(|e| e.up).count();
+            let inside = of_tier().map(|e| e.station.inside()).sum::<usize>();
+            let most = of_tier().map(|e| e.station.inside()).max().unwrap_or(0);
+            self.tally.look(self.now, tier, up, inside, most);
+        }
+        self.soon(LOOK_EVERY, Event::Look);
+    }
+}
+
+/// A job whose call failed answers with an error, whatever it was to answer.
+fn j_fails(job: &mut Job) {
+    job.calls_left = 0;
+    job.told = Told::Errored;
+}
+
+impl Node {
+    fn new(tier: usize, zone: usize) -> Node {
+        Node {
+            tier,
+            zone,
+            life: 0,
+            policy: None,
+            names: Names::default(),
+            known: Vec::new(),
+            reqs: Vec::new(),
+            free: Vec::new(),
+            idle: BTreeMap::new(),
+            subscribed: false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/tests/theory.rs
@@ -0,0 +1,87 @@
+//! The model against queueing theory. Bounds follow from the sample: the interval of batch means at 99.9%.
+
+use appledyke_lab::policy::Which;
+use appledyke_lab::report::Tally;
+use appledyke_lab::scenario::Scenario;
+use appledyke_lab::simulate::play;
+
+const BATCHES: usize = 30;
+/// Student's t for 29 degrees of freedom, 99.9% both ways.
+const T: f64 = 3.66;
+/// Mean work in seconds.
+const WORK: f64 = 0.02;
+
+/// One queue with so many cores and this load on each, no network in between.
+fn queue(cores: usize, load: f64, spread: &str, seconds: u64) -> Tally {
+    let text = format!(
+        "name='queue'\nlength_ms={}\nwarm_up_ms=20000\n[load]\nper_second={}\n[net]\nhop_ms=0\n[[method]]\nname='view'\n\
+         share=1.0\neffect='retryable'\nlatency_budget_ms=60000\ndeadline_ms=60000\n[[tier]]\nsidecars=1\nendpoints=1\n\
+         cores={cores}\nwork_ms=[{}]\nspread='{spread}'\n",
+        seconds * 1000,
+        load * cores as f64 / WORK,
+        WORK * 1e3
+    );
+    play(&Scenario::parse(&text).unwrap(), Which::Random, 7)
+}
+
+/// The mean of the times and half the width of its interval.
+fn mean(times: &[f64]) -> (f64, f64) {
+    let size = times.len() / BATCHES;
+    let means: Vec<f64> = times.chunks_exact(size).map(|b| b.iter().sum::<f64>() / size as f64).collect();
+    let mean = means.iter().sum::<f64>() / means.len() as f64;
+    let variance = means.iter().map(|m| (m - mean).powi(2)).sum::<f64>() / (means.len() - 1) as f64;
+    (mean, T * (variance / means.len() as f64).sqrt())
+}
+
+fn erlang_c(cores: usize, load: f64) -> f64 {
+    let offered = load * cores as f64;
+    let (mut term, mut sum) = (1.0, 0.0);
+    for k in 0..cores {
+        sum += term;
+        term *= offered / (k + 1) as f64;
+    }
+    let last = term / (1.0 - load);
+    last / (sum + last)
+}
+
+fn agrees(tally: &Tally, theory: f64) {
+    let (mean, half) = mean(&tally.times);
+    assert!((mean - theory).abs() < half, "{mean} is not {theory} within {half}");
+    // The interval must say something: a tenth of the mean at the most.
+    assert!(half < mean * 0.1, "{half} of {mean}");
+}
+
+#[test]
+fn one_core_waits_as_in_m_m_1() {
+    for load in [0.5, 0.8] {
+        agrees(&queue(1, load, "exponential", 3000), WORK / (1.0 - load));
+    }
+}
+
+#[test]
+fn many_cores_wait_as_erlang_says() {
+    for (cores, load) in [(2, 0.7), (8, 0.9)] {
+        let wait = erlang_c(cores, load) * WORK / (cores as f64 * (1.0 - load));
+        agrees(&queue(cores, load, "exponential", 2000), WORK + wait);
+    }
+}
+
+#[test]
+fn fixed_work_waits_half_as_long_as_in_m_g_1() {
+    let load = 0.8;
+    agrees(&queue(1, load, "fixed", 3000), WORK + load * WORK / (2.0 * (1.0 - load)));
+}
+
+#[test]
+fn what_is_inside_is_the_rate_times_the_time_by_little() {
+    let (load, seconds) = (0.7, 3000);
+    let tally = queue(1, load, "exponential", seconds);
+    let (time, half) = mean(&tally.times);
+    let outcomes = tally.outcomes("random", 7);
+    // Looked at once a second, from outside: each look is a sample of what is inside.
+    let inside: Vec<f64> =
+        outcomes.windows[20..seconds as usize].iter().map(|w| w.inside[0] as f64).collect();
+    let (inside, inside_half) = mean(&inside);
+    let rate = load / WORK;
+    assert!((inside - rate * time).abs() < inside_half + rate * half, "{inside} is not {rate} times {time}");
+}
--- /dev/null
+++ b/crates/lab/tests/world.rs
@@ -0,0 +1,181 @@
+//! The world, its faults and the check of the rules.
+
+use appledyke_lab::faults::Faults;
+use appledyke_lab::policy::{Flaw, Which};
+use appledyke_lab::report::Outcomes;
+use appledyke_lab::scenario::{Scenario, at_ms};
+use appledyke_lab::simulate::play;
+use appledyke_lab::sweep;
+
+/// Two zones, two tiers, a method of each effect; light load, so that without a fault nothing is in vain.
+const CALM: &str = "name='calm'\nlength_ms=12000\nzones=2\n[load]\nper_second=100\n\
+    [[method]]\nname='view'\nshare=0.6\neffect='retryable'\nlatency_budget_ms=500\ndeadline_ms=1500\n\
+    [[method]]\nname='order'\nshare=0.2\neffect='deduplicated'\ngroup='cell'\nlatency_budget_ms=500\ndeadline_ms=1500\n\
+    [[method]]\nname='pay'\nshare=0.2\neffect='non-retryable'\nlatency_budget_ms=500\ndeadline_ms=1500\n\
+    [[tier]]\nsidecars=4\nendpoints=8\ncores=4\nwork_ms=[10]\nspread='fixed'\ncalls=1\n\
+    [[tier]]\nendpoints=8\ncores=4\nwork_ms=[5]\nspread='fixed'\n";
+
+fn outcomes(text: &str, which: Which, seed: u64) -> Outcomes {
+    let scenario = Scenario::parse(text).expect(text);
+    play(&scenario, which, seed).outcomes("a test", seed)
+}
+
+fn with_fault(fault: &str) -> String {
+    format!("{CALM}[[fault]]\nfrom_ms=3000\nfor_ms=6000\n{fault}\n")
+}
+
+fn in_vain(of: &Outcomes) -> u64 {
+    of.windows.iter().flat_map(|w| &w.vain).sum()
+}
+
+#[test]
+fn each_fault_does_what_it_says_and_nothing_goes_wrong_without() {
+    let calm = outcomes(CALM, Which::Random, 5);
+    assert_eq!((in_vain(&calm), calm.whole.failed, calm.whole.nacked), (0, 0, 0));
+    assert!(calm.whole.in_time == calm.whole.offered && calm.broken.is_empty());
+    let up = |of: &Outcomes, at: usize| of.windows[at].up[0];
+    assert!((0..12).all(|at| up(&calm, at) == 8));
+    for kind in ["quick-errors", "spoilt", "cut", "reset", "lost-answers", "refuse", "silence", "crash"] {
+        let struck = outcomes(&with_fault(&format!("kind='{kind}'\nshare=0.25")), Which::Random, 5);
+        assert!(in_vain(&struck) > 0, "{kind}");
+        assert!(struck.whole.failed + struck.whole.nacked > 0, "{kind}");
+        // Before it begins all is as without it.
+        assert_eq!(struck.windows[..3], calm.windows[..3], "{kind}");
+    }
+    for (fault, down) in [("kind='crash'\nids=[2]", 7), ("kind='zone-loss'\nids=[1]", 4), ("kind='crash'", 0)]
+    {
+        let struck = outcomes(&with_fault(fault), Which::Random, 5);
+        assert_eq!((up(&struck, 2), up(&struck, 5), up(&struck, 11)), (8, down, 8), "{fault}");
+    }
+    let usual = calm.latency_us[2];
+    for fault in ["kind='slow'\nshare=0.5\nsize=8", "kind='pause'\nids=[0]"] {
+        let struck = outcomes(&with_fault(fault), Which::Random, 5);
+        assert!(struck.latency_us[3] > 2 * usual, "{fault}: {:?} and {usual}", struck.latency_us);
+    }
+    let burst = outcomes(&with_fault("kind='burst'\nsize=4"), Which::Random, 5);
+    assert!(burst.windows[5].counts.offered > 2 * calm.windows[5].counts.offered);
+    let restarts = outcomes(&with_fault("kind='restart-sidecars'\nshare=1.0"), Which::Random, 5);
+    assert!(restarts.whole.failed > 0 && restarts.broken.is_empty(), "{:?}", restarts.told);
+    let deploy = outcomes(&with_fault("kind='deploy'\nids=[0, 1]"), Which::Random, 5);
+    assert!((3..12).any(|at| up(&deploy, at) < 8) && up(&deploy, 11) >= 7);
+    // A list that comes late, or not at all, leaves sidecars sending to what is gone.
+    let crash = "kind='crash'\nids=[2]";
+    let timely = in_vain(&outcomes(&with_fault(crash), Which::Random, 5));
+    for list in ["kind='list-late'\nsize=4000", "kind='list-absent'"] {
+        let text = format!("{}[[fault]]\nfrom_ms=3000\nfor_ms=6000\n{list}\n", with_fault(crash));
+        assert!(in_vain(&outcomes(&text, Which::Random, 5)) > timely, "{list}");
+    }
+    let hot = Scenario::parse(&with_fault("kind='hot-sidecar'\nids=[3]\nsize=5")).unwrap();
+    let faults = Faults::draw(&hot, 1);
+    let heat = |ms| [2, 3].map(|sidecar| faults.heat(sidecar, at_ms(ms)));
+    assert_eq!((heat(2999), heat(3000), heat(9000)), ([1.0, 1.0], [1.0, 5.0], [1.0, 1.0]));
+}
+
+#[test]
+fn each_rule_is_seen_to_break_and_the_module_keeps_them() {
+    let trouble = "kind='crash'\nids=[1, 2]\n[[fault]]\nkind='lost-answers'\nfrom_ms=2000\nfor_ms=6000\nshare=0.5\n\
+        [[fault]]\nkind='reset'\nfrom_ms=2000\nfor_ms=6000\nshare=0.3\n\
+        [[fault]]\nkind='deploy'\nfrom_ms=2000\nfor_ms=9000\nids=[5, 6]\n";
+    // Slow to warm, and long under way between ending and leaving the list.
+    let text = with_fault(trouble).replace("[load]", "[rules]\ndrain_grace_ms=500\n[load]");
+    for (flaw, rule) in [
+        (Flaw::GivesNoAnswer, "NoReqLost"),
+        (Flaw::RepeatsWhatMayHaveRun, "NoEffectTwice"),
+        (Flaw::SendsToWhatDrains, "DrainsKept"),
+        (Flaw::CrowdsWhatIsCold, "ColdNotPushedOver"),
+    ] {
+        let heavy = text.replace("per_second=100", "per_second=1200");
+        let of = outcomes(&heavy, Which::Bad(flaw), 3);
+        assert!(of.broken.contains_key(rule), "{flaw:?}: {:?}", of.broken);
+    }
+    for seed in 1..6 {
+        let of = outcomes(&text, Which::Module, seed);
+        assert!(of.broken.is_empty(), "seed {seed}: {:?} {:?}", of.broken, of.told);
+        // It takes part in the trouble, and comes out well.
+        assert!(in_vain(&of) > 0 && of.whole.goodput() > 0.9, "seed {seed}: {:?}", of.whole);
+    }
+}
+
+#[test]
+fn the_same_seed_gives_the_same_bytes_on_one_core_and_on_many() {
+    let scenario = Scenario::parse(&with_fault("kind='crash'\nshare=0.25")).unwrap();
+    let seeds: Vec<u64> = (1..9).collect();
+    let on = |workers| {
+        sweep::each(&seeds, workers, |seed| {
+            play(&scenario, Which::Module, *seed).outcomes("module", *seed).json()
+        })
+    };
+    let one = on(1);
+    assert_eq!(one, on(4));
+    assert!(one.windows(2).all(|pair| pair[0] != pair[1]));
+}
+
+#[test]
+fn small_worlds_and_ends_of_schedules() {
+    for which in [Which::Module, Which::Random, Which::LeastOfTwo] {
+        // No endpoint: all are nacked, none is lost.
+        let none = outcomes(&CALM.replace("endpoints=8", "endpoints=0"), which, 1);
+        assert_eq!((none.whole.nacked, none.broken.len()), (none.whole.offered, 0), "{which:?}");
+        // One endpoint of each tier, a fault over all, and one that outlasts the run.
+        let one = CALM.replace("endpoints=8", "endpoints=1");
+        let all = format!("{one}[[fault]]\nkind='silence'\nfrom_ms=4000\nfor_ms=100000000\nshare=1.0\n");
+        let of = outcomes(&all, which, 1);
+        assert!(of.broken.is_empty() && of.whole.in_time > 0, "{which:?} {:?}", of.told);
+        assert!(of.windows[6..12].iter().all(|w| w.counts.in_time == 0), "{which:?}");
+        // Clients that go, some at the very moment of their answer.
+        let of = outcomes(&CALM.replace("per_second=100", "per_second=100\nimpatient=1.0"), which, 1);
+        assert!(
+            of.broken.is_empty() && of.whole.failed > 0 && of.whole.in_time > 0,
+            "{which:?} {:?}",
+            of.told
+        );
+    }
+}
+
+#[test]
+fn of_two_events_at_one_moment_the_first_scheduled_comes_first() {
+    // Two at one moment at one core with one place: who was asked for first gets it.
+    let text = "name='tie'\nlength_ms=1000\n[load]\nper_second=0\ntrace_ms=[100, 100]\n[net]\nhop_ms=0\n\
+        [[method]]\nname='view'\nshare=1.0\neffect='retryable'\nlatency_budget_ms=500\ndeadline_ms=900\n\
+        [[tier]]\nsidecars=1\nendpoints=1\nplaces=1\nwork_ms=[10]\nspread='fixed'\n";
+    let of = outcomes(text, Which::Random, 1);
+    assert_eq!((of.whole.in_time, of.whole.nacked), (1, 1));
+}
+
+#[test]
+fn an_endpoint_that_dies_loses_what_waits_and_the_answer_under_way() {
+    // One core, ten reqs at once: the first is answered at 20 ms, the endpoint dies at 35.
+    let trace = ["10"; 10].join(", ");
+    let text = format!(
+        "name='dies'\nlength_ms=1000\n[load]\nper_second=0\ntrace_ms=[{trace}]\n[net]\nhop_ms=0\n\
+         [[method]]\nname='view'\nshare=1.0\neffect='non-retryable'\nlatency_budget_ms=500\ndeadline_ms=900\n\
+         [[tier]]\nsidecars=1\nendpoints=1\nwork_ms=[10]\nspread='fixed'\n\
+         [[fault]]\nkind='crash'\nfrom_ms=35\nfor_ms=100\n"
+    );
+    let of = outcomes(&text, Which::Random, 1);
+    assert_eq!((of.whole.in_time, of.whole.failed, of.broken.len()), (2, 8, 0), "{:?}", of.whole);
+}
+
+#[test]
+fn a_damaged_result_is_refused_by_file_and_key() {
+    let whole = outcomes(CALM, Which::Random, 1).json();
+    let folder = std::env::temp_dir().join(format!("appledyke-lab-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let path = folder.join("result.json");
+    let read = |text: &str| {
+        std::fs::write(&path, text).unwrap();
+        Outcomes::read(&path)
+    };
+    assert_eq!(read(&whole).unwrap().json(), whole);
+    for (text, key) in [
+        (whole.replace("\"format\":1", "\"format\":9"), "format: expected 1, not 9"),
+        (whole.replace("\"seed\":1", "\"seed\":\"x\""), "seed: "),
+        (whole[..whole.len() / 2].to_string(), "result.json: "),
+        (whole.clone() + &whole, "more than one result"),
+    ] {
+        let said = read(&text).unwrap_err();
+        assert!(said.contains(key) && said.contains("result.json") && !said.contains('\n'), "{said}");
+    }
+    assert!(read(&whole).unwrap().svg().unwrap().contains("worth served"));
+    std::fs::remove_dir_all(&folder).unwrap();
+}
