--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,7 +1,9 @@
 //! A laboratory for the decisions: a seeded model of a fleet and its faults in virtual time, an independent check
 //! of the four rules, plain policies to compare with, and reports. What it says is simulated.
 
+pub mod emulate;
 pub mod faults;
+pub mod load;
 pub mod policy;
 pub mod referee;
 pub mod report;
@@ -9,3 +11,4 @@
 pub mod simulate;
 pub mod station;
 pub mod sweep;
+pub mod wire;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -5,10 +5,11 @@
 use std::thread::available_parallelism;
 use std::time::Instant;
 
+use appledyke_lab::faults::Faults;
 use appledyke_lab::policy::Which;
 use appledyke_lab::report::{Outcomes, paired};
 use appledyke_lab::scenario::Scenario;
-use appledyke_lab::{simulate, sweep};
+use appledyke_lab::{emulate, load, simulate, sweep};
 use argh::FromArgs;
 
 /// A laboratory for appledyke: plays fleets and their faults in virtual time.
@@ -26,6 +27,8 @@
     Compare(Compare),
     Sweep(Sweep),
     Check(Check),
+    Emulate(Emulate),
+    Load(Load),
 }
 
 /// plays a scenario once and tells what it came to
@@ -109,6 +112,45 @@
     scenario: PathBuf,
 }
 
+/// plays a scenario on loopback sockets, with real sidecars
+#[derive(FromArgs)]
+#[argh(subcommand, name = "emulate")]
+struct Emulate {
+    /// the scenario's file
+    #[argh(positional)]
+    scenario: PathBuf,
+    /// the sidecar's program
+    #[argh(option, default = "PathBuf::from(\"target/release/appledyke-sidecar\")")]
+    sidecar: PathBuf,
+    /// a folder for the sidecars' configurations
+    #[argh(option, default = "std::env::temp_dir().join(\"appledyke-lab\")")]
+    folder: PathBuf,
+    /// the seed of all chance
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// a file for the result, as JSON
+    #[argh(option)]
+    out: Option<PathBuf>,
+}
+
+/// offers a scenario's load to sidecars that run already, on loopback addresses only
+#[derive(FromArgs)]
+#[argh(subcommand, name = "load")]
+struct Load {
+    /// the scenario's file
+    #[argh(positional)]
+    scenario: PathBuf,
+    /// where they listen, apart by commas
+    #[argh(option)]
+    to: String,
+    /// the seed of all chance
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// a file for the result, as JSON
+    #[argh(option)]
+    out: Option<PathBuf>,
+}
+
 fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
     let done = match arguments.command {
@@ -116,6 +158,8 @@
         Command::Report(asked) => report(asked),
         Command::Compare(asked) => compare(asked),
         Command::Sweep(asked) => sweep_all(asked),
+        Command::Emulate(asked) => emulate_once(asked),
+        Command::Load(asked) => load_once(asked),
         Command::Check(asked) => Scenario::read(&asked.scenario).map(|_| true),
     };
     match done {
@@ -150,6 +194,37 @@
     Ok(outcomes.broken.is_empty())
 }
 
+/// Tells of a run on sockets, and writes its result.
+fn told(outcomes: &Outcomes, late_ms: f64, out: Option<PathBuf>) -> Result<bool, String> {
+    print!("{}", outcomes.text());
+    println!("sending ran {late_ms:.2} ms late at the 99th percentile");
+    if let Some(path) = out {
+        write(&path, &outcomes.json())?;
+    }
+    Ok(outcomes.broken.is_empty())
+}
+
+fn emulate_once(asked: Emulate) -> Result<bool, String> {
+    let scenario = Scenario::read(&asked.scenario)?;
+    let (outcomes, late) = emulate::play(&scenario, asked.seed, &asked.sidecar, &asked.folder)?;
+    told(&outcomes, late, asked.out)
+}
+
+fn load_once(asked: Load) -> Result<bool, String> {
+    let scenario = Scenario::read(&asked.scenario)?;
+    let read = |at: &str| at.parse().map_err(|_| format!("--to: expected address:port, not '{at}'"));
+    let to = asked.to.split(',').map(read).collect::<Result<Vec<_>, _>>()?;
+    let faults = Faults::draw(&scenario, asked.seed);
+    let loaded = load::run(&scenario, asked.seed, &to, |at| faults.load(at))?;
+    let mut outcomes = loaded.tally.outcomes("sidecars on sockets", asked.seed);
+    outcomes.broken = load::broken(&loaded);
+    told(&outcomes, loaded.late_p99_ms, asked.out)?;
+    if loaded.void() {
+        println!("VOID: sending ran too late for the figures to say much");
+    }
+    Ok(outcomes.broken.is_empty())
+}
+
 fn report(asked: Report) -> Result<bool, String> {
     let outcomes = Outcomes::read(&asked.result)?;
     print!("{}", outcomes.text());
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -186,6 +186,15 @@
         (window.up[tier], window.inside[tier], window.most_inside[tier]) = (up, inside, most);
     }
 
+    /// Takes over what endpoints saw, where that is counted apart from what clients did.
+    pub fn absorb(&mut self, seen: Tally) {
+        for (at, theirs) in seen.windows.into_iter().enumerate() {
+            let ours = self.window(Moment::from_nanos(at as u64 * WINDOW.nanos()));
+            (ours.sent, ours.vain) = (theirs.sent, theirs.vain);
+            (ours.up, ours.inside, ours.most_inside) = (theirs.up, theirs.inside, theirs.most_inside);
+        }
+    }
+
     pub fn judged(&mut self, referee: &Referee) {
         self.broken = referee.broken().iter().map(|(rule, count)| (format!("{rule:?}"), *count)).collect();
         self.told = referee.told().to_vec();
