--- a/crates/lab/src/emulate.rs
+++ b/crates/lab/src/emulate.rs
@@ -20,7 +20,8 @@
 use crate::load;
 use crate::referee::Referee;
 use crate::report::{Outcomes, Tally};
-use crate::scenario::{Effect, Group, Scenario, Spread, millis};
+use crate::scenario::{Effect, Scenario, millis};
+use crate::service::{self, Fate};
 use crate::station::{Admission, Station};
 use crate::wire::{self, Wire};
 
@@ -68,6 +69,7 @@
         endpoint: usize,
         process: u32,
         job: Option<usize>,
+        fresh: bool,
     },
     /// A call of a job to the next tier.
     Calls {
@@ -92,20 +94,10 @@
     method: usize,
     deadline: Moment,
     calls_left: usize,
-    ending: Ending,
+    fate: Fate,
     inside: bool,
 }
 
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Ending {
-    Good,
-    Error,
-    Spoilt,
-    Cut,
-    Reset,
-    Lost,
-}
-
 /// A sidecar's process. It ends with this value.
 struct Process {
     child: Child,
@@ -479,7 +471,7 @@
                     wire.close(self.poll.registry());
                     continue;
                 }
-                Role::Served { endpoint, process, job: None }
+                Role::Served { endpoint, process, job: None, fresh: true }
             };
             self.links.insert(token, Link { wire, role });
             self.ready(token);
@@ -526,11 +518,11 @@
                 let text = format!("{head}{:x}\r\n{line}\r\n", line.len());
                 self.links.get_mut(&token).expect("looked up above").wire.write(text.as_bytes());
             }
-            (Ok(Some(whole)), Role::Served { endpoint, job: job @ None, .. }) => {
-                let endpoint = *endpoint;
+            (Ok(Some(whole)), Role::Served { endpoint, job: job @ None, fresh, .. }) => {
+                let (endpoint, fresh) = (*endpoint, std::mem::take(fresh));
                 *job = Some(self.jobs.len());
                 link.wire.input.drain(..whole.body.1);
-                self.takes(token, endpoint, whole);
+                self.takes(token, endpoint, whole, fresh);
             }
             (Ok(Some(_)), Role::Served { .. }) => {}
             (Ok(None), _) if !over => {}
@@ -554,7 +546,8 @@
 
     // Endpoints.
 
-    fn takes(&mut self, link: Token, endpoint: usize, whole: wire::Whole) {
+    /// Takes in a req. The first on a connection costs the handshake, which the loopback does not.
+    fn takes(&mut self, link: Token, endpoint: usize, whole: wire::Whole, fresh: bool) {
         let now = self.now();
         let e = &self.endpoints[endpoint];
         let (tier, number, process) = (e.tier, e.number, e.process);
@@ -573,7 +566,7 @@
             method: found.unwrap_or(0),
             deadline,
             calls_left: self.scenario.tier[tier].calls,
-            ending: Ending::Good,
+            fate: Fate::Good,
             inside: false,
         });
         if found.is_none() {
@@ -582,40 +575,21 @@
         if e.drains {
             return self.turn_away(job);
         }
-        if self.chance.rand_float() < weather.error {
+        let (of, method) = ((tier, e.speed, e.started), self.jobs[job].method);
+        let service = service::draw(self.scenario, of, &weather, (now, method), &mut self.chance);
+        self.jobs[job].fate = service.fate;
+        if service.fate == Fate::QuickError {
+            self.seen.ended(now, tier, Outcome::Errored);
             return self.error(job);
         }
-        let endings = [
-            (weather.spoilt, Ending::Spoilt),
-            (weather.cut, Ending::Cut),
-            (weather.reset, Ending::Reset),
-            (weather.lost, Ending::Lost),
-        ];
-        let mut left = self.chance.rand_float();
-        for (chance, ending) in endings {
-            if left >= 0.0 && left < chance {
-                self.jobs[job].ending = ending;
-            }
-            left -= chance;
+        let mut takes = service.takes;
+        if fresh {
+            takes = takes + millis(self.scenario.tier[tier].handshake_ms);
         }
-        let mean = self.scenario.work(tier, self.jobs[job].method);
-        let work = match self.scenario.tier[tier].spread {
-            Spread::Fixed => mean,
-            Spread::Exponential => -(1.0 - self.chance.rand_float()).ln() * mean,
-        };
-        let rules = &self.scenario.rules;
         let e = &mut self.endpoints[endpoint];
-        let cold = match e.started.map(|at| now.since(at).secs() * 1e3 / rules.cold_ms.max(1) as f64) {
-            Some(up) if up < 1.0 => rules.cold_start + (1.0 - rules.cold_start) * up,
-            _ => 1.0,
-        };
-        let mut takes = millis(work * weather.slower / (e.speed * cold));
-        if let Some(until) = weather.paused_until {
-            takes = takes + until.since(now);
-        }
         if let Some(started) = e.started {
             let cores = self.scenario.tier[tier].cores as f64;
-            self.referee.given(now, (tier, number), started, (work / 1e3, cores), rules);
+            self.referee.given(now, (tier, number), started, (service.work, cores), &self.scenario.rules);
         }
         match e.station.admit(now, job, takes) {
             Admission::Full => self.turn_away(job),
@@ -631,13 +605,9 @@
         let (j, now) = (&self.jobs[job], self.now());
         let e = &self.endpoints[j.endpoint];
         let m = &self.scenario.method[j.method];
-        let group = match m.group {
-            Group::All => 0,
-            Group::Zone => e.number % self.scenario.zones,
-            Group::Cell => e.number / self.scenario.tier[e.tier].cell_size,
-        };
+        let group = service::group(self.scenario, e.tier, e.number, j.method);
         let id = u64::from_str_radix(&j.id, 16).unwrap_or(0);
-        self.referee.effect(now, id, m, (e.tier, group as u64));
+        self.referee.effect(now, id, m, group);
         self.due.insert((until, Due::CoreDone(job)));
     }
 
@@ -687,7 +657,7 @@
         }
         if !served {
             let j = &mut self.jobs[job];
-            (j.calls_left, j.ending) = (0, Ending::Error);
+            (j.calls_left, j.fate) = (0, Fate::Error);
         }
         self.goes_on(job);
     }
@@ -704,20 +674,20 @@
         }
         let (id, link) = (self.jobs[job].id.clone(), self.jobs[job].link);
         let good = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{id}", id.len());
-        if self.jobs[job].ending != Ending::Good {
+        if self.jobs[job].fate != Fate::Good {
             let (now, tier) = (self.now(), self.endpoints[endpoint].tier);
             self.seen.ended(now, tier, Outcome::Errored);
         }
-        match self.jobs[job].ending {
-            Ending::Good => self.reply(job, good),
-            Ending::Error => self.error(job),
-            Ending::Spoilt => self.reply(job, "\u{1}\u{2} no answer\r\n\r\n".to_string()),
-            Ending::Cut => {
+        match self.jobs[job].fate {
+            Fate::Good => self.reply(job, good),
+            Fate::QuickError | Fate::Error => self.error(job),
+            Fate::Spoilt => self.reply(job, "\u{1}\u{2} no answer\r\n\r\n".to_string()),
+            Fate::Cut => {
                 self.reply(job, good[..good.len() - 4].to_string());
                 self.drop_link(link);
             }
-            Ending::Reset => self.drop_link(link),
-            Ending::Lost => {}
+            Fate::Reset => self.drop_link(link),
+            Fate::Lost => {}
         }
     }
 
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod referee;
 pub mod report;
 pub mod scenario;
+pub mod service;
 pub mod simulate;
 pub mod station;
 pub mod sweep;
--- a/crates/lab/src/simulate.rs
+++ b/crates/lab/src/simulate.rs
@@ -13,7 +13,8 @@
 use crate::policy::{Entry, Policy, Which};
 use crate::referee::Referee;
 use crate::report::Tally;
-use crate::scenario::{Effect, Group, Scenario, Spread, at_ms, millis};
+use crate::scenario::{Effect, Scenario, at_ms, millis};
+use crate::service::{self, Fate};
 use crate::station::{Admission, Station};
 
 /// Between two looks at the state of all endpoints.
@@ -821,47 +822,32 @@
         if e.drains {
             return self.soon(hop, Event::Back { job, outcome: Told::Saturated });
         }
-        if self.chance.rand_float() < weather.error {
-            self.jobs[job].told = Told::Errored;
+        let of = (tier, e.speed, e.started);
+        let service = service::draw(self.scenario, of, &weather, (self.now, method), &mut self.chance);
+        let j = &mut self.jobs[job];
+        (j.told, j.lost) = match service.fate {
+            Fate::Good => (Told::Satisfied, false),
+            Fate::QuickError | Fate::Error | Fate::Spoilt => (Told::Errored, false),
+            Fate::Cut | Fate::Reset => (Told::Severed, false),
+            Fate::Lost => (Told::Satisfied, true),
+        };
+        if service.fate == Fate::QuickError {
             let after = hop + millis(QUICK_ERROR_MS);
             return self.soon(after, Event::Back { job, outcome: Told::Errored });
         }
-        let draw = self.chance.rand_float();
-        let j = &mut self.jobs[job];
-        let endings = [
-            (weather.spoilt, Told::Errored, false),
-            (weather.cut, Told::Severed, false),
-            (weather.reset, Told::Severed, false),
-            (weather.lost, Told::Satisfied, true),
-        ];
-        let mut left = draw;
-        for (chance, told, lost) in endings {
-            if left >= 0.0 && left < chance {
-                (j.told, j.lost) = (told, lost);
-            }
-            left -= chance;
-        }
         j.calls_left = self.scenario.tier[tier].calls;
-        let mean = self.scenario.work(tier, method);
-        let work = match self.scenario.tier[tier].spread {
-            Spread::Fixed => mean,
-            Spread::Exponential => -(1.0 - self.chance.rand_float()).ln() * mean,
-        };
         let e = &mut self.endpoints[endpoint];
-        let rules = &self.scenario.rules;
-        let cold = match e.started.map(|at| self.now.since(at).secs() * 1e3 / rules.cold_ms.max(1) as f64) {
-            Some(up) if up < 1.0 => rules.cold_start + (1.0 - rules.cold_start) * up,
-            _ => 1.0,
-        };
-        let mut takes = millis(work * weather.slower / (e.speed * cold));
-        if let Some(until) = weather.paused_until {
-            takes = takes + until.since(self.now);
-        }
         if let Some(started) = e.started {
             let cores = self.scenario.tier[tier].cores as f64;
-            self.referee.given(self.now, (tier, number), started, (work / 1e3, cores), rules);
-        }
-        match e.station.admit(self.now, job, takes) {
+            self.referee.given(
+                self.now,
+                (tier, number),
+                started,
+                (service.work, cores),
+                &self.scenario.rules,
+            );
+        }
+        match e.station.admit(self.now, job, service.takes) {
             Admission::Full => self.soon(hop, Event::Back { job, outcome: Told::Saturated }),
             Admission::Waits => {
                 self.jobs[job].inside = true;
@@ -881,13 +867,9 @@
         let (effect, method, number) = (j.effect, j.method, self.endpoints[j.endpoint].number);
         let tier = self.endpoints[j.endpoint].tier;
         let m = &self.scenario.method[method];
-        let group = match m.group {
-            Group::All => 0,
-            Group::Zone => number % self.scenario.zones,
-            Group::Cell => number / self.scenario.tier[tier].cell_size,
-        };
+        let group = service::group(self.scenario, tier, number, method);
         // Calls to later tiers have ids of their own, so they are told apart by those.
-        self.referee.effect(self.now, effect, m, (tier, group as u64));
+        self.referee.effect(self.now, effect, m, group);
         self.schedule(until, Event::CoreDone { job });
     }
 
