A durable store: a log kept twice, recovery that mends one copy from the other

Need: configuration and lasting state are to live in a store of our own; this is its first layer, pure of clock and network, behind a narrow trait for files.

Proof: power cut at every operation of a history with compactions, each with seven ways in which unsynced bytes of the two copies survive; each copy cut and damaged at every byte; each operation failing; both copies damaged in one record. All open, lose nothing acknowledged, and say what they dropped. The sidecar does not use it, and is unchanged.

--- /dev/null
+++ b/crates/store/tests/recovery.rs
@@ -0,0 +1,254 @@
+//! Power cuts, cut and damaged files, full disks and failed syncs.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use appledyke_store::disk::{Disk, DiskError, Folder};
+use appledyke_store::format::Change;
+use appledyke_store::{Store, StoreError};
+
+type Files = BTreeMap<String, Vec<u8>>;
+
+/// A disk of which the power goes at an operation: what was not synced is lost, or torn. Names last only once the
+/// folder is synced.
+#[derive(Default)]
+struct Inner {
+    now: Files,
+    /// What a power cut leaves: contents as synced, by the names as synced.
+    synced: BTreeMap<String, usize>,
+    lasting: Files,
+    operations: usize,
+    cut_at: Option<usize>,
+    /// Operations that fail, though the power stays.
+    fails_at: Option<usize>,
+}
+
+#[derive(Clone, Default)]
+struct Fake(Rc<RefCell<Inner>>);
+
+impl Fake {
+    fn of(files: Files) -> Fake {
+        let synced = files.iter().map(|(name, bytes)| (name.clone(), bytes.len())).collect();
+        Fake(Rc::new(RefCell::new(Inner { now: files.clone(), lasting: files, synced, ..Inner::default() })))
+    }
+
+    fn step(&self) -> Result<(), DiskError> {
+        let mut inner = self.0.borrow_mut();
+        inner.operations += 1;
+        let at = inner.operations;
+        let failed = inner.cut_at.is_some_and(|cut| at >= cut) || inner.fails_at == Some(at);
+        if failed { Err(DiskError::Failed("gone".to_string())) } else { Ok(()) }
+    }
+
+    /// The files that are found after the cut, with so many of each copy's unsynced bytes.
+    fn after_cut(&self, kept: [usize; 2]) -> Files {
+        let inner = self.0.borrow();
+        let torn = |(name, bytes): (&String, &Vec<u8>)| {
+            let mut bytes = bytes.clone();
+            if let Some(now) = inner.now.get(name).filter(|now| now.starts_with(&bytes)) {
+                let more = kept[usize::from(name.ends_with('1'))].min(now.len() - bytes.len());
+                bytes.extend_from_slice(&now[bytes.len()..][..more]);
+            }
+            (name.clone(), bytes)
+        };
+        inner.lasting.iter().map(torn).collect()
+    }
+}
+
+impl Disk for Fake {
+    fn lock(&mut self) -> Result<(), DiskError> {
+        Ok(())
+    }
+
+    fn read(&mut self, name: &str) -> Result<Option<Vec<u8>>, DiskError> {
+        Ok(self.0.borrow().now.get(name).cloned())
+    }
+
+    fn create(&mut self, name: &str) -> Result<(), DiskError> {
+        self.step()?;
+        let mut inner = self.0.borrow_mut();
+        inner.now.insert(name.to_string(), Vec::new());
+        inner.synced.insert(name.to_string(), 0);
+        Ok(())
+    }
+
+    fn append(&mut self, name: &str, bytes: &[u8]) -> Result<(), DiskError> {
+        let whole = self.step();
+        let mut inner = self.0.borrow_mut();
+        let part = if whole.is_ok() { bytes.len() } else { bytes.len() / 2 };
+        inner.now.entry(name.to_string()).or_default().extend_from_slice(&bytes[..part]);
+        whole
+    }
+
+    fn sync(&mut self, name: &str) -> Result<(), DiskError> {
+        self.step()?;
+        let mut inner = self.0.borrow_mut();
+        let bytes = inner.now[name].clone();
+        inner.synced.insert(name.to_string(), bytes.len());
+        if inner.lasting.contains_key(name) {
+            inner.lasting.insert(name.to_string(), bytes);
+        }
+        Ok(())
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> Result<(), DiskError> {
+        self.step()?;
+        let mut inner = self.0.borrow_mut();
+        let bytes = inner.now.remove(from).expect("it was made");
+        inner.now.insert(to.to_string(), bytes);
+        let synced = inner.synced.remove(from).unwrap_or(0);
+        inner.synced.insert(to.to_string(), synced);
+        Ok(())
+    }
+
+    fn sync_folder(&mut self) -> Result<(), DiskError> {
+        self.step()?;
+        let mut inner = self.0.borrow_mut();
+        let lasting = inner.now.iter().map(|(name, bytes)| {
+            (name.clone(), bytes[..inner.synced.get(name).copied().unwrap_or(0)].to_vec())
+        });
+        inner.lasting = lasting.collect();
+        Ok(())
+    }
+}
+
+fn put(key: u8, value: u8) -> Change {
+    Change::Put(vec![key], vec![value; 5])
+}
+
+type Model = BTreeMap<Vec<u8>, Vec<u8>>;
+
+fn held<D: Disk>(store: &Store<D>) -> Model {
+    store.iter().map(|(key, value)| (key.to_vec(), value.to_vec())).collect()
+}
+
+/// A history with batches of several changes and two compactions. Returns what was acknowledged after each step,
+/// and what the step under way would have made of it.
+fn history(disk: Fake) -> (Model, Model) {
+    let Ok((mut store, _)) = Store::open(disk) else { return Default::default() };
+    let mut sure = held(&store);
+    for step in 0..12_u8 {
+        let mut next = sure.clone();
+        let changes = [put(step % 5, step), put(100 + step, step), Change::Remove(vec![100 + step / 2])];
+        for change in &changes {
+            match change {
+                Change::Put(key, value) => drop(next.insert(key.clone(), value.clone())),
+                Change::Remove(key) => drop(next.remove(key)),
+            }
+        }
+        let done = if step % 5 == 4 { store.compact().map(|()| 0) } else { store.commit(&changes) };
+        match done {
+            Ok(_) if step % 5 == 4 => {}
+            Ok(_) => sure = next,
+            Err(_) if step % 5 == 4 => return (sure.clone(), sure),
+            Err(_) => {
+                // It takes no more, and says so.
+                assert_eq!(store.commit(&changes), Err(StoreError::ReadOnly));
+                return (sure, next);
+            }
+        }
+    }
+    (sure.clone(), sure)
+}
+
+#[test]
+fn a_power_cut_at_any_operation_loses_nothing_acknowledged() {
+    let whole = Fake::default();
+    history(whole.clone());
+    let operations = whole.0.borrow().operations;
+    assert!(operations > 50);
+    for cut in 1..=operations {
+        for kept in [[0, 0], [1, 0], [13, 40], [40, 13], [0, 10_000], [10_000, 0], [10_000, 10_000]] {
+            let disk = Fake::default();
+            disk.0.borrow_mut().cut_at = Some(cut);
+            let (sure, next) = history(disk.clone());
+            let again = Fake::of(disk.after_cut(kept));
+            let (mut store, report) = Store::open(again).expect("it opens after a cut");
+            let found = held(&store);
+            assert!(found == sure || found == next, "cut {cut}, {kept:?} kept: {report:?}");
+            assert!(report.missing_from.is_none() && store.commit(&[put(1, 1)]).is_ok());
+        }
+    }
+}
+
+#[test]
+fn a_failed_operation_stops_all_writing_until_it_is_opened_again() {
+    let whole = Fake::default();
+    history(whole.clone());
+    for fails in 1..=whole.0.borrow().operations {
+        let disk = Fake::default();
+        disk.0.borrow_mut().fails_at = Some(fails);
+        let (sure, next) = history(disk.clone());
+        let (store, _) = Store::open(Fake::of(disk.0.borrow().now.clone())).unwrap();
+        assert!([sure, next].contains(&held(&store)), "failure {fails}");
+    }
+}
+
+#[test]
+fn either_copy_cut_or_damaged_at_any_byte_loses_nothing_and_is_mended() {
+    let disk = Fake::default();
+    let (sure, _) = history(disk.clone());
+    let files = disk.0.borrow().now.clone();
+    for name in ["log.0", "log.1"] {
+        for at in 0..files[name].len() {
+            let cut = files[name][..at].to_vec();
+            let mut damaged = files[name].clone();
+            damaged[at] ^= 0x41;
+            for bytes in [cut, damaged] {
+                let mut hurt = files.clone();
+                hurt.insert(name.to_string(), bytes);
+                let again = Fake::of(hurt);
+                let (store, report) = Store::open(again.clone()).unwrap();
+                assert_eq!(held(&store), sure, "{name} at {at}");
+                assert_eq!(report.mended, [name], "{name} at {at}");
+                assert_eq!(again.0.borrow().now[name], files[name]);
+            }
+        }
+    }
+}
+
+#[test]
+fn both_copies_damaged_in_one_record_open_up_to_there_for_reading_only() {
+    let disk = Fake::default();
+    let (mut store, _) = Store::open(disk.clone()).unwrap();
+    store.commit(&[put(1, 1)]).unwrap();
+    let at = store.length();
+    store.commit(&[put(2, 2)]).unwrap();
+    store.commit(&[put(3, 3)]).unwrap();
+    let mut files = disk.0.borrow().now.clone();
+    for name in ["log.0", "log.1"] {
+        files.get_mut(name).unwrap()[at + 20] ^= 1;
+    }
+    let (mut store, report) = Store::open(Fake::of(files)).unwrap();
+    assert_eq!((store.get(&[1]), store.get(&[2]), store.get(&[3])), (Some(&[1; 5][..]), None, None));
+    assert_eq!((report.missing_from, report.records, store.writable()), (Some(2), 2, false));
+    assert_eq!(store.commit(&[put(4, 4)]), Err(StoreError::ReadOnly));
+    assert_eq!(store.compact(), Err(StoreError::ReadOnly));
+}
+
+#[test]
+fn a_folder_keeps_refuses_a_second_opener_and_names_an_unknown_version() {
+    let path = std::env::temp_dir().join(format!("appledyke-store-{}", std::process::id()));
+    let (mut store, _) = Store::open(Folder::new(path.clone())).unwrap();
+    for value in 0..200 {
+        store.commit(&[put(7, value)]).unwrap();
+    }
+    let before = store.length();
+    store.compact().unwrap();
+    assert!(store.length() < before / 10);
+    let second = Store::open(Folder::new(path.clone())).err();
+    assert_eq!(second, Some(StoreError::Disk(DiskError::Locked)));
+    drop(store);
+    let (store, report) = Store::open(Folder::new(path.clone())).unwrap();
+    assert_eq!((store.get(&[7]), report.mended.len(), report.dropped), (Some(&[199; 5][..]), 0, 0));
+    drop(store);
+    let mut other = std::fs::read(path.join("log.1")).unwrap();
+    other[8] = 9;
+    let sum = crc32fast::hash(&other[..20]).to_le_bytes();
+    other[20..24].copy_from_slice(&sum);
+    std::fs::write(path.join("log.1"), other).unwrap();
+    let unknown = Store::open(Folder::new(path.clone())).err();
+    assert_eq!(unknown, Some(StoreError::Version { file: "log.1".to_string(), version: 9 }));
+    std::fs::remove_dir_all(&path).unwrap();
+}
