Emulated watches end while the list is absent

Need: an absent list ended no watch on sockets, so sidecars did not notice it as they do in service.

--- a/crates/lab/src/emulate.rs
+++ b/crates/lab/src/emulate.rs
@@ -433,6 +433,13 @@
 
     fn look(&mut self) {
         let now = self.now();
+        if self.faults.list_absent(now) {
+            // Watches end with their service.
+            let asks = |link: &Link| matches!(link.role, Role::Asks { .. });
+            let watches: Vec<Token> =
+                self.links.iter().filter(|(_, link)| asks(link)).map(|(token, _)| *token).collect();
+            watches.into_iter().for_each(|token| self.drop_link(token));
+        }
         for tier in 0..self.scenario.tier.len() {
             let of_tier = || self.endpoints.iter().filter(|e| e.tier == tier);
             let up = of_tier().filter(|e| e.listener.is_some() && !e.silent).count();
