--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -4,6 +4,7 @@
 
 use appledyke::terms::Terms;
 use appledyke::units::{Moment, Span};
+use oorandom::Rand64;
 use serde::Deserialize;
 
 /// A fleet larger than this is a slip of the pen: it would take hours.
@@ -375,6 +376,16 @@
         }
     }
 
+    /// The method of a client's next wish, by the shares.
+    pub fn drawn_method(&self, chance: &mut Rand64) -> usize {
+        let mut left = chance.rand_float();
+        let drawn = self.method.iter().position(|m| {
+            left -= m.share;
+            left < 0.0
+        });
+        drawn.unwrap_or(self.method.len() - 1)
+    }
+
     pub fn sidecars(&self, tier: usize) -> usize {
         if tier == 0 { self.tier[0].sidecars } else { self.tier[tier - 1].endpoints }
     }
--- a/crates/sidecar/src/net/list.rs
+++ b/crates/sidecar/src/net/list.rs
@@ -77,10 +77,15 @@
 }
 
 impl Watch {
+    /// Part of a line has come.
+    fn begun(&self) -> bool {
+        !self.lines.is_empty() || self.head_read && !self.connection.input.is_empty()
+    }
+
     /// What has come of a line that is not whole.
     fn torn(&self) -> Option<Vec<u8>> {
-        let part = [&self.lines[..], if self.head_read { &self.connection.input } else { &[] }].concat();
-        (!part.is_empty()).then_some(part)
+        self.begun()
+            .then(|| [&self.lines[..], if self.head_read { &self.connection.input } else { &[] }].concat())
     }
 }
 
@@ -245,7 +250,7 @@
             }
             if !full {
                 // Danger: a line that stops short would be waited for as long as for a beat.
-                if watch.torn().is_some() {
+                if watch.begun() {
                     turn.deadlines.shift(Due::List, &mut self.deadline, Some(turn.now + MORE_IN));
                 }
                 return Ok(());
