A second address for operators: ready, figures, drain and resume

The new peer net/operator.rs answers one line to a connection, first in each turn; figures.rs owns the counts, fed where reqs are answered; draining shares the looks and the parting of leaving.

--- a/crates/sidecar/src/launch.rs
+++ b/crates/sidecar/src/launch.rs
@@ -10,7 +10,7 @@
 use appledyke::units::Span;
 use serde_json::Value;
 
-use crate::net::{http, list};
+use crate::net::{http, list, operator};
 
 /// Descriptors kept for all that is not a connection of a client or an endpoint: standard streams, the poll,
 /// signals, the listener and the list.
@@ -37,6 +37,8 @@
     pub path: PathBuf,
     pub name: String,
     pub listen: SocketAddr,
+    /// Where operators call; without it there is no second address.
+    pub operator: Option<SocketAddr>,
     pub discovery: SocketAddr,
     pub seed: u64,
     /// Most connections to clients and endpoints together.
@@ -131,11 +133,16 @@
     }
 
     fn check(mut file: Value, path: PathBuf, winner: Winner) -> Result<Launch, String> {
-        let address = |variable, key: &'static str| {
+        let may_be = |variable, key: &'static str| {
             let found = text(variable, &file, key, winner)?;
-            let (text, named) = found.ok_or_else(|| format!("{key}: missing"))?;
-            text.parse::<SocketAddr>().map_err(|_| format!("{named}: expected address:port, not '{text}'"))
+            let parsed = found.map(|(text, named)| {
+                text.parse::<SocketAddr>()
+                    .map_err(|_| format!("{named}: expected address:port, not '{text}'"))
+            });
+            parsed.transpose()
         };
+        let address = |variable, key| may_be(variable, key)?.ok_or_else(|| format!("{key}: missing"));
+        let operator = may_be("BALANCER_OPERATOR", "operator")?;
         let (listen, discovery) =
             (address("BALANCER_LISTEN", "listen")?, address("BALANCER_DISCOVERY", "discovery")?);
         let name = text("BALANCER_NAME", &file, "name", winner)?;
@@ -174,7 +181,8 @@
         let sockets = limit(&file, "sockets", SOCKETS)? as usize;
         let memory = limit(&file, "memory_mb", MEMORY_MB)? as f64 * 1e6 * BUFFERS_SHARE;
         let in_memory = (memory / (2.0 * http::MESSAGE_MOST as f64)) as usize;
-        let connections = sockets.saturating_sub(SOCKETS_KEPT).min(in_memory);
+        let kept = SOCKETS_KEPT + operator.map_or(0, |_| operator::SOCKETS);
+        let connections = sockets.saturating_sub(kept).min(in_memory);
         if connections < CONNECTIONS_LEAST {
             return Err(format!(
                 "limits.sockets, limits.memory_mb: {sockets} sockets, of which memory allows {in_memory} \
@@ -191,6 +199,7 @@
             path,
             name,
             listen,
+            operator,
             discovery,
             seed: seed(&file)?,
             connections,
--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -1,6 +1,7 @@
 //! `appledyke-sidecar`: one program for every tier. It takes reqs from clients, and carries out what the
 //! decision module of the package `appledyke` decides about them. Nothing is decided here.
 
+mod figures;
 mod launch;
 mod logger;
 mod net;
--- a/crates/sidecar/src/net/clients.rs
+++ b/crates/sidecar/src/net/clients.rs
@@ -80,7 +80,7 @@
     pub held_back: bool,
     accept_at: Option<Moment>,
     /// New clients are to go elsewhere, but those that come are served.
-    leaving: bool,
+    away: bool,
     /// Connections close between reqs.
     parting: bool,
     last_accept: Moment,
@@ -144,7 +144,7 @@
             most: (turn.room as f64 * CLIENTS_SHARE) as usize,
             held_back: false,
             accept_at: None,
-            leaving: false,
+            away: false,
             parting: false,
             last_accept: turn.now,
             head: Vec::new(),
@@ -334,7 +334,7 @@
                     self.answer_own(key, frame, 409, turn);
                 }
                 Ok(Asked::Health) => {
-                    let status = if self.leaving { 503 } else { 200 };
+                    let status = if self.away { 503 } else { 200 };
                     self.answer_own(key, frame, status, turn);
                 }
                 Err(Bad(status)) => self.answer_own(key, frame, status, turn),
@@ -423,9 +423,14 @@
         None
     }
 
-    /// Who asks for its health hears from now on that it leaves.
-    pub fn leave(&mut self) {
-        self.leaving = true;
+    /// Who asks for its health hears from now on that clients are to go elsewhere.
+    pub fn turn_away(&mut self) {
+        self.away = true;
+    }
+
+    /// Clients may come and stay again.
+    pub fn take_again(&mut self) {
+        (self.away, self.parting) = (false, false);
     }
 
     /// Nobody is here, or has come of late.
@@ -433,14 +438,11 @@
         self.slots.len() == 0 && turn.now.since(self.last_accept) >= LEAVE_IDLE
     }
 
-    /// Takes the last of the backlog and listens no more; connections close between reqs. To be called until
-    /// none is left. Those that have brought something are returned.
+    /// Connections close between reqs, those that still come too. To be called until none is left or clients
+    /// may stay again. Those that have brought something are returned.
     pub fn part(&mut self, turn: &mut Turn) -> Vec<Key> {
         self.parting = true;
         let brought = self.accept(turn);
-        if let Some(mut listener) = self.listener.take_if(|_| !self.held_back) {
-            let _ = turn.registry.deregister(&mut listener);
-        }
         // The next req of any of them may be under way, so it has a moment for it.
         let until = turn.now + LEAVE_IDLE;
         let late = |c: &Client| (c.idle() || c.begun()) && c.deadline.is_none_or(|at| at > until);
@@ -450,6 +452,13 @@
         }
         brought
     }
+
+    /// Listens no more, once all of the backlog has been taken.
+    pub fn stop_listening(&mut self, turn: &mut Turn) {
+        if let Some(mut listener) = self.listener.take_if(|_| !self.held_back) {
+            let _ = turn.registry.deregister(&mut listener);
+        }
+    }
 }
 
 impl Client {
--- a/crates/sidecar/src/net/deadlines.rs
+++ b/crates/sidecar/src/net/deadlines.rs
@@ -14,7 +14,9 @@
     Server(Key),
     List,
     Accept,
-    Leave,
+    /// The clients are turned away further, for a drain or before leaving.
+    Away,
+    Operator(Key),
 }
 
 #[derive(Default)]
--- a/crates/sidecar/src/net/mod.rs
+++ b/crates/sidecar/src/net/mod.rs
@@ -5,6 +5,7 @@
 pub mod deadlines;
 pub mod http;
 pub mod list;
+pub mod operator;
 pub mod servers;
 pub mod slots;
 
--- a/crates/sidecar/src/net/servers.rs
+++ b/crates/sidecar/src/net/servers.rs
@@ -19,6 +19,9 @@
 const REST: Span = Span::from_millis(2);
 const WARY_FOR: Span = Span::from_millis(60_000);
 
+/// In place of a req's index: its connection carries a probe, and in place of a write-out's number stands the endpoint.
+pub const PROBE: usize = usize::MAX;
+
 /// A write-out that a connection carries.
 #[derive(Clone, Copy)]
 pub struct Carried {
@@ -34,6 +37,8 @@
     up: bool,
     carries: Option<Carried>,
     deadline: Option<Moment>,
+    /// The write-out that it carries is counted as written whole.
+    counted: bool,
 }
 
 #[derive(Clone, Default)]
@@ -45,6 +50,13 @@
 }
 
 impl Link {
+    /// 1 once the last byte of the write-out that it carries is written, 0 before and after.
+    fn newly_written(&mut self) -> u64 {
+        let req = self.carries.is_some_and(|carried| carried.req != PROBE);
+        let newly = req && self.connection.all_sent() && !std::mem::replace(&mut self.counted, true);
+        u64::from(newly)
+    }
+
     /// Whether it has neither ended nor brought what nobody asked for.
     fn still_idle(&mut self) -> bool {
         self.connection.fill(1).is_ok() && !self.connection.ended && self.connection.input.is_empty()
@@ -66,6 +78,8 @@
     /// Until when connections rest.
     wary_until: Moment,
     head: Vec<u8>,
+    /// Write-outs whose last byte was written; probes are none.
+    pub written: u64,
 }
 
 impl Servers {
@@ -77,6 +91,7 @@
             connect_timeout,
             wary_until: Moment::from_nanos(0),
             head: Vec::new(),
+            written: 0,
         }
     }
 
@@ -155,7 +170,8 @@
                 self.close(key, turn);
                 return Err(Ending::Broken { whole: false });
             }
-            link.carries = Some(carried);
+            (link.carries, link.counted) = (Some(carried), false);
+            self.written += link.newly_written();
             turn.deadlines.shift(Due::Server(key), &mut link.deadline, Some(carried.give_up));
             return Ok(key);
         }
@@ -167,7 +183,7 @@
             let mut connection = Connection::open(to, &turn.registry, Peer::Server(key).token())?;
             connection.queue(&[&self.head, body], 0);
             let carries = Some(carried);
-            Ok(Link { connection, endpoint, to, up: false, carries, deadline: None })
+            Ok(Link { connection, endpoint, to, up: false, carries, deadline: None, counted: false })
         });
         // What fails at once is the machine's: a refusal comes as an event.
         let key = opened.map_err(|e: std::io::Error| {
@@ -209,6 +225,7 @@
         }
         let written = link.connection.flush();
         let whole = link.connection.all_sent();
+        self.written += link.newly_written();
         let read = link.connection.fill(http::MESSAGE_MOST);
         let ended = link.connection.ended;
         // What was read before the connection broke still counts.
--- a/crates/sidecar/src/net/slots.rs
+++ b/crates/sidecar/src/net/slots.rs
@@ -13,9 +13,12 @@
 pub enum Peer {
     Listener,
     Signal,
+    /// The operators' listener.
+    Operators,
     Client(Key),
     Server(Key),
     List(Key),
+    Operator(Key),
 }
 
 /// Generations until they begin anew: the bits of a token that index and side leave.
@@ -36,9 +39,11 @@
         match self {
             Peer::Listener => Token(0),
             Peer::Signal => Token(1),
+            Peer::Operators => Token(2),
             Peer::Client(key) => key.token(1),
             Peer::Server(key) => key.token(2),
             Peer::List(key) => key.token(3),
+            Peer::Operator(key) => key.token(4),
         }
     }
 
@@ -47,10 +52,12 @@
         let key = Key { index: number as u32, generation };
         match number >> 61 {
             0 if number == 0 => Peer::Listener,
+            0 if number == 2 => Peer::Operators,
             0 => Peer::Signal,
             1 => Peer::Client(key),
             2 => Peer::Server(key),
-            _ => Peer::List(key),
+            3 => Peer::List(key),
+            _ => Peer::Operator(key),
         }
     }
 }
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -13,19 +13,19 @@
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook_mio::v1_0::Signals;
 
+use crate::figures::{End, Figures, Now};
 use crate::launch::{Launch, Winner};
 use crate::net::clients::{Clients, Said};
 use crate::net::connection::Ending;
 use crate::net::deadlines::{Deadlines, Due};
 use crate::net::http::Frame;
 use crate::net::list::{self, List};
-use crate::net::servers::{Carried, Ended, Servers};
+use crate::net::operator::{Call, Operators};
+use crate::net::servers::{Carried, Ended, PROBE, Servers};
 use crate::net::slots::{Key, Peer, Slots};
 use crate::net::{Turn, http};
 use crate::watch::Decider;
 
-/// In place of a req's index: its connection carries a probe, and in place of a write-out's number stands the endpoint.
-const PROBE: usize = usize::MAX;
 const PROBE_HEAD: &[u8] = b"GET /load HTTP/1.1\r\n\r\n";
 /// Longest that a probe may take: by then the req that waits for it has long set out.
 const PROBE_WAIT: Span = Span::from_millis(200);
@@ -42,8 +42,14 @@
 const LEAVE_LEAST: Span = Span::from_millis(600);
 /// Time in which last answers go out.
 const LEAVE_LAST: Span = Span::from_millis(150);
-/// Between two looks at how far leaving has come.
-const LEAVE_LOOK: Span = Span::from_millis(50);
+/// Between two looks at how far leaving or draining has come.
+const AWAY_LOOK: Span = Span::from_millis(50);
+/// How long all goes on as ever once the health check says no to a drain: the front asks often, and sends new
+/// connections for a little longer than until it has heard.
+const DRAIN_GRACE: Span = Span::from_millis(500);
+/// Longest that an instance says it is not ready as it has not heard the list: from then on the list that it
+/// was started with has to do.
+const READY_WAIT: Span = Span::from_millis(3000);
 
 /// A clock that only advances, started at the machine's time: the list tells starts by that.
 struct Clock {
@@ -59,6 +65,7 @@
 
 /// For one req, until nothing more can be heard of it.
 struct Req {
+    method: usize,
     /// Who waits for the answer; none once it is given or the client has gone.
     client: Option<Key>,
     /// The connections of its write-outs, as long as they are out.
@@ -82,7 +89,16 @@
     list: List,
     /// Clients whose next req may have come already.
     look_again: Vec<Key>,
+    operators: Option<Operators>,
+    figures: Figures,
+    started: Moment,
+    /// The list's service has been heard since the start.
+    list_heard: bool,
+    /// Since when clients are turned away by an operator's word.
+    draining: Option<Moment>,
     leaving: Option<Leaving>,
+    /// When it is looked next how far either has come.
+    away_at: Option<Moment>,
 }
 
 /// Since when it leaves, and by when all must be answered.
@@ -108,6 +124,10 @@
             Turn { now, registry, deadlines: Deadlines::default(), room: launch.connections as isize };
         let clients = Clients::listen(launch.listen, &mut turn)
             .map_err(|e| format!("listen: {}: {e}", launch.listen))?;
+        let operators = launch
+            .operator
+            .map(|at| Operators::listen(at, &mut turn).map_err(|e| format!("operator: {at}: {e}")));
+        let operators = operators.transpose()?;
         let known = list::version(&launch.known).ok();
         let unasked = launch.terms.ask_within.is_none();
         let mut sidecar = Sidecar {
@@ -124,9 +144,16 @@
             servers: Servers::new(launch.connection_idle, launch.connect_timeout),
             list: List::new(launch.discovery, known.map_or(0, |(version, _)| version), launch.seed),
             look_again: Vec::new(),
+            operators,
+            figures: Figures::default(),
+            started: now,
+            list_heard: false,
+            draining: None,
             leaving: None,
+            away_at: None,
             poll,
         };
+        sidecar.choice.terms().methods.iter().for_each(|method| sidecar.figures.offer(&method.name));
         if known.is_some() {
             sidecar.listed(true, &launch.known);
         }
@@ -136,6 +163,9 @@
         }
         sidecar.decide();
         launch.unmet.iter().for_each(|unmet| log::warn!("{unmet}"));
+        if let Some(at) = sidecar.operators.as_ref().and_then(|operators| operators.address().ok()) {
+            log::info!("{} is asked at {at}", launch.name);
+        }
         log::info!("{} listens on {}", launch.name, sidecar.clients.address().unwrap_or(launch.listen));
         Ok(sidecar)
     }
@@ -151,6 +181,14 @@
                 other => other.map_err(|e| format!("poll: {e}"))?,
             }
             self.turn.now = self.clock.now();
+            // Danger: who is on call waits a second at the most, however much else a turn brings.
+            for event in &events {
+                match Peer::of(event.token()) {
+                    Peer::Operators => self.operators.iter_mut().for_each(|o| o.accept(&mut self.turn)),
+                    Peer::Operator(key) => self.operator_ready(key),
+                    _ => {}
+                }
+            }
             for event in &events {
                 match Peer::of(event.token()) {
                     Peer::Listener => self.accept(),
@@ -161,6 +199,7 @@
                         self.ended(key, ended);
                     }
                     Peer::List(key) => self.list_ready(key),
+                    Peer::Operators | Peer::Operator(_) => {}
                 }
             }
             while let Some(due) = self.turn.deadlines.pop(self.turn.now) {
@@ -227,8 +266,81 @@
         let since = self.turn.now;
         let until = since + (longest.min(LEAVE_DEADLINE) + LEAVE_MORE);
         self.leaving = Some(Leaving { since, until });
-        self.clients.leave();
-        self.turn.deadlines.add(since + LEAVE_LOOK, Due::Leave);
+        self.clients.turn_away();
+        self.look_away(since);
+    }
+
+    fn look_away(&mut self, now: Moment) {
+        self.turn.deadlines.shift(Due::Away, &mut self.away_at, Some(now + AWAY_LOOK));
+    }
+
+    /// Looks how far leaving or draining has come.
+    fn away_further(&mut self) {
+        self.away_at = None;
+        match (self.leaving, self.draining) {
+            (Some(leaving), _) => self.leave_further(leaving),
+            (None, Some(since)) => {
+                if self.turn.now.since(since) >= DRAIN_GRACE {
+                    self.look_again.extend(self.clients.part(&mut self.turn));
+                }
+                self.look_away(self.turn.now);
+            }
+            (None, None) => {}
+        }
+    }
+
+    /// What an operator asks for, and what is answered.
+    fn operator_ready(&mut self, key: Key) {
+        let call = self.operators.as_mut().and_then(|operators| operators.ready(key, &mut self.turn));
+        let Some(call) = call else { return };
+        let answer = match call {
+            Call::Ready => self.is_ready().to_string(),
+            Call::Figures => format!("{}EOF", self.figures()),
+            Call::Drain => self.drain().to_string(),
+            Call::Resume => self.resume().to_string(),
+        };
+        if let Some(operators) = &mut self.operators {
+            operators.answer(key, &(answer + "\n"), &mut self.turn);
+        }
+    }
+
+    fn is_ready(&self) -> &'static str {
+        match (self.leaving, self.draining) {
+            (Some(_), _) => "400 not ready: leaving",
+            (None, Some(_)) => "400 not ready: drained",
+            _ if self.list_heard || self.turn.now.since(self.started) >= READY_WAIT => "200 ready",
+            _ => "400 not ready: list not heard",
+        }
+    }
+
+    fn drain(&mut self) -> &'static str {
+        if self.leaving.is_some() {
+            return "200 leaving, which does the same";
+        }
+        if self.draining.is_none() {
+            log::info!("told to drain");
+            self.draining = Some(self.turn.now);
+            self.clients.turn_away();
+            self.look_away(self.turn.now);
+        }
+        "200 drains"
+    }
+
+    fn resume(&mut self) -> &'static str {
+        if self.leaving.is_some() {
+            return "400 leaving, which cannot be taken back";
+        }
+        if self.draining.take().is_some() {
+            log::info!("told to resume");
+            self.clients.take_again();
+        }
+        "200 takes clients"
+    }
+
+    fn figures(&self) -> String {
+        let open = self.reqs.iter().filter(|(_, r)| r.client.is_some()).count();
+        let (listed, avoided) = self.choice.avoided(self.turn.now);
+        self.figures.text(Now { open, written: self.servers.written, listed, avoided })
     }
 
     /// Looks how far leaving has come.
@@ -238,6 +350,7 @@
         let alone = gone >= LEAVE_LEAST && self.clients.quiet(&self.turn);
         if alone || gone >= until.since(since) * LEAVE_TAKING {
             self.look_again.extend(self.clients.part(&mut self.turn));
+            self.clients.stop_listening(&mut self.turn);
         }
         if now >= until {
             // Danger: what has no answer when this process is killed is lost.
@@ -248,7 +361,7 @@
             }
         }
         if !self.clients.none_left() {
-            self.turn.deadlines.add(now + LEAVE_LOOK, Due::Leave);
+            self.look_away(now);
         }
     }
 
@@ -266,11 +379,8 @@
                 self.list_failed(failed);
             }
             Due::Accept => self.accept(),
-            Due::Leave => {
-                if let Some(leaving) = self.leaving {
-                    self.leave_further(leaving);
-                }
-            }
+            Due::Away => self.away_further(),
+            Due::Operator(key) => self.operators.iter_mut().for_each(|o| o.overdue(key, turn)),
         }
     }
 
@@ -278,7 +388,7 @@
         match self.clients.ready(key, self.choice.terms(), &mut self.turn) {
             Said::Nothing => {}
             Said::Arrival { method, left, work, frame } => {
-                let req = Req { client: Some(key), write_outs: Vec::new() };
+                let req = Req { method, client: Some(key), write_outs: Vec::new() };
                 let Ok(at) = self.reqs.insert_with(|_| Ok::<_, Infallible>(req));
                 // Danger: once it leaves there may be less time than the client would wait.
                 let left = self.leaving.map_or(left, |leaving| left.min(leaving.until.since(self.turn.now)));
@@ -310,13 +420,15 @@
         if let Some(r) = self.req(req) {
             r.write_outs[write_out] = None;
             let last = matches!(outcome, Outcome::Satisfied | Outcome::Rejected);
-            let client = if last { r.client.take() } else { None };
+            let (method, client) = (r.method, if last { r.client.take() } else { None });
             closed = r.client.is_none();
             let message = answer.and_then(|frame| self.servers.message(key, frame));
             if let (Some(client), Some((head, body))) = (client, message) {
                 let write = |out: &mut Vec<u8>, keep| http::relayed_head(out, head, body.len(), keep);
                 self.clients.answer(client, write, body, &mut self.turn);
                 self.look_again.push(client);
+                let end = if outcome == Outcome::Satisfied { End::Satisfied } else { End::Failed };
+                self.figures.ended(&self.choice.terms().methods[method].name, end);
             }
         }
         if let Some(frame) = answer {
@@ -329,6 +441,7 @@
         let mut lists = Vec::new();
         let failed = self.list.ready(key, &mut self.turn, |complete, list| lists.push((complete, list)));
         for (complete, list) in lists {
+            self.list_heard = true;
             self.listed(complete, &list);
         }
         self.list_failed(failed);
@@ -456,7 +569,11 @@
 
     /// An answer of our own, if the client still waits for one.
     fn answer(&mut self, req: usize, status: u16, come_back: Option<Span>) {
-        let Some(client) = self.req(req).and_then(|r| r.client.take()) else { return };
+        let Some((method, client)) = self.req(req).and_then(|r| Some((r.method, r.client.take()?))) else {
+            return;
+        };
+        let end = if status == 503 { End::Nacked } else { End::Failed };
+        self.figures.ended(&self.choice.terms().methods[method].name, end);
         let head = |out: &mut Vec<u8>, keep| http::own_answer(out, status, come_back, keep);
         self.clients.answer(client, head, b"", &mut self.turn);
         self.look_again.push(client);
--- a/crates/sidecar/src/watch.rs
+++ b/crates/sidecar/src/watch.rs
@@ -88,6 +88,11 @@
         self.real.terms()
     }
 
+    /// How many endpoints are listed, and how many of them are avoided.
+    pub fn avoided(&self, now: Moment) -> (usize, usize) {
+        self.real.avoided(now)
+    }
+
     fn both(&mut self, tell: impl Fn(&mut Choice)) {
         tell(&mut self.real);
         self.watch.iter_mut().for_each(|watch| tell(&mut watch.choice));
--- /dev/null
+++ b/crates/sidecar/tests/daily/mod.rs
@@ -0,0 +1,3 @@
+//! The days of daily service, a file for each part.
+
+mod operator;
--- /dev/null
+++ b/crates/sidecar/tests/daily/operator.rs
@@ -0,0 +1,168 @@
+//! The second address, what it tells, and draining, on the loopback.
+
+use std::io::{Read, Write};
+use std::time::{Duration, Instant};
+
+use crate::stand_ins::{Client, Endpoint, Sidecar, ok};
+
+#[test]
+fn whatever_a_caller_sends_is_answered_or_closed_and_delays_nobody() {
+    let endpoint = Endpoint::start(|_| ok("menu"));
+    let sidecar = Sidecar::asked_before(&[endpoint.at]);
+    let asked = Instant::now();
+    // Far more callers that say nothing than are taken at once.
+    let mut silent: Vec<_> = (0..60).map(|_| sidecar.caller()).collect();
+    for line in
+        ["reboot\n", "\n", "drain\ndrain\n", "dr\0ain\n", "GET /ready HTTP/1.1\r\n", &"x".repeat(5000)]
+    {
+        let mut caller = sidecar.caller();
+        // A line too long may be answered before all of it is sent.
+        let _ = caller.write_all(line.as_bytes());
+        let mut answer = [0; 4];
+        caller.read_exact(&mut answer).unwrap();
+        assert_eq!(&answer, b"400 ", "{}", line.escape_default());
+    }
+    // Half a line and an end to the sending: not obeyed.
+    let mut caller = sidecar.caller();
+    caller.write_all(b"drain").unwrap();
+    caller.shutdown(std::net::Shutdown::Write).unwrap();
+    let mut answer = String::new();
+    caller.read_to_string(&mut answer).unwrap();
+    assert!(answer.starts_with("400 "), "{answer}");
+    assert!(sidecar.told("resume\r\n").starts_with("200 "));
+    assert!(asked.elapsed() < Duration::from_secs(1), "{:?}", asked.elapsed());
+    // Those that say nothing are let go of, so none of them keeps a place.
+    silent.iter_mut().for_each(|caller| drop(caller.read_to_string(&mut String::new())));
+    assert!(asked.elapsed() < Duration::from_secs(4), "{:?}", asked.elapsed());
+    let mut client = Client::connect(&sidecar);
+    client.view();
+    assert_eq!(client.status(), "200");
+}
+
+#[test]
+fn the_figures_hold_against_what_clients_and_endpoints_counted() {
+    // Every third req fails, every fifth is turned away once, and an order's answer may break off.
+    let endpoint = Endpoint::start(|req| {
+        let number = req.split("X-Txn: ").nth(1).and_then(|rest| rest.split("\r\n").next()).unwrap();
+        match u32::from_str_radix(number, 16).unwrap() % 15 {
+            0 | 5 | 10 => {
+                Some("HTTP/1.1 503 No\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n".to_string())
+            }
+            3 | 6 => Some("HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n".to_string()),
+            9 | 12 => None,
+            _ => ok("menu"),
+        }
+    });
+    let sidecar = Sidecar::asked_before(&[endpoint.at]);
+    assert_eq!(sidecar.figure("sidecar_completed{lane=\"order\"}"), 0);
+    assert_eq!(sidecar.figure("sidecar_members"), 1);
+    let mut counted = [[0; 3]; 2];
+    for number in 0..120 {
+        let mut client = Client::connect(&sidecar);
+        if number % 2 == 0 {
+            client.view()
+        } else {
+            client.order()
+        }
+        let end = match client.status().as_str() {
+            "200" => 0,
+            "503" => 1,
+            _ => 2,
+        };
+        counted[number % 2][end] += 1;
+    }
+    // What no method is asked for, and health checks, are no reqs.
+    for text in ["GET /healthz HTTP/1.1\r\n\r\n", "GET /no HTTP/1.1\r\nX-Txn: 1\r\n\r\n"] {
+        let mut client = Client::connect(&sidecar);
+        client.send(text);
+        client.status();
+    }
+    for (lane, counted) in ["view", "order"].iter().zip(counted) {
+        for (name, count) in ["completed", "rejected", "failed"].iter().zip(counted) {
+            let told = sidecar.figure(&format!("sidecar_{name}{{lane=\"{lane}\"}}"));
+            assert_eq!(told, count, "{name} {lane}");
+        }
+    }
+    assert!(counted.iter().all(|ends| ends.iter().all(|count| *count > 0)), "{counted:?}");
+    let reqs = endpoint.reqs.try_iter().filter(|req| req != "end").count() as u64;
+    assert_eq!(sidecar.figure("sidecar_upstream_requests"), reqs);
+    assert_eq!(sidecar.figure("sidecar_pending"), 0);
+}
+
+#[test]
+fn a_req_is_pending_until_its_answer_and_a_failing_endpoint_is_avoided() {
+    let (go, wait) = std::sync::mpsc::channel::<()>();
+    let wait = std::sync::Arc::new(std::sync::Mutex::new(wait));
+    let slow = Endpoint::start(move |_| {
+        let _ = wait.lock().unwrap().recv();
+        ok("menu")
+    });
+    let nobody = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let sidecar = Sidecar::asked_before(&[slow.at, nobody]);
+    let mut client = Client::connect(&sidecar);
+    client.view();
+    slow.next();
+    assert_eq!((sidecar.figure("sidecar_pending"), sidecar.figure("sidecar_upstream_requests")), (1, 1));
+    go.send(()).unwrap();
+    assert_eq!(client.status(), "200");
+    assert_eq!(sidecar.figure("sidecar_pending"), 0);
+    drop(go);
+    // Until one of them has met the endpoint that is not there.
+    let asked = Instant::now();
+    while sidecar.figure("sidecar_members_unavailable") == 0 {
+        client.view();
+        assert_eq!(client.status(), "200");
+        assert!(asked.elapsed() < Duration::from_secs(5));
+    }
+    assert_eq!(sidecar.figure("sidecar_members"), 2);
+}
+
+#[test]
+fn through_a_drain_and_a_resume_a_client_that_goes_on_loses_nothing() {
+    let endpoint = Endpoint::start(|_| ok("menu"));
+    let sidecar = Sidecar::asked_before(&[endpoint.at]);
+    let health = || {
+        let mut client = Client::connect(&sidecar);
+        client.send("GET /healthz HTTP/1.1\r\n\r\n");
+        client.status()
+    };
+    let (mut idle, mut busy) = (Client::connect(&sidecar), Client::connect(&sidecar));
+    idle.view();
+    assert_eq!((idle.status(), health()), ("200".to_string(), "200".to_string()));
+    let told = Instant::now();
+    assert!(sidecar.told("drain\n").starts_with("200 "));
+    assert_eq!(health(), "503");
+    assert!(sidecar.told("ready\n").starts_with("400 not ready: drained"));
+    // It sends on until its connection is closed with an answer, then on new ones.
+    let mut closed = 0;
+    while told.elapsed() < Duration::from_millis(1500) {
+        busy.view();
+        let answer = busy.answer();
+        assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
+        if answer.contains("Connection: close") {
+            assert!(busy.closed());
+            busy = Client::connect(&sidecar);
+            closed += 1;
+        }
+    }
+    assert!(closed > 0 && idle.closed());
+    assert!(sidecar.told("drain\n").starts_with("200 "));
+    assert!(busy.closed(), "nothing stays idle");
+    assert!(told.elapsed() < Duration::from_secs(3), "{:?}", told.elapsed());
+    for _ in 0..2 {
+        assert!(sidecar.told("resume\n").starts_with("200 "));
+        assert_eq!(health(), "200");
+    }
+    let mut stays = Client::connect(&sidecar);
+    for _ in 0..3 {
+        stays.view();
+        assert!(!stays.answer().contains("Connection: close"));
+        std::thread::sleep(Duration::from_millis(200));
+    }
+    sidecar.signal("-TERM");
+    let told = Instant::now();
+    while !sidecar.told("resume\n").starts_with("400 leaving") {
+        assert!(told.elapsed() < Duration::from_secs(1));
+    }
+    assert!(sidecar.told("drain\n").starts_with("200 leaving"));
+}
--- a/crates/sidecar/tests/stand_ins/mod.rs
+++ b/crates/sidecar/tests/stand_ins/mod.rs
@@ -127,6 +127,11 @@
     )
 }
 
+/// The configuration with a second address.
+pub fn asked(configuration: &str) -> String {
+    configuration.replacen('{', "{\"operator\":\"127.0.0.1:0\",", 1)
+}
+
 /// Writes a configuration to a file of its own.
 pub fn file(text: &str) -> PathBuf {
     static NUMBER: AtomicU32 = AtomicU32::new(0);
@@ -139,6 +144,8 @@
 pub struct Sidecar {
     child: Child,
     pub at: SocketAddr,
+    /// Where operators call.
+    operator: Option<SocketAddr>,
     /// Its configuration.
     pub file: PathBuf,
 }
@@ -157,14 +164,18 @@
             .spawn()
             .unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
-        let mut line = String::new();
+        let (mut line, mut operator) = (String::new(), None);
+        let address = |line: &str| line.trim().rsplit(' ').next().unwrap().parse().expect("an address");
         while !line.contains("listens on") {
             line.clear();
             assert!(log.read_line(&mut line).unwrap() > 0, "the sidecar starts");
+            if line.contains("is asked at") {
+                operator = Some(address(&line));
+            }
         }
-        let at = line.trim().rsplit(' ').next().unwrap().parse().expect("an address");
+        let at = address(&line);
         std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
-        Sidecar { child, at, file: path }
+        Sidecar { child, at, operator, file: path }
     }
 
     /// With these endpoints, each in a cell of its own, and a list that has no news.
@@ -174,6 +185,37 @@
         Sidecar::start(&configuration(list().0, 1024, &list_of(1, true, &entries)))
     }
 
+    /// The same, with a second address for operators.
+    pub fn asked_before(endpoints: &[SocketAddr]) -> Sidecar {
+        let entries: Vec<_> =
+            endpoints.iter().zip(0..).map(|(at, cell)| entry(&format!("e{cell}"), *at, cell, "up")).collect();
+        Sidecar::start(&asked(&configuration(list().0, 1024, &list_of(1, true, &entries))))
+    }
+
+    /// A connection to the operators' address.
+    pub fn caller(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.operator.expect("an operators' address")).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream
+    }
+
+    /// What it answers an operator, up to the connection's end.
+    pub fn told(&self, line: &str) -> String {
+        let mut caller = self.caller();
+        caller.write_all(line.as_bytes()).unwrap();
+        let mut answer = String::new();
+        caller.read_to_string(&mut answer).unwrap();
+        answer
+    }
+
+    /// One of its figures.
+    pub fn figure(&self, name: &str) -> u64 {
+        let text = self.told("show-stat\n");
+        assert!(text.ends_with("\nEOF\n"), "{text}");
+        let value = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+        value.unwrap_or_else(|| panic!("{name} in\n{text}")).parse().expect("a number")
+    }
+
     pub fn signal(&self, name: &str) {
         let told = Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap();
         assert!(told.success());
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -40,6 +40,7 @@
 const DISTRUST_OTHERS: f64 = 0.5; // part of it for other methods, unless connections fail: mostly all fail
 const DISTRUST_KEPT: f64 = 0.8; // part of it that any other answer leaves: three halve it
 const DISTRUST_MOST: f64 = 10.0; // a thousandth of the traffic can still tell of recovery
+const AVOIDED_TRUST: f64 = 0.25; // from here down it counts as avoided: two failures at the least
 const DISTRUST_HALF: Span = Span::from_millis(4000); // to half, as old latencies do: a fault is short
 // Further write-outs.
 const PURSE_SHARE: f64 = 0.2; // that one arrival pays for: a fifth of the load for long
@@ -361,6 +362,13 @@
         }
     }
 
+    /// How many endpoints are listed, and how many of these are avoided: not ready, or much distrusted.
+    pub fn avoided(&self, now: Moment) -> (usize, usize) {
+        let listed = || self.endpoints.iter().flatten().filter(|e| e.entry.standing != Standing::Gone);
+        let avoided = listed().filter(|e| !e.is_ready() || e.trust(now, None) <= AVOIDED_TRUST);
+        (listed().count(), avoided.count())
+    }
+
     /// For an instance that only watches: where the req's write-out that is out went in truth, if any is.
     pub fn in_truth(&mut self, now: Moment, req: usize, endpoint: Option<usize>) {
         let Some(Some(r)) = self.reqs.get_mut(req) else { return };
@@ -411,9 +419,8 @@
     pub fn list_closes(&mut self, now: Moment) {
         let asked = std::mem::take(&mut self.asking);
         self.ask_at = self.ask_at.filter(|_| !asked);
-        for e in
-            self.endpoints.iter_mut().flatten().filter(|e| !e.listed && e.entry.standing != Standing::Gone)
-        {
+        let missing = |e: &&mut Endpoint| !e.listed && e.entry.standing != Standing::Gone;
+        for e in self.endpoints.iter_mut().flatten().filter(missing) {
             (e.entry.standing, e.gone_at) = (Standing::Gone, now);
         }
         self.fleet = self.ready().count() as f64;
@@ -563,18 +570,17 @@
     /// The final answer of a req that is given up: nacked where a repeat does no harm, else failed.
     fn end(&mut self, req: usize) {
         let r = self.reqs[req].as_mut().expect("only open reqs are ended");
-        let m = &self.terms.methods[r.method];
-        let never_ran = r.never_ran();
+        let (m, never_ran) = (&self.terms.methods[r.method], r.never_ran());
         r.closed = true;
         // Danger: a nack invites a repeat, so it must not follow what may have run, unless repeats are safe.
-        let harmless = match m.effect {
-            Effect::Retryable => true,
-            Effect::Deduplicated if m.group == Group::All => true,
-            _ => never_ran,
-        };
+        let safe = m.effect == Effect::Retryable || m.effect == Effect::Deduplicated && m.group == Group::All;
         let wait = m.latency_budget * (COME_BACK * (1.0 + self.chance.part()));
         let come_back = self.terms.longest_come_back.map(|most| wait.min(most));
-        self.out.push_back(if harmless { Decision::Nack { req, come_back } } else { Decision::Fail { req } });
+        self.out.push_back(if safe || never_ran {
+            Decision::Nack { req, come_back }
+        } else {
+            Decision::Fail { req }
+        });
         self.settle(req);
     }
 
@@ -790,9 +796,7 @@
         let mean = if heard.1 > 0.0 { heard.0 / heard.1 } else { 1.0 };
         for (at, slot) in self.endpoints.iter_mut().enumerate() {
             let Some(e) = slot else { continue };
-            if e.latency.is_none() {
-                e.fraction = mean;
-            }
+            e.fraction = e.latency.map_or(mean, |_| e.fraction);
             let over =
                 e.entry.standing == Standing::Gone && e.in_flight == 0 && now.since(e.gone_at) > GONE_KEPT;
             if over && !self.reqs.iter().flatten().any(|r| r.write_outs.iter().any(|w| w.endpoint == at)) {
@@ -899,11 +903,8 @@
 
     /// The part of its full capacity that an endpoint has at least, by the stated rise.
     fn cold_share(&self, now: Moment, terms: &Terms) -> f64 {
-        match self.entry.started.map(|at| now.since(at)) {
-            Some(up) if up < terms.cold_for => {
-                terms.cold_start + (1.0 - terms.cold_start) * (up.secs() / terms.cold_for.secs().max(1e-9))
-            }
-            _ => 1.0,
-        }
+        let up = self.entry.started.map(|at| now.since(at)).filter(|up| *up < terms.cold_for);
+        let rise = |up: Span| (1.0 - terms.cold_start) * (up.secs() / terms.cold_for.secs().max(1e-9));
+        up.map_or(1.0, |up| terms.cold_start + rise(up))
     }
 }
