Two processes at one address during an upgrade; the old one hands over at SIGTERM

Need: upgrade crashed the second process, as the address was taken, and lost 17 reqs. The clients' address is shared where operators have one; a lock in TMPDIR tells who is there and how it stands; half of the room each while there are two.

--- a/crates/sidecar/src/launch.rs
+++ b/crates/sidecar/src/launch.rs
@@ -39,6 +39,8 @@
     pub listen: SocketAddr,
     /// Where operators call; without it there is no second address.
     pub operator: Option<SocketAddr>,
+    /// Where processes at the same address see one another, if there is such a place and operators are to see two.
+    pub folder: Option<PathBuf>,
     pub discovery: SocketAddr,
     pub seed: u64,
     /// Most connections to clients and endpoints together.
@@ -200,6 +202,7 @@
             name,
             listen,
             operator,
+            folder: env::var_os("TMPDIR").map(PathBuf::from).filter(|_| operator.is_some()),
             discovery,
             seed: seed(&file)?,
             connections,
--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -5,6 +5,7 @@
 mod launch;
 mod logger;
 mod net;
+mod presence;
 mod sidecar;
 mod watch;
 
--- a/crates/sidecar/src/net/clients.rs
+++ b/crates/sidecar/src/net/clients.rs
@@ -8,6 +8,7 @@
 use appledyke::units::{Moment, Span};
 use mio::Interest;
 use mio::net::TcpListener;
+use socket2::{Domain, Protocol, Socket, Type};
 
 use super::Turn;
 use super::connection::Connection;
@@ -31,6 +32,8 @@
 const LEAVE_IDLE: Span = Span::from_millis(300);
 /// How long a new connection is safe from making room: it was opened for a req, which is on its way.
 const FRESH: Span = Span::from_millis(1000);
+/// Connections that may wait to be taken, as many as with a listener that is not shared.
+const BACKLOG: i32 = 1024;
 /// Until accepting is tried again where there was no room.
 const ACCEPT_AGAIN: Span = Span::from_millis(100);
 
@@ -133,15 +136,31 @@
     http::with_request(head, read).unwrap_or(Err(Bad(400)))
 }
 
+/// Most connections of clients among so many.
+fn most(connections: usize) -> usize {
+    (connections as f64 * CLIENTS_SHARE) as usize
+}
+
+fn listen_beside_others(at: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(at), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_reuse_port(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&at.into())?;
+    socket.listen(BACKLOG)?;
+    Ok(TcpListener::from_std(socket.into()))
+}
+
 impl Clients {
-    pub fn listen(at: SocketAddr, turn: &mut Turn) -> io::Result<Clients> {
-        let mut listener = TcpListener::bind(at)?;
+    /// `shared`: another process may listen at the same address.
+    pub fn listen(at: SocketAddr, shared: bool, turn: &mut Turn) -> io::Result<Clients> {
+        let mut listener = if shared { listen_beside_others(at)? } else { TcpListener::bind(at)? };
         turn.registry.register(&mut listener, Peer::Listener.token(), Interest::READABLE)?;
         Ok(Clients {
             listener: Some(listener),
             slots: Slots::default(),
             open: HashSet::new(),
-            most: (turn.room as f64 * CLIENTS_SHARE) as usize,
+            most: most(turn.room as usize),
             held_back: false,
             accept_at: None,
             away: false,
@@ -438,6 +457,20 @@
         self.slots.len() == 0 && turn.now.since(self.last_accept) >= LEAVE_IDLE
     }
 
+    /// There is room for so many connections in all from now on.
+    pub fn resize(&mut self, connections: usize) {
+        self.most = most(connections);
+    }
+
+    /// Another process takes what comes from now on: takes all of the backlog and listens no more. Connections
+    /// close with their next answer. Those that have brought something are returned.
+    pub fn hand_over(&mut self, turn: &mut Turn) -> Vec<Key> {
+        self.parting = true;
+        let brought = self.accept(turn);
+        self.stop_listening(turn);
+        brought
+    }
+
     /// Connections close between reqs, those that still come too. To be called until none is left or clients
     /// may stay again. Those that have brought something are returned.
     pub fn part(&mut self, turn: &mut Turn) -> Vec<Key> {
--- a/crates/sidecar/src/net/deadlines.rs
+++ b/crates/sidecar/src/net/deadlines.rs
@@ -16,6 +16,8 @@
     Accept,
     /// The clients are turned away further, for a drain or before leaving.
     Away,
+    /// A look at which other processes serve this address.
+    Others,
     Operator(Key),
 }
 
--- /dev/null
+++ b/crates/sidecar/src/presence.rs
@@ -0,0 +1,139 @@
+//! Which processes of this program serve the same address: during an upgrade there are two. Each holds a lock on a
+//! file of its own for as long as it lives, so that what a killed one leaves behind deceives nobody.
+
+use std::fs::{self, File, TryLockError};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+/// How a process stands at its address; the end of its file's name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    Starting,
+    Ready,
+    /// Danger: another that leaves too must not count on this one.
+    Leaving,
+}
+
+impl Standing {
+    fn name(self) -> &'static str {
+        match self {
+            Standing::Starting => "starting",
+            Standing::Ready => "ready",
+            Standing::Leaving => "leaving",
+        }
+    }
+}
+
+/// This process's own file, as long as there is a folder to hold it.
+pub struct Presence {
+    folder: PathBuf,
+    /// What files of this address begin with.
+    prefix: String,
+    /// The file's name without its standing, and its lock.
+    own: String,
+    standing: Standing,
+    _lock: File,
+}
+
+/// The others that are alive.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Others {
+    pub alive: usize,
+    pub ready: usize,
+}
+
+impl Presence {
+    /// Tells others that this process starts at this address. Without a folder to write to nobody can know.
+    pub fn announce(folder: &Path, at: SocketAddr, process: u32) -> std::io::Result<Presence> {
+        let prefix = format!("appledyke-{}-", at.to_string().replace([':', '[', ']'], "_"));
+        let own = format!("{prefix}{process}");
+        // Danger: a file that others can see before it is locked would pass for that of a dead process.
+        let draft = folder.join(format!("draft-{own}"));
+        let lock = File::create(&draft)?;
+        let placed = match lock.try_lock() {
+            Ok(()) => fs::rename(&draft, folder.join(format!("{own}.{}", Standing::Starting.name()))),
+            Err(e) => Err(e.into()),
+        };
+        if let Err(e) = placed {
+            let _ = fs::remove_file(&draft);
+            return Err(e);
+        }
+        Ok(Presence { folder: folder.to_path_buf(), prefix, own, standing: Standing::Starting, _lock: lock })
+    }
+
+    fn path(&self, standing: Standing) -> PathBuf {
+        self.folder.join(format!("{}.{}", self.own, standing.name()))
+    }
+
+    /// Tells others how this process stands from now on: only to one that is ready may they leave the address.
+    pub fn stands(&mut self, standing: Standing) {
+        if self.standing != standing {
+            match fs::rename(self.path(self.standing), self.path(standing)) {
+                Ok(()) => self.standing = standing,
+                Err(e) => log::warn!("presence: {e}"),
+            }
+        }
+    }
+
+    /// Looks who else is there, and clears away what dead processes have left.
+    pub fn others(&self) -> Others {
+        let mut others = Others::default();
+        let Ok(entries) = fs::read_dir(&self.folder) else { return others };
+        for entry in entries.flatten() {
+            let name = entry.file_name().to_string_lossy().into_owned();
+            let Some((process, standing)) = name.rsplit_once('.') else { continue };
+            if !process.starts_with(&self.prefix) || process == self.own {
+                continue;
+            }
+            let Ok(file) = File::open(entry.path()) else { continue };
+            match file.try_lock() {
+                Err(TryLockError::WouldBlock) => {
+                    others.alive += 1;
+                    others.ready += usize::from(standing == Standing::Ready.name());
+                }
+                Ok(()) => drop(fs::remove_file(entry.path())),
+                Err(TryLockError::Error(e)) => log::warn!("presence: {name}: {e}"),
+            }
+        }
+        others
+    }
+}
+
+impl Drop for Presence {
+    fn drop(&mut self) {
+        let _ = fs::remove_file(self.path(self.standing));
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn others_are_seen_while_they_live_and_what_the_dead_leave_deceives_nobody() {
+        let folder = std::env::temp_dir().join(format!("appledyke-presence-{}", std::process::id()));
+        fs::create_dir_all(&folder).unwrap();
+        let at = "127.0.0.1:5000".parse().unwrap();
+        let first = Presence::announce(&folder, at, 1).unwrap();
+        assert_eq!(first.others(), Others::default());
+        let mut second = Presence::announce(&folder, at, 2).unwrap();
+        let _elsewhere = Presence::announce(&folder, "127.0.0.1:5001".parse().unwrap(), 3).unwrap();
+        assert_eq!(first.others(), Others { alive: 1, ready: 0 });
+        second.stands(Standing::Ready);
+        assert_eq!(
+            (first.others(), second.others()),
+            (Others { alive: 1, ready: 1 }, Others { alive: 1, ready: 0 })
+        );
+        second.stands(Standing::Leaving);
+        assert_eq!(first.others(), Others { alive: 1, ready: 0 });
+        // Killed, it has no time to clear up: its lock is gone, its file is not.
+        let left = second.path(Standing::Ready);
+        drop(second);
+        File::create(&left).unwrap();
+        assert_eq!(first.others(), Others::default());
+        assert!(!left.exists());
+        drop(first);
+        assert!(Presence::announce(&folder.join("absent"), at, 1).is_err());
+        fs::remove_dir_all(&folder).unwrap();
+    }
+}
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -24,6 +24,7 @@
 use crate::net::servers::{Carried, Ended, PROBE, Servers};
 use crate::net::slots::{Key, Peer, Slots};
 use crate::net::{Turn, http};
+use crate::presence::{Others, Presence, Standing};
 use crate::watch::Decider;
 
 const PROBE_HEAD: &[u8] = b"GET /load HTTP/1.1\r\n\r\n";
@@ -47,6 +48,8 @@
 /// How long all goes on as ever once the health check says no to a drain: the front asks often, and sends new
 /// connections for a little longer than until it has heard.
 const DRAIN_GRACE: Span = Span::from_millis(500);
+/// Between two looks at which other processes serve this address.
+const OTHERS_LOOK: Span = Span::from_millis(300);
 /// Longest that an instance says it is not ready as it has not heard the list: from then on the list that it
 /// was started with has to do.
 const READY_WAIT: Span = Span::from_millis(3000);
@@ -96,8 +99,15 @@
     list_heard: bool,
     /// Since when clients are turned away by an operator's word.
     draining: Option<Moment>,
+    /// What other processes at this address see of this one, and what it saw of them last.
+    presence: Option<Presence>,
+    others: Others,
+    /// Connections that there may be at this address, and this process's part of them.
+    connections: usize,
+    part: usize,
     leaving: Option<Leaving>,
-    /// When it is looked next how far either has come.
+    /// When it is looked next for other processes, and how far draining or leaving has come.
+    others_at: Option<Moment>,
     away_at: Option<Moment>,
 }
 
@@ -106,6 +116,8 @@
 struct Leaving {
     since: Moment,
     until: Moment,
+    /// Another process serves this address.
+    succeeded: bool,
 }
 
 impl Sidecar {
@@ -122,7 +134,7 @@
         let registry = poll.registry().try_clone().map_err(|e| format!("poll: {e}"))?;
         let mut turn =
             Turn { now, registry, deadlines: Deadlines::default(), room: launch.connections as isize };
-        let clients = Clients::listen(launch.listen, &mut turn)
+        let clients = Clients::listen(launch.listen, launch.operator.is_some(), &mut turn)
             .map_err(|e| format!("listen: {}: {e}", launch.listen))?;
         let operators = launch
             .operator
@@ -149,11 +161,27 @@
             started: now,
             list_heard: false,
             draining: None,
+            presence: None,
+            others: Others::default(),
+            connections: launch.connections,
+            part: launch.connections,
             leaving: None,
+            others_at: None,
             away_at: None,
             poll,
         };
         sidecar.choice.terms().methods.iter().for_each(|method| sidecar.figures.offer(&method.name));
+        if let Some(folder) = &launch.folder {
+            let at = sidecar.clients.address().unwrap_or(launch.listen);
+            match Presence::announce(folder, at, std::process::id()) {
+                Ok(presence) => sidecar.presence = Some(presence),
+                Err(e) => log::warn!(
+                    "TMPDIR: {}: {e}; another process at this address goes unseen",
+                    folder.display()
+                ),
+            }
+            sidecar.look_at_others();
+        }
         if known.is_some() {
             sidecar.listed(true, &launch.known);
         }
@@ -265,8 +293,16 @@
         let longest = self.choice.terms().methods.iter().map(|m| m.deadline).max().unwrap_or(LEAVE_DEADLINE);
         let since = self.turn.now;
         let until = since + (longest.min(LEAVE_DEADLINE) + LEAVE_MORE);
-        self.leaving = Some(Leaving { since, until });
-        self.clients.turn_away();
+        self.look_at_others();
+        let succeeded = self.others.ready > 0;
+        self.leaving = Some(Leaving { since, until, succeeded });
+        if succeeded {
+            // Danger: a no to the health check would take this address from clients, while another serves it.
+            log::info!("another process serves on");
+            self.look_again.extend(self.clients.hand_over(&mut self.turn));
+        } else {
+            self.clients.turn_away();
+        }
         self.look_away(since);
     }
 
@@ -313,6 +349,26 @@
         }
     }
 
+    /// Looks which other processes serve this address: they are to have their part of what there is room for.
+    fn look_at_others(&mut self) {
+        let ready = self.is_ready().starts_with("200");
+        let Some(presence) = &mut self.presence else { return };
+        if self.leaving.is_some() {
+            presence.stands(Standing::Leaving);
+        } else if ready {
+            presence.stands(Standing::Ready);
+        }
+        let others = presence.others();
+        if others.alive != self.others.alive {
+            log::info!("other processes at this address: {}", others.alive);
+        }
+        self.others = others;
+        let part = self.connections / (1 + others.alive);
+        self.turn.room += part as isize - std::mem::replace(&mut self.part, part) as isize;
+        self.clients.resize(part);
+        self.turn.deadlines.shift(Due::Others, &mut self.others_at, Some(self.turn.now + OTHERS_LOOK));
+    }
+
     fn drain(&mut self) -> &'static str {
         if self.leaving.is_some() {
             return "200 leaving, which does the same";
@@ -344,10 +400,13 @@
     }
 
     /// Looks how far leaving has come.
-    fn leave_further(&mut self, Leaving { since, until }: Leaving) {
+    fn leave_further(&mut self, Leaving { since, until, succeeded }: Leaving) {
         let now = self.turn.now;
         let gone = now.since(since);
-        let alone = gone >= LEAVE_LEAST && self.clients.quiet(&self.turn);
+        let alone = !succeeded && gone >= LEAVE_LEAST && self.clients.quiet(&self.turn);
+        if succeeded {
+            self.clients.stop_listening(&mut self.turn);
+        }
         if alone || gone >= until.since(since) * LEAVE_TAKING {
             self.look_again.extend(self.clients.part(&mut self.turn));
             self.clients.stop_listening(&mut self.turn);
@@ -380,6 +439,7 @@
             }
             Due::Accept => self.accept(),
             Due::Away => self.away_further(),
+            Due::Others => self.look_at_others(),
             Due::Operator(key) => self.operators.iter_mut().for_each(|o| o.overdue(key, turn)),
         }
     }
