New settings are taken at SIGHUP; open reqs keep the methods that they came with

A changed method gets a place of its own (Terms::after); the module hears retune, and a req's most write-outs are fixed at its arrival; launch.rs demands each key that the file before had.

--- a/crates/sidecar/src/launch.rs
+++ b/crates/sidecar/src/launch.rs
@@ -23,6 +23,9 @@
 const SOCKETS: u64 = 1024;
 const MEMORY_MB: u64 = 192;
 
+/// Keys that a file may have for a while.
+const OPTIONAL: [&str; 2] = ["known", "watch"];
+
 /// Which has the last word where a variable and the file differ.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub enum Winner {
@@ -50,6 +53,8 @@
     pub terms: Terms,
     /// The terms of other settings, of which it is only counted where they would decide otherwise.
     pub watched: Option<Terms>,
+    /// The keys that the file has, at its top and in `settings`, and that a later one must have too.
+    pub keys: Vec<String>,
     /// What the settings allow and this program cannot do, by key.
     pub unmet: Vec<String>,
     pub connection_idle: Span,
@@ -87,6 +92,16 @@
     }
 }
 
+/// The keys of a file that no later one may lack.
+fn keys(file: &Value) -> Vec<String> {
+    let of = |value: &Value, under: &str| match value {
+        Value::Object(fields) => fields.keys().map(|key| format!("{under}{key}")).collect::<Vec<_>>(),
+        _ => Vec::new(),
+    };
+    let top = of(file, "").into_iter().filter(|key| !OPTIONAL.contains(&key.as_str()));
+    top.chain(of(&file["settings"], "settings.")).collect()
+}
+
 fn limit(file: &Value, key: &str, default: u64) -> Result<u64, String> {
     match &file["limits"][key] {
         Value::Null => Ok(default),
@@ -108,6 +123,18 @@
 fn terms(key: &str, pairs: &[(String, String)], unmet: &mut Vec<String>) -> Result<Terms, String> {
     let terms = Terms::decode(pairs.iter().map(|(path, value)| (path.as_str(), value.as_str())));
     let mut terms = terms.map_err(|what| format!("{key}: {what}"))?;
+    let mut names: Vec<_> = terms.methods.iter().map(|method| method.name.as_str()).collect();
+    names.sort_unstable();
+    let twice = names.windows(2).any(|pair| pair[0] == pair[1]);
+    if names.is_empty() || names.contains(&"") || twice {
+        return Err(format!("{key}.methods: expected at least one, each with a name of its own"));
+    }
+    if let Some(at) = terms.methods.iter().position(|method| method.deadline == Span::ZERO) {
+        return Err(format!("{key}.methods.{at}.deadlineNs: expected a positive whole number"));
+    }
+    if terms.most_write_outs == 0 {
+        return Err(format!("{key}.ceilings.mostWriteOuts: expected a positive whole number"));
+    }
     if std::mem::take(&mut terms.may_tell) {
         unmet.push(format!("{key}.ceilings.mayTell: messages cannot be sent on sockets; none are"));
     }
@@ -123,14 +150,19 @@
     pub fn read(path: Option<PathBuf>) -> Result<Launch, String> {
         let path = path.or_else(|| env::var("BALANCER_CONFIG").ok().map(PathBuf::from));
         let path = path.ok_or("BALANCER_CONFIG: no configuration is named, by this variable or --config")?;
-        Launch::read_from(path, Winner::Variable)
+        Launch::read_from(path, Winner::Variable, &[])
     }
 
-    /// Reads a file that may have been read before.
-    pub fn read_from(path: PathBuf, winner: Winner) -> Result<Launch, String> {
+    /// Reads a file that may have been read before, and then had these keys.
+    pub fn read_from(path: PathBuf, winner: Winner, keys: &[String]) -> Result<Launch, String> {
         let place = |path: &Path, what: String| format!("{}: {what}", path.display());
         let file = fs::read(&path).map_err(|e| place(&path, e.to_string()))?;
         let file = serde_json::from_slice(&file).map_err(|e| place(&path, format!("not JSON: {e}")))?;
+        // Danger: a file that was cut short, or lost a key, would be filled in with defaults.
+        let has = self::keys(&file);
+        if let Some(lost) = keys.iter().find(|key| !has.contains(key)) {
+            return Err(place(&path, format!("{lost}: missing, and it was there before")));
+        }
         Launch::check(file, path.clone(), winner).map_err(|what| place(&path, what))
     }
 
@@ -208,6 +240,7 @@
             connections,
             connection_idle: span("ceilings.connIdleNs")?,
             connect_timeout: span("ceilings.connectTimeoutNs")?,
+            keys: keys(&file),
             known: file["known"].take(),
             terms,
             watched,
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -1,11 +1,13 @@
 //! The loop: poll, take the time once, feed what was heard, pull decisions until there is none, write.
 
+use std::collections::HashSet;
 use std::convert::Infallible;
 use std::io;
 use std::path::PathBuf;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use appledyke::ids::{self, Names};
+use appledyke::terms::Terms;
 use appledyke::units::{Moment, Span};
 use appledyke::{Decision, Entry, Outcome};
 use mio::{Events, Interest, Poll};
@@ -78,6 +80,8 @@
 pub struct Sidecar {
     /// What configures it.
     file: PathBuf,
+    /// The keys of the file taken last.
+    keys: Vec<String>,
     poll: Poll,
     signals: Signals,
     clock: Clock,
@@ -144,6 +148,7 @@
         let unasked = launch.terms.ask_within.is_none();
         let mut sidecar = Sidecar {
             file: launch.path,
+            keys: launch.keys,
             signals,
             clock,
             turn,
@@ -273,17 +278,36 @@
     /// Takes over what can change while reqs are under way: where the list is asked. The rest is for a start.
     fn read_again(&mut self) {
         self.tell_watch();
-        match Launch::read_from(self.file.clone(), Winner::File) {
+        match Launch::read_from(self.file.clone(), Winner::File, &self.keys) {
             Ok(launch) => {
+                self.figures.reloads += 1;
                 log::info!("read again: list at {}", launch.discovery);
                 if self.list.move_to(launch.discovery, &mut self.turn) {
                     self.choice.list_failed(self.turn.now);
                 }
+                self.keys = launch.keys;
+                self.retune(launch.terms, launch.watched);
+            }
+            Err(what) => {
+                self.figures.reload_errors += 1;
+                log::warn!("read again, and kept as it was: {what}");
             }
-            Err(what) => log::warn!("read again, and kept as it was: {what}"),
         }
     }
 
+    /// Other terms hold for reqs that arrive from now on; open ones keep the methods that they came with.
+    fn retune(&mut self, terms: Terms, watched: Option<Terms>) {
+        let held: HashSet<usize> = self.reqs.iter().map(|(_, req)| req.method).collect();
+        let (terms, places) = terms.after(self.choice.terms(), |at| held.contains(&at));
+        let names = places.iter().map(|(at, _)| terms.methods[*at].name.as_str()).collect::<Vec<_>>();
+        if !names.is_empty() {
+            log::info!("new or changed methods: {}", names.join(", "));
+        }
+        let offered = terms.methods.iter().zip(&terms.offered).filter(|(_, offered)| **offered);
+        offered.for_each(|(method, _)| self.figures.offer(&method.name));
+        self.choice.retune(terms, watched, &places);
+    }
+
     fn tell_watch(&self) {
         self.choice.counts().into_iter().for_each(|counts| log::info!("watch: {counts}"));
     }
--- a/crates/sidecar/src/watch.rs
+++ b/crates/sidecar/src/watch.rs
@@ -88,6 +88,15 @@
         self.real.terms()
     }
 
+    /// Other terms hold from now on, at these places.
+    pub fn retune(&mut self, terms: Terms, watched: Option<Terms>, places: &[(usize, Option<usize>)]) {
+        if let Some(watch) = &mut self.watch {
+            let watched = watched.unwrap_or_else(|| watch.choice.terms().clone());
+            watch.choice.retune(watched.aligned(&terms), places);
+        }
+        self.real.retune(terms, places);
+    }
+
     /// How many endpoints are listed, and how many of them are avoided.
     pub fn avoided(&self, now: Moment) -> (usize, usize) {
         self.real.avoided(now)
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,6 +1,6 @@
 //! Every decision of one instance. Make a `Choice` from the decoded terms and a seed, tell it what happens
-//! (`arrival`, `outcome`, `streaming`, `hangup`, `list_*`, `wake`), then pull `next_decision` until there is
-//! none. `lib.rs` defines the decisions and the words they are made of, `terms.rs` the terms.
+//! (`arrival`, `outcome`, `streaming`, `hangup`, `list_*`, `wake`, `retune`), then pull `next_decision` until
+//! none is left. `lib.rs` defines the decisions and the words they are made of, `terms.rs` the terms.
 //!
 //! The ordinary way of a req is the design's: the drop chance from a rolling window on arrival, fractions
 //! from inverse smoothed served latency, weighted draws that pass over an endpoint with much in flight. Loads
@@ -17,7 +17,7 @@
 
 use std::collections::{HashMap, VecDeque};
 
-use crate::figures::{Chance, Rate, Rolling, Slope, Usual, Vote, smoothed};
+use crate::figures::{Chance, Habit, Rate, Rolling, Slope, Usual, smoothed};
 use crate::news::Told;
 use crate::terms::{Effect, Group, Method, Terms};
 use crate::units::{Moment, Span};
@@ -31,8 +31,7 @@
 const SOLVE_EVERY: Span = Span::from_millis(1000); // between two solves of the fractions
 const SMOOTHING: f64 = 0.1; // least part of a new latency: about the last ten count
 const SMOOTHING_OVER: Span = Span::from_millis(2500); // of one heard from seldom: those of this time count
-const MARGIN_TIMES: f64 = 1.25; // in flight beyond this multiple of the mean, plus so many, is well above it
-const MARGIN_PLUS: f64 = 0.5;
+const MARGIN: (f64, f64) = (1.25, 0.5); // in flight beyond so many means, plus that, is well above it
 const TRIED_WEIGHT: f64 = 0.01; // of an endpoint that the req has been to: only if there is hardly another
 // Distrust, in halvings of traffic.
 const DISTRUST_STEP: f64 = 1.0; // for a failure
@@ -97,7 +96,9 @@
 }
 
 /// For one req.
+#[derive(Default)]
 struct Req {
+    most: usize, // write-outs that it may have
     method: usize,
     age: Span, // for how long at least the client has been asking before
     size: f64, // its work against what is usual for its method, as far as that is told
@@ -151,19 +152,18 @@
     held: Vec<usize>,        // reqs that wait for an endpoint, the most worth first
     look_at_held: bool,
     out: VecDeque<Decision>,
-    window: Rolling,        // requests and accepts
-    work: Vec<Option<f64>>, // work of each method's reqs in the mean, in seconds, as far as it is told
-    usual: Usual,           // usual served latency of each method here by kind of machine, in seconds
-    load_usual: f64,        // usual load as reported
-    telling: Slope,         // what a load tells of the latency that follows
-    sends: Rate,            // in fall windows
-    answers: Rate,          // the same, here and at peers that told of them
-    news: Vec<u8>,          // what has yet to be told to peers
+    window: Rolling,    // requests and accepts
+    habits: Vec<Habit>, // of the clients, by method
+    usual: Usual,       // usual served latency of each method here by kind of machine, in seconds
+    load_usual: f64,    // usual load as reported
+    telling: Slope,     // what a load tells of the latency that follows
+    sends: Rate,        // in fall windows
+    answers: Rate,      // the same, here and at peers that told of them
+    news: Vec<u8>,      // what has yet to be told to peers
     tell_at: Moment,
     marks: HashMap<u32, usize>, // the endpoints by what peers call them
     fleet: f64,                 // how many endpoints are ready
     solved: Option<Moment>,
-    try_length: Vec<Vote>, // of each method, by the time that its reqs have left
     purse: f64,
     bound: f64,
     bound_aim: f64,
@@ -185,8 +185,7 @@
         let sharers = if terms.may_tell { 1.0 } else { terms.instances };
         let (bound_least, first) = (least / sharers, first / sharers);
         let mut choice = Choice {
-            try_length: vec![Vote::default(); terms.methods.len()],
-            work: vec![None; terms.methods.len()],
+            habits: vec![Habit::default(); terms.methods.len()],
             load_usual: 1.0,
             telling: Slope::new(SLOPE_FIRST.0, SLOPE_FIRST.1),
             window: Rolling::new(now, BUCKET, BUCKETS),
@@ -212,30 +211,42 @@
         &self.terms
     }
 
+    /// Other terms hold for what arrives from now on. Methods that open reqs hold have kept their places; of
+    /// each other place it is told which one its name had before, if any: what was learnt there stays.
+    pub fn retune(&mut self, terms: Terms, places: &[(usize, Option<usize>)]) {
+        for (to, from) in places {
+            self.habits.resize(terms.methods.len(), Habit::default());
+            self.habits[*to] = Habit::default();
+            self.usual.follow(*to, *from);
+            for e in self.endpoints.iter_mut().flatten() {
+                e.distrust.resize(terms.methods.len(), 0.0);
+                e.distrust[*to] = from.map_or(0.0, |from| e.distrust[from]);
+            }
+        }
+        self.terms = terms;
+    }
+
     pub fn arrival(&mut self, now: Moment, req: usize, method: usize, left: Span, work: Option<Span>) {
         // A req's size is its expected work against what its method's reqs have in the mean.
         let size = work.map_or(1.0, |work| {
-            let mean = smoothed(self.work[method], work.secs(), USUAL_PART);
-            self.work[method] = Some(mean);
+            let mean = smoothed(self.habits[method].work, work.secs(), USUAL_PART);
+            self.habits[method].work = Some(mean);
             (work.secs() / mean.max(1e-9)).clamp(SIZES.0, SIZES.1)
         });
         self.reqs.resize_with(self.reqs.len().max(req + 1), || None);
         // Danger: a client that returns late would take a place for an answer that is worth nothing any more.
         // Tries have one length, found by a vote; one with less left is cut by its client's whole deadline.
-        let cut = self.try_length[method].shorter(left);
+        let cut = self.habits[method].tries.shorter(left);
         let age = if cut { self.terms.methods[method].deadline.less(left) } else { Span::ZERO };
         self.reqs[req] = Some(Req {
             method,
             age,
             size,
+            most: self.terms.most_write_outs,
             arrived: now,
             deadline: now + left,
-            write_outs: Vec::new(),
-            admitted: false,
-            streaming: false,
-            closed: false,
-            asked: Vec::new(),
             asks_until: now,
+            ..Req::default()
         });
         self.due.push_back(req);
     }
@@ -323,8 +334,7 @@
         // Danger: by its own few reqs no instance can tell how much is out. By what all have told, it is the
         // time that write-outs took, in a second, over the endpoints.
         if self.terms.may_tell && self.asks == 0 {
-            let peers = self.terms.instances - 1.0;
-            let times = if own { 1.0 } else { (peers / TELL_PEERS as f64).max(1.0) };
+            let times = if own { 1.0 } else { ((self.terms.instances - 1.0) / TELL_PEERS as f64).max(1.0) };
             self.fade_crowd(now);
             self.crowd += secs * times / CROWD_TOLD.secs() / self.fleet.max(1.0);
         }
@@ -336,8 +346,7 @@
             let answers = self.answers.in_second().max(self.sends.in_second());
             let gain = (BOUND_GAIN / answers.max(1e-6)).min(BOUND_GAIN_MOST);
             // Danger: a least that each instance may hold adds up over them. One must be possible, though.
-            let one = if shared { 0.0 } else { 1.0 / self.fleet.max(1.0) };
-            let least = self.bound_least.max(one);
+            let least = self.bound_least.max(if shared { 0.0 } else { 1.0 / self.fleet.max(1.0) });
             self.bound = (self.bound * (1.0 + gain * off)).max(least);
         }
     }
@@ -479,8 +488,7 @@
         if now >= r.useful_until(&self.terms) {
             return self.end(req);
         }
-        if !r.admitted {
-            r.admitted = true;
+        if !std::mem::replace(&mut r.admitted, true) {
             self.purse = (self.purse + PURSE_SHARE).min(PURSE_MOST);
             let (requests, accepts) = self.window.sums(now);
             if self.chance.part() < (requests - PROTECTION - K * accepts) / (requests + 1.0) {
@@ -489,7 +497,7 @@
         }
         let r = self.reqs[req].as_ref().expect("looked up above");
         let further = !r.write_outs.is_empty();
-        let spent = self.purse < 1.0 || r.write_outs.len() >= self.terms.most_write_outs;
+        let spent = self.purse < 1.0 || r.write_outs.len() >= r.most;
         let only_once = self.terms.methods[r.method].effect == Effect::NonRetryable && !r.never_ran();
         if further && (spent || only_once) {
             return self.end(req);
@@ -523,7 +531,7 @@
     /// req, and a place here, until the client gives up; so another is tried, if half the purse is there.
     fn give_up(&self, now: Moment, req: usize) -> Moment {
         let r = self.reqs[req].as_ref().expect("only open reqs are sent");
-        let (m, last) = (&self.terms.methods[r.method], r.write_outs.len() == self.terms.most_write_outs);
+        let (m, last) = (&self.terms.methods[r.method], r.write_outs.len() == r.most);
         let others = self.fleet > 1.0 && self.ready().all(|(_, e)| self.may_repeat(now, r, m, e));
         let usual = self.usual.of(r.method).filter(|_| !last && self.purse >= PURSE_MOST / 2.0);
         let parts = usual.map(|usual| PATIENCE * usual * r.size / m.latency_budget.secs().max(1e-6));
@@ -535,8 +543,7 @@
     fn hold(&mut self, now: Moment, req: usize) {
         let r = self.reqs[req].as_mut().expect("only open reqs are held");
         r.asked.clear();
-        let m = &self.terms.methods[r.method];
-        let wait = m.latency_budget * HOLD_SHARE;
+        let wait = self.terms.methods[r.method].latency_budget * HOLD_SHARE;
         if now + HOLD_LOOK >= (r.arrived + wait).min(r.deadline) {
             return self.end(req);
         }
@@ -562,9 +569,9 @@
         usual * (1.0 + self.telling.get() * self.load_off(e).unwrap_or(0.0)) * latency
     }
 
-    /// How far the load reported there is off the usual one, in parts of it.
+    /// How far the reqs in hand there, from all instances, are off the usual, in parts of it, where reported.
     fn load_off(&self, e: &Endpoint) -> Option<f64> {
-        e.load().map(|load| (load + 1.0) / (self.load_usual + 1.0) - 1.0)
+        e.others.map(|others| (others + e.in_flight as f64 + 1.0) / (self.load_usual + 1.0) - 1.0)
     }
 
     /// The final answer of a req that is given up: nacked where a repeat does no harm, else failed.
@@ -590,12 +597,11 @@
         let out = r.write_outs.iter().enumerate().filter(|(_, w)| w.ended.is_none());
         let revokes = out.map(|(write_out, _)| Decision::Revoke { req, write_out }).collect::<Vec<_>>();
         if !revokes.is_empty() {
-            self.out.extend(revokes.into_iter().filter(|_| self.terms.may_revoke));
-        } else {
-            self.reqs[req] = None;
-            self.held.retain(|held| *held != req);
-            self.out.push_back(Decision::ForgetReq { req });
+            return self.out.extend(revokes.into_iter().filter(|_| self.terms.may_revoke));
         }
+        self.reqs[req] = None;
+        self.held.retain(|held| *held != req);
+        self.out.push_back(Decision::ForgetReq { req });
     }
 
     /// Whether the req waits for reports of load, where endpoints give them to probes: from a few, drawn as
@@ -736,7 +742,7 @@
             } else {
                 // Danger: in a rush only endpoints that are down stay below the mean, and would get all. So a
                 // further write-out must fit the place that the endpoint's trust leaves it.
-                let room = place * MARGIN_TIMES * mean + trust * (1.0 + share * MARGIN_PLUS);
+                let room = place * MARGIN.0 * mean + trust * (1.0 + share * MARGIN.1);
                 (e.in_flight as f64 >= (bound * share).max(1.0), e.in_flight as f64 + 1.0 > room)
             };
             if spent || full {
@@ -797,8 +803,7 @@
         for (at, slot) in self.endpoints.iter_mut().enumerate() {
             let Some(e) = slot else { continue };
             e.fraction = e.latency.map_or(mean, |_| e.fraction);
-            let over =
-                e.entry.standing == Standing::Gone && e.in_flight == 0 && now.since(e.gone_at) > GONE_KEPT;
+            let over = e.entry.standing == Standing::Gone && e.in_flight == 0 && e.gone_at + GONE_KEPT < now;
             if over && !self.reqs.iter().flatten().any(|r| r.write_outs.iter().any(|w| w.endpoint == at)) {
                 self.marks.remove(&e.entry.mark);
                 *slot = None;
@@ -890,11 +895,6 @@
         self.entry.standing == Standing::Ready
     }
 
-    /// Reqs in hand there, from all instances, where that was reported.
-    fn load(&self) -> Option<f64> {
-        self.others.map(|others| others + self.in_flight as f64)
-    }
-
     /// By method, or by that which fares worst.
     fn trust(&self, now: Moment, method: Option<usize>) -> f64 {
         let worst = || self.distrust.iter().copied().fold(0.0, f64::max);
--- a/src/figures.rs
+++ b/src/figures.rs
@@ -133,6 +133,15 @@
     votes: u32,
 }
 
+/// How a method's clients ask.
+#[derive(Clone, Default)]
+pub struct Habit {
+    /// The time that one try has.
+    pub tries: Vote,
+    /// Work of a req in the mean, in seconds, as far as it is told.
+    pub work: Option<f64>,
+}
+
 impl Vote {
     /// Counts a sample; whether it is surely shorter than most.
     pub fn shorter(&mut self, sample: Span) -> bool {
@@ -199,6 +208,15 @@
         *self.0.get(kind)?.get(method)?
     }
 
+    /// A method takes a place anew, with the figures of another place or without any.
+    pub fn follow(&mut self, place: usize, from: Option<usize>) {
+        for methods in &mut self.0 {
+            let figure = from.and_then(|from| *methods.get(from)?);
+            methods.resize(methods.len().max(place + 1), None);
+            methods[place] = figure;
+        }
+    }
+
     /// How quick a kind is at a method, against the mean of the kinds.
     pub fn suits(&self, kind: usize, method: usize) -> f64 {
         self.at(kind, method).zip(self.of(method)).map_or(1.0, |(usual, mean)| mean / usual.max(1e-6))
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -20,7 +20,7 @@
     Cell,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Method {
     pub name: String,
     pub effect: Effect,
@@ -44,7 +44,9 @@
     pub load_at: Option<usize>,
     /// What one probe a req costs.
     pub probe_price: f64,
+    /// A place whose method is not offered any more is there for the reqs that still hold it.
     pub methods: Vec<Method>,
+    pub offered: Vec<bool>,
     pub most_write_outs: usize,
     pub may_revoke: bool,
     pub longest_come_back: Option<Span>,
@@ -141,6 +143,56 @@
         value.trim().parse().ok().filter(|load: &f64| load.is_finite())
     }
 
+    /// The place of the method that clients mean by a name now.
+    pub fn place(&self, name: &str) -> Option<usize> {
+        (0..self.methods.len()).find(|at| self.offered[*at] && self.methods[*at].name == name)
+    }
+
+    /// These terms after others: a method that has stayed as it was keeps its place, one that is still held by reqs keeps
+    /// its too but is not offered any more, and each other takes a free place or one more. Returned with each of these
+    /// goes the place that its name had before.
+    pub fn after(
+        mut self,
+        before: &Terms,
+        held: impl Fn(usize) -> bool,
+    ) -> (Terms, Vec<(usize, Option<usize>)>) {
+        let came = std::mem::replace(&mut self.methods, before.methods.clone());
+        self.offered = (0..self.methods.len())
+            .map(|at| before.offered[at] && came.contains(&self.methods[at]))
+            .collect();
+        // Danger: a place that one takes before another's name has left it would lose what was learnt there.
+        let last: Vec<_> = came.iter().map(|method| before.place(&method.name)).collect();
+        let mut places = Vec::new();
+        for method in came {
+            let own = before.place(&method.name);
+            if own.is_some_and(|at| before.methods[at] == method) {
+                continue;
+            }
+            let may_take = |at: &usize| own == Some(*at) || !last.contains(&Some(*at));
+            let free = (0..self.methods.len()).filter(|at| !self.offered[*at] && !held(*at)).find(may_take);
+            let place = free.unwrap_or(self.methods.len());
+            places.push((place, own));
+            if place == self.methods.len() {
+                self.methods.push(method);
+                self.offered.push(true);
+            } else {
+                (self.methods[place], self.offered[place]) = (method, true);
+            }
+        }
+        (self, places)
+    }
+
+    /// These terms with their methods at the places where others have theirs; one that these lack stays as it is there.
+    pub fn aligned(mut self, others: &Terms) -> Terms {
+        let own = |(method, offered): (&Method, &bool)| {
+            let own = self.methods.iter().find(|own| *offered && own.name == method.name);
+            own.unwrap_or(method).clone()
+        };
+        self.methods = others.methods.iter().zip(&others.offered).map(own).collect();
+        self.offered = others.offered.clone();
+        self
+    }
+
     /// Reads the terms from path and value pairs; paths that it does not know are passed over.
     pub fn decode<'a>(pairs: impl Iterator<Item = (&'a str, &'a str)>) -> Result<Terms, String> {
         let p = Pairs(pairs.collect());
@@ -158,6 +210,7 @@
             may_tell: p.flag_or("ceilings.mayTell", false)?,
             probe_price: p.or("deductions.probe", 0.0)?,
             load_at: p.load_at()?,
+            offered: vec![true; methods.len()],
             methods: methods.collect::<Result<_, String>>()?,
             most_write_outs: p.read("ceilings.mostWriteOuts")?,
             may_revoke: p.flag("ceilings.cancel")?,
