--- a/crates/sidecar/tests/daily/mod.rs
+++ b/crates/sidecar/tests/daily/mod.rs
@@ -1,4 +1,5 @@
 //! The days of daily service, a file for each part.
 
 mod operator;
+mod settings;
 mod upgrade;
--- /dev/null
+++ b/crates/sidecar/tests/daily/settings.rs
@@ -0,0 +1,147 @@
+//! New settings at SIGHUP, on the loopback.
+
+use std::time::{Duration, Instant};
+
+use crate::stand_ins::{Client, Endpoint, Sidecar, asked, configuration, entry, list, list_of, ok};
+
+const VIEW: &str = "\"name\":\"view\",\"effect\":\"retryable\"";
+
+/// The configuration with another method, named so and with this effect.
+fn with_method(text: &str, name: &str, effect: &str) -> String {
+    let start = text.find("{\"name\":\"view\"").unwrap();
+    let end = start + text[start..].find('}').unwrap() + 1;
+    let method = text[start..end].replace(VIEW, &format!("\"name\":\"{name}\",\"effect\":\"{effect}\""));
+    text.replacen(&text[start..end], &format!("{},{method}", &text[start..end]), 1)
+}
+
+/// Writes the file anew, tells the sidecar, and waits until it has taken it or turned it down.
+fn reload(sidecar: &Sidecar, text: &str) -> &'static str {
+    let counts =
+        || ["sidecar_config_reloads", "sidecar_config_reload_errors"].map(|name| sidecar.figure(name));
+    let before = counts();
+    std::fs::write(&sidecar.file, text).unwrap();
+    sidecar.signal("-HUP");
+    let told = Instant::now();
+    loop {
+        let now = counts();
+        if now != before {
+            assert_eq!(now[0] + now[1], before[0] + before[1] + 1);
+            return if now[0] > before[0] { "taken" } else { "turned down" };
+        }
+        assert!(told.elapsed() < Duration::from_secs(5));
+    }
+}
+
+fn asks(sidecar: &Sidecar, verb: &str, name: &str) -> String {
+    let mut client = Client::connect(sidecar);
+    client.send(format!("{verb} /{name}/1 HTTP/1.1\r\nX-Txn: {name}\r\nContent-Length: 0\r\n\r\n"));
+    client.status()
+}
+
+fn started(endpoint: &Endpoint) -> (Sidecar, String) {
+    let known = list_of(1, true, &[entry("e0", endpoint.at, 0, "up")]);
+    let text = asked(&configuration(list().0, 1024, &known));
+    (Sidecar::start(&text), text)
+}
+
+#[test]
+fn methods_come_go_and_change_while_open_reqs_keep_theirs() {
+    // A req is answered once it is let go; the first write-out of each then breaks where it is to.
+    let (go, wait) = std::sync::mpsc::channel::<bool>();
+    let wait = std::sync::Arc::new(std::sync::Mutex::new(wait));
+    let endpoint = Endpoint::start(move |req| match req.contains("Txn: open") {
+        true if wait.lock().unwrap().recv().unwrap() => None,
+        _ => ok("menu"),
+    });
+    let (sidecar, text) = started(&endpoint);
+    assert_eq!(asks(&sidecar, "GET", "soups"), "404");
+    let more = with_method(&text, "soups", "retryable");
+    assert_eq!(reload(&sidecar, &more), "taken");
+    assert_eq!((asks(&sidecar, "GET", "soups"), asks(&sidecar, "GET", "view")), ("200".into(), "200".into()));
+    // Open while its method is dropped, and then stands for something else.
+    let mut open = Client::connect(&sidecar);
+    open.send("GET /soups/1 HTTP/1.1\r\nX-Txn: open\r\nX-Remaining-Ms: 2500\r\n\r\n");
+    while !endpoint.next().contains("Txn: open") {}
+    assert_eq!(reload(&sidecar, &text), "taken");
+    assert_eq!(asks(&sidecar, "GET", "soups"), "404");
+    // What has been counted of it stays.
+    assert_eq!(sidecar.figure("sidecar_completed{lane=\"soups\"}"), 1);
+    let fewer = text.replace("\"mostWriteOuts\":3", "\"mostWriteOuts\":1");
+    assert_eq!(reload(&sidecar, &with_method(&fewer, "soups", "fragile")), "taken");
+    assert_eq!(
+        (asks(&sidecar, "GET", "soups"), asks(&sidecar, "POST", "soups")),
+        ("405".into(), "200".into())
+    );
+    // Its write-out breaks: it came as one that may be sent again, when three were allowed.
+    go.send(true).unwrap();
+    go.send(false).unwrap();
+    assert_eq!(open.status(), "200");
+    assert_eq!(sidecar.figure("sidecar_completed{lane=\"soups\"}"), 3);
+    // The same under the new rules may have run, and one write-out is all there is.
+    open.send("POST /soups/1 HTTP/1.1\r\nX-Txn: open\r\nContent-Length: 0\r\n\r\n");
+    go.send(true).unwrap();
+    assert_eq!(open.status(), "502");
+}
+
+#[test]
+fn a_broken_file_changes_nothing_and_is_counted() {
+    let endpoint = Endpoint::start(|_| ok("menu"));
+    let (sidecar, text) = started(&endpoint);
+    assert_eq!(reload(&sidecar, &text), "taken");
+    // All of these also name another list and drop a method, and neither is taken.
+    let other = text
+        .replace("\"name\":\"order\"", "\"name\":\"meal\"")
+        .replace("\"discovery\":\"127", "\"discovery\":\"128");
+    let without = |key: &str| other.replace(&format!("\"{key}\":"), &format!("\"{key}-gone\":"));
+    for broken in [
+        String::new(),
+        other[..other.len() / 2].to_string(),
+        other.replace("\"deadlineNs\":3000000000", "\"deadlineNs\":0"),
+        other.replace("\"deadlineNs\":3000000000", "\"deadlineNs\":-3"),
+        other.replace("\"deadlineNs\":3000000000", "\"deadlineNs\":2.5"),
+        other.replace("\"deadlineNs\":3000000000", "\"deadlineNs\":\"soon\""),
+        other.replace("\"mostWriteOuts\":3", "\"mostWriteOuts\":0"),
+        other.replace("\"mostWriteOuts\":3", "\"mostWriteOuts\":1.5"),
+        other.replace("\"name\":\"meal\"", "\"name\":\"view\""),
+        other.replace("\"effect\":\"retryable\"", "\"effect\":\"whatever\""),
+        without("deadlineNs"),
+        without("mostWriteOuts"),
+        without("name"),
+        without("seed"),
+        without("methods"),
+        without("settings"),
+        without("listen"),
+        without("limits"),
+        without("discovery"),
+        without("rules"),
+    ] {
+        assert_eq!(reload(&sidecar, &broken), "turned down", "{broken}");
+        let mut client = Client::connect(&sidecar);
+        client.order();
+        assert_eq!(client.status(), "200", "{broken}");
+    }
+    assert_eq!(asks(&sidecar, "GET", "meal"), "404");
+}
+
+#[test]
+fn a_hundred_reloads_under_load_grow_nothing_and_lose_no_req() {
+    let endpoint = Endpoint::start(|_| ok("menu"));
+    let (sidecar, text) = started(&endpoint);
+    let mut client = Client::connect(&sidecar);
+    let round = |number: u32| {
+        let changed = text.replace("\"criticality\":1.0", &format!("\"criticality\":{number}.5"));
+        std::fs::write(&sidecar.file, changed).unwrap();
+        sidecar.signal("-HUP");
+    };
+    let mut memory = 0;
+    for number in 0..100 {
+        round(number);
+        client.view();
+        client.order();
+        assert_eq!((client.status(), client.status()), ("200".into(), "200".into()));
+        if number == 20 {
+            memory = sidecar.memory();
+        }
+    }
+    assert!(sidecar.memory() < memory + (1 << 20), "{} after {memory} bytes", sidecar.memory());
+}
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -222,3 +222,56 @@
         })
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Terms with these methods, each with a criticality.
+    fn terms(methods: &[(&str, f64)]) -> Terms {
+        let method = |(name, criticality): &(&str, f64)| Method {
+            name: name.to_string(),
+            effect: Effect::Retryable,
+            group: Group::All,
+            window: Span::ZERO,
+            latency_budget: Span::ZERO,
+            deadline: Span::ZERO,
+            overdue_criticality: 0.0,
+            criticality: *criticality,
+        };
+        let methods: Vec<_> = methods.iter().map(method).collect();
+        Terms { offered: vec![true; methods.len()], methods, ..Terms::default() }
+    }
+
+    #[test]
+    fn a_method_that_has_changed_takes_a_place_of_its_own_and_held_ones_stay() {
+        let first = terms(&[("a", 1.0), ("b", 1.0), ("c", 1.0)]);
+        // The same again: nothing moves.
+        let (same, places) = terms(&[("c", 1.0), ("a", 1.0), ("b", 1.0)]).after(&first, |_| true);
+        assert_eq!((places.as_slice(), same.methods == first.methods), (&[][..], true));
+        // One dropped, one changed, one new, and reqs hold the first place.
+        let (second, places) = terms(&[("d", 1.0), ("a", 2.0), ("c", 1.0)]).after(&first, |at| at == 0);
+        assert_eq!(places, [(1, None), (3, Some(0))]);
+        let at = |terms: &Terms, name: &str| terms.place(name);
+        let found = ["a", "b", "c", "d"].map(|name| at(&second, name));
+        assert_eq!(found, [Some(3), None, Some(2), Some(1)]);
+        assert_eq!((second.methods[0].name.as_str(), second.methods[0].criticality), ("a", 1.0));
+        // What both leave is used again, but none takes a place before its name has moved on.
+        let (third, places) = terms(&[("e", 1.0), ("d", 2.0), ("a", 3.0)]).after(&second, |_| false);
+        assert_eq!(
+            (places.as_slice(), third.methods.len()),
+            (&[(0, None), (1, Some(1)), (2, Some(3))][..], 4)
+        );
+    }
+
+    #[test]
+    fn a_thousand_changes_take_no_more_places_than_reqs_hold() {
+        let mut now = terms(&[("a", 0.0), ("b", 0.0)]);
+        for round in 1..1000 {
+            let held = |at: usize| at == round % 3;
+            now =
+                terms(&[("a", f64::from(round as u32)), ("b", f64::from(round as u32))]).after(&now, held).0;
+        }
+        assert!(now.methods.len() <= 4, "{}", now.methods.len());
+    }
+}
