--- a/crates/sidecar/src/net/clients.rs
+++ b/crates/sidecar/src/net/clients.rs
@@ -3,6 +3,7 @@
 use std::collections::HashSet;
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
+use std::ops::Range;
 
 use appledyke::terms::{Effect, Terms};
 use appledyke::units::{Moment, Span};
@@ -11,9 +12,11 @@
 use socket2::{Domain, Protocol, Socket, Type};
 
 use super::Turn;
+use super::body::{Body, Step};
 use super::connection::Connection;
 use super::deadlines::Due;
-use super::http::{self, Bad, Frame};
+use super::http::{self, Bad, Frame, Length, Read};
+use super::servers::Message;
 use super::slots::{Key, Peer, Slots};
 
 /// The label that tells a req's work, in nanoseconds.
@@ -23,15 +26,23 @@
 /// How long a connection may stand idle between reqs: longer than most clients pause, and those that ask once
 /// and never close are not to fill the house.
 const IDLE_MOST: Span = Span::from_millis(10_000);
-/// In which a new connection must have brought a whole req, any other from its first byte on, and an answer be
-/// taken: who says nothing, or half a req, is owed an end within 3 s.
-const MESSAGE_IN: Span = Span::from_millis(2200);
+/// In which a new connection must have brought a whole head, any other from its first byte on: a client may take
+/// 2 s for it, and who says nothing, or never ends one, is owed an end within 3 s.
+const HEAD_IN: Span = Span::from_millis(2600);
+/// How long a body may bring nothing, and the rate that it has to keep up over that, in bytes a second: half of the
+/// slowest that is expected. Danger: who brings a byte at a time would hold a place for hours.
+const BODY_SILENT: Span = Span::from_millis(2000);
+const BODY_RATE: u64 = 32_000;
+/// How long a client may take nothing of its answer: peers take seconds to read.
+const UNREAD_MOST: Span = Span::from_millis(15_000);
 /// How long a connection that is being closed may take to read its last answer.
 const LINGER: Span = Span::from_millis(1000);
 /// How long a connection may bring its next req once connections part: it was opened for one.
 const LEAVE_IDLE: Span = Span::from_millis(300);
 /// How long a new connection is safe from making room: it was opened for a req, which is on its way.
 const FRESH: Span = Span::from_millis(1000);
+/// Buffers that are read and thrown away at one event, of a connection that is being closed.
+const DISCARD_TURNS: usize = 64;
 /// Connections that may wait to be taken, as many as with a listener that is not shared.
 const BACKLOG: i32 = 1024;
 /// Until accepting is tried again where there was no room.
@@ -48,6 +59,12 @@
         req: usize,
         frame: Frame,
     },
+    /// Its answer passes through, from this connection of an endpoint.
+    Passing {
+        from: Key,
+        keep: bool,
+        length: Length,
+    },
     /// The last answer is out, or on its way.
     Closing,
 }
@@ -59,6 +76,11 @@
     timed: bool,
     /// Leave to send a body was given.
     leave_given: bool,
+    /// What is still to come of the req that it waits for, behind the head, where that is long.
+    coming: Option<Body>,
+    /// How much had come at the last look at a body, and by when there must be more.
+    seen: usize,
+    body_until: Option<Moment>,
     /// When it came, or was last answered.
     since: Moment,
     answered: bool,
@@ -68,8 +90,47 @@
 /// What a client's connection brought.
 pub enum Said {
     Nothing,
-    Arrival { method: usize, left: Span, work: Option<Span>, frame: Frame },
-    Hangup { req: usize },
+    Arrival {
+        method: usize,
+        left: Span,
+        work: Option<Span>,
+        frame: Frame,
+    },
+    Hangup {
+        req: usize,
+    },
+    /// More of the body of the req that it waits for.
+    More,
+    /// It has taken what was there of the answer that passes from this connection.
+    Takes {
+        from: Key,
+    },
+    /// It has gone in the middle of that.
+    Gone {
+        from: Key,
+    },
+    /// It has brought something while its time ran out.
+    Brought,
+    /// Its body fell silent: the req that it waits for is to be answered so.
+    Silent {
+        req: usize,
+    },
+}
+
+/// What stands next of a body that is still to come, in its connection's buffer.
+pub enum Piece {
+    Data(Range<usize>),
+    End,
+    Later,
+    Bad(u16),
+    Gone,
+}
+
+/// Until when more of a body must have come, now that so many bytes have.
+fn body_until(until: Option<Moment>, bytes: usize, now: Moment) -> Moment {
+    let most = now + BODY_SILENT;
+    let earned = Span::from_nanos(bytes as u64 * (1_000_000_000 / BODY_RATE));
+    until.map_or(most, |until| (until + earned).min(most))
 }
 
 pub struct Clients {
@@ -104,7 +165,7 @@
 fn asked(head: &[u8], terms: &Terms) -> Result<Asked, Bad> {
     let read = |request: &httparse::Request| {
         let (verb, target) = (request.method.unwrap_or(""), request.path.unwrap_or(""));
-        let path = target.split('?').next().unwrap_or("");
+        let path = http::origin_form(target).split('?').next().unwrap_or("");
         if path == "/healthz" {
             return if verb == "GET" { Ok(Asked::Health) } else { Err(Bad(405)) };
         }
@@ -213,6 +274,9 @@
                     stage,
                     timed: false,
                     leave_given: false,
+                    coming: None,
+                    seen: 0,
+                    body_until: None,
                     since: turn.now,
                     answered: false,
                     deadline: None,
@@ -221,7 +285,7 @@
             match added {
                 Ok(key) => {
                     turn.room -= 1;
-                    self.time_out(key, turn.now + MESSAGE_IN, turn);
+                    self.time_out(key, turn.now + HEAD_IN, turn);
                 }
                 Err(e) => log::warn!("client: {e}"),
             }
@@ -283,6 +347,7 @@
         let Some(client) = self.slots.get_mut(key) else { return };
         (client.stage, client.timed, client.leave_given, client.since) =
             (Stage::Reading, false, false, turn.now);
+        (client.coming, client.seen, client.body_until) = (None, 0, None);
         self.time_out(key, turn.now + IDLE_MOST, turn);
     }
 
@@ -296,21 +361,38 @@
     /// answer, as the next req may have come already.
     pub fn ready(&mut self, key: Key, terms: &Terms, turn: &mut Turn) -> Said {
         let Some(client) = self.slots.get_mut(key) else { return Said::Nothing };
+        let unsent = client.connection.unsent();
         let works = client.connection.flush().is_ok() && client.connection.fill(http::MESSAGE_MOST).is_ok();
+        let moved = client.connection.unsent() < unsent;
         if matches!(client.stage, Stage::Closing) {
-            // Nothing is owed for what comes now.
+            // Nothing is owed for what comes now. Danger: what is left unread brings no event, and a client that is
+            // still sending would not get to read its answer.
+            for _ in 0..DISCARD_TURNS {
+                client.connection.input.clear();
+                if !client.connection.full || client.connection.fill(http::MESSAGE_MOST).is_err() {
+                    break;
+                }
+            }
             client.connection.input.clear();
         }
         // A client that ends its sending has gone away.
         if !works || client.connection.ended {
             let said = match client.stage {
                 Stage::Waiting { req, .. } => Said::Hangup { req },
+                Stage::Passing { from, .. } => Said::Gone { from },
                 _ => Said::Nothing,
             };
             self.close(key, turn);
             return said;
         }
+        let all_sent = client.connection.all_sent();
+        if moved && !all_sent {
+            self.time_out(key, turn.now + UNREAD_MOST, turn);
+        }
+        let Some(client) = self.slots.get_mut(key) else { return Said::Nothing };
         match client.stage {
+            Stage::Passing { from, .. } if all_sent => return Said::Takes { from },
+            Stage::Waiting { .. } if client.coming.is_some() => return Said::More,
             Stage::Closing if client.connection.all_sent() => client.connection.finish(),
             Stage::Reading if client.connection.all_sent() && !client.connection.input.is_empty() => {
                 return self.read_req(key, terms, turn);
@@ -324,20 +406,35 @@
         loop {
             let Some(client) = self.slots.get_mut(key) else { return Said::Nothing };
             let input = &mut client.connection.input;
-            let frame = match http::request(input) {
-                Ok(Some(frame)) => frame,
-                Ok(None) => {
-                    if !client.leave_given && http::expects_leave(input) {
-                        client.leave_given = true;
-                        // A failure shows at the next read.
-                        let _ = client.connection.send(&[b"HTTP/1.1 100 Continue\r\n\r\n"]);
-                    }
+            let read = http::request(input);
+            if matches!(read, Ok(Read::Body | Read::Long(..)))
+                && !client.leave_given
+                && http::expects_leave(input)
+            {
+                client.leave_given = true;
+                // A failure shows at the next read.
+                let _ = client.connection.send(&[b"HTTP/1.1 100 Continue\r\n\r\n"]);
+            }
+            let input = &mut client.connection.input;
+            let (frame, long) = match read {
+                Ok(Read::Whole(frame)) => (frame, None),
+                Ok(Read::Long(frame, body)) => (frame, Some(body)),
+                Ok(Read::Head) => {
                     // Danger: the time of a first req that began anew with its first byte would be twice as long.
                     if !std::mem::replace(&mut client.timed, true) && client.answered {
-                        self.time_out(key, turn.now + MESSAGE_IN, turn);
+                        self.time_out(key, turn.now + HEAD_IN, turn);
                     }
                     return Said::Nothing;
                 }
+                Ok(Read::Body) => {
+                    client.timed = true;
+                    let more =
+                        input.len() - std::mem::replace(&mut client.seen, input.len()).min(input.len());
+                    let until = body_until(client.body_until, more, turn.now);
+                    client.body_until = Some(until);
+                    self.time_out(key, until, turn);
+                    return Said::Nothing;
+                }
                 Err(Bad(status)) => {
                     self.answer_last(key, status, turn);
                     return Said::Nothing;
@@ -347,16 +444,17 @@
                 Ok(Asked::Req { method, left, work, id }) => {
                     // Danger: two reqs of one id would pass for repeats of each other wherever they go.
                     if self.open.insert(id) {
+                        client.coming = long;
                         turn.deadlines.shift(Due::Client(key), &mut client.deadline, None);
                         return Said::Arrival { method, left, work, frame };
                     }
-                    self.answer_own(key, frame, 409, turn);
+                    self.answer_own(key, passed_over(frame, &long), 409, turn);
                 }
                 Ok(Asked::Health) => {
                     let status = if self.away { 503 } else { 200 };
-                    self.answer_own(key, frame, status, turn);
+                    self.answer_own(key, passed_over(frame, &long), status, turn);
                 }
-                Err(Bad(status)) => self.answer_own(key, frame, status, turn),
+                Err(Bad(status)) => self.answer_own(key, passed_over(frame, &long), status, turn),
             }
             let more = |c: &Client| c.reading() && !c.connection.input.is_empty();
             if !self.slots.get(key).is_some_and(more) {
@@ -387,12 +485,154 @@
         }
     }
 
-    /// The head and the body of the req that this connection waits for.
-    pub fn message(&self, key: Key) -> Option<(&[u8], &[u8])> {
+    /// The req that this connection waits for, as it goes to an endpoint.
+    pub fn message(&self, key: Key) -> Option<Message<'_>> {
         let client = self.slots.get(key)?;
         let Stage::Waiting { frame, .. } = client.stage else { return None };
         let input = &client.connection.input;
-        Some((frame.head_in(input), frame.body_in(input)))
+        let coming = client.coming.as_ref().map(|body| body.length().map_or(Length::Chunked, Length::Known));
+        Some(Message { head: frame.head_in(input), body: frame.body_in(input), coming })
+    }
+
+    // Long reqs.
+
+    /// The req that this connection waits for, of which more is to come.
+    pub fn brings(&self, key: Key) -> Option<usize> {
+        let client = self.slots.get(key)?;
+        match client.stage {
+            Stage::Waiting { req, .. } if client.coming.as_ref().is_some_and(|body| !body.done()) => {
+                Some(req)
+            }
+            _ => None,
+        }
+    }
+
+    /// What stands next of its body.
+    pub fn piece(&mut self, key: Key, turn: &mut Turn) -> Piece {
+        let Some(client) = self.slots.get_mut(key) else { return Piece::Gone };
+        let (Stage::Waiting { frame, .. }, Some(body)) = (&client.stage, &mut client.coming) else {
+            return Piece::Gone;
+        };
+        let (at, connection) = (frame.end, &mut client.connection);
+        loop {
+            match body.step(&connection.input[at..]) {
+                Err(Bad(status)) => return Piece::Bad(status),
+                Ok(Step::Data(range)) => return Piece::Data(at + range.start..at + range.end),
+                Ok(Step::Done(used)) => {
+                    connection.consume_at(at, used);
+                    turn.deadlines.shift(Due::Client(key), &mut client.deadline, None);
+                    return Piece::End;
+                }
+                Ok(Step::More(used)) => {
+                    connection.consume_at(at, used);
+                    let before = connection.input.len();
+                    if connection.fill(http::MESSAGE_MOST).is_err() {
+                        return Piece::Gone;
+                    }
+                    if connection.input.len() > before {
+                        continue;
+                    }
+                    if connection.ended {
+                        return Piece::Gone;
+                    }
+                    let until = body_until(client.body_until, 0, turn.now);
+                    client.body_until = Some(until);
+                    self.time_out(key, until, turn);
+                    return Piece::Later;
+                }
+            }
+        }
+    }
+
+    pub fn bytes(&self, key: Key, range: &Range<usize>) -> &[u8] {
+        self.slots.get(key).map_or(&[], |client| &client.connection.input[range.clone()])
+    }
+
+    /// A piece has gone on.
+    pub fn taken(&mut self, key: Key, range: &Range<usize>, turn: &mut Turn) {
+        let Some(client) = self.slots.get_mut(key) else { return };
+        let Stage::Waiting { frame, .. } = client.stage else { return };
+        client.connection.consume_at(frame.end, range.end - frame.end);
+        client.body_until = Some(body_until(client.body_until, range.len(), turn.now));
+    }
+
+    /// The endpoint has to take more before the client may bring it: that is not to be held against its time.
+    pub fn rest(&mut self, key: Key, turn: &mut Turn) {
+        if let Some(client) = self.slots.get_mut(key) {
+            client.body_until = None;
+            turn.deadlines.shift(Due::Client(key), &mut client.deadline, None);
+        }
+    }
+
+    // Long answers.
+
+    /// Begins the answer to the req that this connection waits for; the rest passes through, from this connection of
+    /// an endpoint. `head` writes its head. Returns whether that could be.
+    pub fn begin(
+        &mut self,
+        key: Key,
+        from: Key,
+        length: Option<u64>,
+        head: impl FnOnce(&mut Vec<u8>, Length, bool),
+        turn: &mut Turn,
+    ) -> bool {
+        self.end_req(key);
+        let Some(client) = self.slots.get_mut(key) else { return false };
+        let Stage::Waiting { frame, .. } = client.stage else { return false };
+        let chunks = http::takes_chunks(frame.head_in(&client.connection.input));
+        let unknown = if chunks { Length::Chunked } else { Length::ToEnd };
+        let length = length.map_or(unknown, Length::Known);
+        let keep = client.keeps(frame) && !self.parting && length != Length::ToEnd;
+        self.head.clear();
+        head(&mut self.head, length, keep);
+        client.connection.consume(frame.end);
+        (client.stage, client.answered) = (Stage::Passing { from, keep, length }, true);
+        let head = std::mem::take(&mut self.head);
+        let there = self.send_piece(key, &[&head], turn);
+        self.head = head;
+        there
+    }
+
+    /// Whether the client has taken all of the answer that was there.
+    pub fn takes_more(&self, key: Key) -> bool {
+        self.slots
+            .get(key)
+            .is_some_and(|c| matches!(c.stage, Stage::Passing { .. }) && c.connection.all_sent())
+    }
+
+    /// A piece of the answer that passes; whether the client is still there.
+    pub fn pass(&mut self, key: Key, data: &[u8], turn: &mut Turn) -> bool {
+        let Some(client) = self.slots.get(key) else { return false };
+        let Stage::Passing { length, .. } = client.stage else { return false };
+        let (before, behind) = http::chunk_frame(length, Some(data));
+        self.send_piece(key, &[before.as_bytes(), data, behind], turn)
+    }
+
+    fn send_piece(&mut self, key: Key, parts: &[&[u8]], turn: &mut Turn) -> bool {
+        let Some(client) = self.slots.get_mut(key) else { return false };
+        if client.connection.send(parts).is_err() {
+            self.close(key, turn);
+            return false;
+        }
+        // While the endpoint brings nothing the client has nothing to take.
+        let until = (!client.connection.all_sent()).then(|| turn.now + UNREAD_MOST);
+        turn.deadlines.shift(Due::Client(key), &mut client.deadline, until);
+        true
+    }
+
+    /// The answer has passed. Danger: one that is not whole must end in a way that the client can tell.
+    pub fn end_pass(&mut self, key: Key, whole: bool, turn: &mut Turn) {
+        let Some(client) = self.slots.get_mut(key) else { return };
+        let Stage::Passing { keep, length, .. } = client.stage else { return };
+        if !whole {
+            return self.close(key, turn);
+        }
+        client.stage = Stage::Closing;
+        let (end, _) = http::chunk_frame(length, None);
+        if client.connection.send(&[end.as_bytes()]).is_err() {
+            return self.close(key, turn);
+        }
+        self.after_answer(key, keep, turn);
     }
 
     /// Answers the req that this connection waits for. `head` writes the answer's head, and is told whether
@@ -401,7 +641,7 @@
         self.end_req(key);
         let Some(client) = self.slots.get_mut(key) else { return };
         let Stage::Waiting { frame, .. } = client.stage else { return };
-        let keep = frame.keep && !self.parting;
+        let keep = client.keeps(frame) && !self.parting;
         self.head.clear();
         head(&mut self.head, keep);
         client.connection.consume(frame.end);
@@ -409,6 +649,12 @@
         if client.connection.send(&[&self.head, body]).is_err() {
             return self.close(key, turn);
         }
+        self.after_answer(key, keep, turn);
+    }
+
+    /// An answer has gone out, or waits for the client to take it.
+    fn after_answer(&mut self, key: Key, keep: bool, turn: &mut Turn) {
+        let Some(client) = self.slots.get_mut(key) else { return };
         let all_sent = client.connection.all_sent();
         if keep {
             self.wait_for_req(key, turn);
@@ -417,7 +663,7 @@
             client.connection.finish();
         }
         if !(keep && all_sent) {
-            self.time_out(key, turn.now + if all_sent { LINGER } else { MESSAGE_IN }, turn);
+            self.time_out(key, turn.now + if all_sent { LINGER } else { UNREAD_MOST }, turn);
         }
     }
 
@@ -427,19 +673,23 @@
         self.slots.get(key).is_some_and(more)
     }
 
-    /// A connection's time is up. Returned if it turns out to have brought something.
-    pub fn overdue(&mut self, key: Key, turn: &mut Turn) -> Option<Key> {
-        let client = self.slots.get_mut(key)?;
+    /// A connection's time is up.
+    pub fn overdue(&mut self, key: Key, turn: &mut Turn) -> Said {
+        let Some(client) = self.slots.get_mut(key) else { return Said::Nothing };
         client.deadline = None;
-        if client.idle() {
-            return (!self.close_unread(key, turn)).then_some(key);
-        }
-        if client.begun() {
-            self.answer_last(key, 408, turn);
-        } else {
-            self.close(key, turn);
+        match client.stage {
+            _ if client.idle() => {
+                return if self.close_unread(key, turn) { Said::Nothing } else { Said::Brought };
+            }
+            _ if client.begun() => self.answer_last(key, 408, turn),
+            Stage::Waiting { req, .. } if client.coming.is_some() => return Said::Silent { req },
+            Stage::Passing { from, .. } => {
+                self.close(key, turn);
+                return Said::Gone { from };
+            }
+            _ => self.close(key, turn),
         }
-        None
+        Said::Nothing
     }
 
     /// Who asks for its health hears from now on that clients are to go elsewhere.
@@ -494,7 +744,17 @@
     }
 }
 
+/// The frame of a req that is answered though its body is still to come, which nobody will read.
+fn passed_over(frame: Frame, long: &Option<Body>) -> Frame {
+    Frame { keep: frame.keep && long.is_none(), ..frame }
+}
+
 impl Client {
+    /// Whether the connection may carry another req after this one: not where part of its body is left.
+    fn keeps(&self, frame: Frame) -> bool {
+        frame.keep && self.coming.as_ref().is_none_or(Body::done)
+    }
+
     /// Danger: a first req that comes just after its connection was closed is lost, as its client does not
     /// send it again. One between reqs does so with the next.
     fn may_go(&self, now: Moment) -> bool {
--- a/crates/sidecar/src/net/connection.rs
+++ b/crates/sidecar/src/net/connection.rs
@@ -157,10 +157,20 @@
         Ok(())
     }
 
+    /// Bytes that the socket has yet to take.
+    pub fn unsent(&self) -> usize {
+        self.unsent.len() - self.sent
+    }
+
     pub fn all_sent(&self) -> bool {
         self.unsent.is_empty()
     }
 
+    /// Drops so many bytes behind others.
+    pub fn consume_at(&mut self, at: usize, bytes: usize) {
+        self.input.drain(at..at + bytes);
+    }
+
     /// Drops the message that stands first in the input.
     pub fn consume(&mut self, bytes: usize) {
         self.input.drain(..bytes.min(self.input.len()));
--- a/crates/sidecar/src/net/http.rs
+++ b/crates/sidecar/src/net/http.rs
@@ -5,9 +5,13 @@
 use appledyke::units::Span;
 use httparse::{EMPTY_HEADER, Header, Request, Response, Status};
 
-/// Bytes that a head and a body may have.
+use super::body::Body;
+
+/// Bytes that a head may have, and a body that is held whole.
 pub const HEAD_MOST: usize = 8192;
 pub const BODY_MOST: usize = 64 * 1024;
+/// Bytes that a body may have that passes through: what operators say, 32 MB, and some more.
+pub const LONG_MOST: u64 = 40 << 20;
 /// Bytes that a message may take in a buffer: chunks have frames of their own.
 pub const MESSAGE_MOST: usize = HEAD_MOST + BODY_MOST + 4096;
 /// Headers that a message may have: several times what is usual, and few enough for the stack.
@@ -57,7 +61,7 @@
 const HEAD_TOO_LARGE: Bad = Bad(431);
 
 enum Framing {
-    Length(usize),
+    Length(u64),
     Chunked,
     ToEnd,
 }
@@ -109,33 +113,42 @@
         return Err(MALFORMED);
     }
     match std::str::from_utf8(digits).unwrap_or("").parse() {
-        Ok(length) if length <= BODY_MOST => Ok(Framing::Length(length)),
+        Ok(length) if length <= LONG_MOST => Ok(Framing::Length(length)),
         _ => Err(BODY_TOO_LARGE),
     }
 }
 
-/// Where the data of each chunk starts, and its size.
-type Chunks = Vec<(usize, usize)>;
+/// What has come of a chunked body.
+enum Chunked {
+    Partial,
+    /// More than is held whole.
+    Long,
+    /// Where the data of each chunk starts, and its size; and where they end.
+    Whole(Vec<(usize, usize)>, usize),
+}
 
-/// The chunks from `at` on: where the data of each lies and where they end, once all have come.
-fn chunks(buffer: &[u8], mut at: usize) -> Result<Option<(Chunks, usize)>, Bad> {
+/// The chunks from `at` on.
+fn chunks(buffer: &[u8], mut at: usize) -> Result<Chunked, Bad> {
     let (mut found, mut total) = (Vec::new(), 0);
     loop {
         let (line, size) = match httparse::parse_chunk_size(&buffer[at..]).map_err(|_| MALFORMED)? {
             Status::Complete(chunk) => chunk,
-            Status::Partial => return Ok(None),
+            Status::Partial => return Ok(Chunked::Partial),
         };
         at += line;
         if size == 0 {
-            return trailer_end(buffer, at).map(|end| end.map(|end| (found, end)));
+            return Ok(trailer_end(buffer, at).map_or(Chunked::Partial, |end| Chunked::Whole(found, end)));
         }
-        total += usize::try_from(size).unwrap_or(usize::MAX).min(BODY_MOST + 1);
-        if total > BODY_MOST {
+        total += size.min(LONG_MOST + 1);
+        if total > LONG_MOST {
             return Err(BODY_TOO_LARGE);
         }
+        if total > BODY_MOST as u64 {
+            return Ok(Chunked::Long);
+        }
         let size = size as usize;
         match buffer.get(at + size..at + size + 2) {
-            None => return Ok(None),
+            None => return Ok(Chunked::Partial),
             Some(b"\r\n") => found.push((at, size)),
             Some(_) => return Err(MALFORMED),
         }
@@ -144,45 +157,62 @@
 }
 
 /// Where the trailers end that may follow the last chunk.
-fn trailer_end(buffer: &[u8], mut at: usize) -> Result<Option<usize>, Bad> {
+fn trailer_end(buffer: &[u8], mut at: usize) -> Option<usize> {
     loop {
-        let Some(line) = buffer[at..].iter().position(|byte| *byte == b'\n') else { return Ok(None) };
+        let line = buffer[at..].iter().position(|byte| *byte == b'\n')?;
         let empty = buffer[at..at + line].trim_ascii().is_empty();
         at += line + 1;
         if empty {
-            return Ok(Some(at));
+            return Some(at);
         }
     }
 }
 
+/// What a buffer holds of a message.
+pub enum Read {
+    /// Part of a head.
+    Head,
+    /// A whole head, and part of a body that will be held.
+    Body,
+    Whole(Frame),
+    /// A whole head, in a frame without a body, and what stands behind it: it is to pass through.
+    Long(Frame, Body),
+}
+
 /// Finds the end of the body behind a head, and makes a chunked body contiguous.
-fn body(buffer: &mut [u8], head: usize, framing: Framing, ended: bool, keep: bool) -> Found {
+fn body(buffer: &mut [u8], head: usize, framing: Framing, ended: bool, keep: bool) -> Result<Read, Bad> {
+    let held = BODY_MOST as u64;
+    let long = |body| Ok(Read::Long(Frame { head, body: 0, end: head, keep }, body));
     match framing {
-        Framing::Length(body) if buffer.len() >= head + body => {
-            Ok(Some(Frame { head, body, end: head + body, keep }))
+        Framing::Length(length) if length > held => long(Body::of_length(length)),
+        Framing::Length(length) if (buffer.len() - head) as u64 >= length => {
+            let body = length as usize;
+            Ok(Read::Whole(Frame { head, body, end: head + body, keep }))
+        }
+        Framing::Length(_) => Ok(Read::Body),
+        Framing::ToEnd if buffer.len() > head + BODY_MOST => {
+            Ok(Read::Long(Frame { head, body: 0, end: head, keep: false }, Body::to_end()))
         }
-        Framing::Length(_) => Ok(None),
-        Framing::ToEnd if buffer.len() > head + BODY_MOST => Err(BODY_TOO_LARGE),
         Framing::ToEnd if ended => {
-            Ok(Some(Frame { head, body: buffer.len() - head, end: buffer.len(), keep: false }))
+            Ok(Read::Whole(Frame { head, body: buffer.len() - head, end: buffer.len(), keep: false }))
         }
-        Framing::ToEnd => Ok(None),
-        Framing::Chunked => {
-            let Some((found, end)) = chunks(buffer, head)? else {
-                return if buffer.len() >= MESSAGE_MOST { Err(BODY_TOO_LARGE) } else { Ok(None) };
-            };
-            let mut body = 0;
-            for (at, size) in found {
-                buffer.copy_within(at..at + size, head + body);
-                body += size;
+        Framing::ToEnd => Ok(Read::Body),
+        Framing::Chunked => match chunks(buffer, head)? {
+            // Chunks have frames: small ones may fill the buffer before their data does.
+            Chunked::Partial if buffer.len() < MESSAGE_MOST => Ok(Read::Body),
+            Chunked::Partial | Chunked::Long => long(Body::chunked()),
+            Chunked::Whole(found, end) => {
+                let mut body = 0;
+                for (at, size) in found {
+                    buffer.copy_within(at..at + size, head + body);
+                    body += size;
+                }
+                Ok(Read::Whole(Frame { head, body, end, keep }))
             }
-            Ok(Some(Frame { head, body, end, keep }))
-        }
+        },
     }
 }
 
-type Found = Result<Option<Frame>, Bad>;
-
 /// Where the head ends that was looked for in so many bytes, once it is whole.
 fn head_end(parsed: httparse::Result<usize>, bytes: usize) -> Result<Option<usize>, Bad> {
     match parsed {
@@ -200,28 +230,34 @@
     request.parse(head).ok().filter(Status::is_complete).map(|_| read(&request))
 }
 
-/// The first req in the buffer, once all of it has come.
-pub fn request(buffer: &mut [u8]) -> Found {
+/// The first req in the buffer.
+pub fn request(buffer: &mut [u8]) -> Result<Read, Bad> {
     let mut headers = [EMPTY_HEADER; HEADERS_MOST];
     let mut request = Request::new(&mut headers);
-    let Some(head) = head_end(request.parse(buffer), buffer.len())? else { return Ok(None) };
+    let Some(head) = head_end(request.parse(buffer), buffer.len())? else { return Ok(Read::Head) };
     let keep = keeps(request.headers, request.version);
     let framing = framing(request.headers, Framing::Length(0))?;
     body(buffer, head, framing, false, keep)
 }
 
+/// Whether the client that sent this head can read chunks.
+pub fn takes_chunks(head: &[u8]) -> bool {
+    with_request(head, |request| request.version == Some(1)).unwrap_or(false)
+}
+
 /// Whether the client waits for leave to send the body of the req whose head has come.
 pub fn expects_leave(buffer: &[u8]) -> bool {
     with_request(buffer, |request| lists(request.headers, "Expect", "100-continue")).unwrap_or(false)
 }
 
-/// The first answer in the buffer, once all of it has come: its place, its status, and whether it says that
-/// the req was turned away.
-pub fn answer(buffer: &mut Vec<u8>, ended: bool) -> Result<Option<(Frame, u16, bool)>, Bad> {
+/// The first answer in the buffer: its status, and whether it says that the req was turned away.
+pub fn answer(buffer: &mut Vec<u8>, ended: bool) -> Result<(Read, u16, bool), Bad> {
     loop {
         let mut headers = [EMPTY_HEADER; HEADERS_MOST];
         let mut response = Response::new(&mut headers);
-        let Some(head) = head_end(response.parse(buffer), buffer.len())? else { return Ok(None) };
+        let Some(head) = head_end(response.parse(buffer), buffer.len())? else {
+            return Ok((Read::Head, 0, false));
+        };
         let status = response.code.unwrap_or(0);
         let turned_away = find(response.headers, "X-Turned-Away") == Some("1");
         let keep = keeps(response.headers, response.version);
@@ -230,11 +266,7 @@
         match status {
             101 => return Err(MALFORMED),
             100..200 => drop(buffer.drain(..head)),
-            _ => {
-                return Ok(
-                    body(buffer, head, framing, ended, keep)?.map(|frame| (frame, status, turned_away))
-                );
-            }
+            _ => return Ok((body(buffer, head, framing, ended, keep)?, status, turned_away)),
         }
     }
 }
@@ -259,20 +291,20 @@
 }
 
 /// The head of a req as it goes on to an endpoint, with the time that is left for it.
-pub fn forwarded_head(out: &mut Vec<u8>, request: &Request, body: usize, left: Span) {
-    let (method, path) = (request.method.unwrap_or(""), request.path.unwrap_or(""));
+pub fn forwarded_head(out: &mut Vec<u8>, request: &Request, body: Length, left: Span) {
+    let (method, path) = (request.method.unwrap_or(""), origin_form(request.path.unwrap_or("")));
     write(out, format_args!("{method} {path} HTTP/1.1\r\n"));
     let passed = passed_on(request.headers).filter(|h| !h.name.eq_ignore_ascii_case("X-Remaining-Ms"));
     write_headers(out, passed);
     write(out, format_args!("X-Remaining-Ms: {}\r\n", left.nanos() / 1_000_000));
-    if body > 0 || method != "GET" {
-        write(out, format_args!("Content-Length: {body}\r\n"));
+    if body != Length::Known(0) || method != "GET" {
+        write_length(out, body);
     }
     out.extend_from_slice(b"\r\n");
 }
 
 /// The head of an endpoint's answer as it goes on to a client.
-pub fn relayed_head(out: &mut Vec<u8>, head: &[u8], body: usize, keep: bool) {
+pub fn relayed_head(out: &mut Vec<u8>, head: &[u8], body: Length, keep: bool) {
     let mut headers = [EMPTY_HEADER; HEADERS_MOST];
     let mut response = Response::new(&mut headers);
     if response.parse(head).is_ok() {
@@ -302,12 +334,46 @@
     if let Some(wait) = come_back {
         write(out, format_args!("Retry-After: {:.3}\r\n", wait.secs()));
     }
-    finish_head(out, 0, keep);
+    finish_head(out, Length::Known(0), keep);
 }
 
-fn finish_head(out: &mut Vec<u8>, body: usize, keep: bool) {
-    let close = if keep { "" } else { "Connection: close\r\n" };
-    write(out, format_args!("Content-Length: {body}\r\n{close}\r\n"));
+fn finish_head(out: &mut Vec<u8>, body: Length, keep: bool) {
+    write_length(out, body);
+    out.extend_from_slice(if keep { b"\r\n" } else { b"Connection: close\r\n\r\n" });
+}
+
+/// How the body is framed that goes out behind a head.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Length {
+    Known(u64),
+    Chunked,
+    /// The connection's end ends it.
+    ToEnd,
+}
+
+/// What stands before and behind a piece of a body in this framing, or at its end.
+pub fn chunk_frame(framing: Length, data: Option<&[u8]>) -> (String, &'static [u8]) {
+    match (framing, data) {
+        (Length::Chunked, Some(data)) => (format!("{:x}\r\n", data.len()), b"\r\n"),
+        (Length::Chunked, None) => ("0\r\n\r\n".to_string(), b""),
+        _ => (String::new(), b""),
+    }
+}
+
+fn write_length(out: &mut Vec<u8>, body: Length) {
+    match body {
+        Length::Known(length) => write(out, format_args!("Content-Length: {length}\r\n")),
+        Length::Chunked => out.extend_from_slice(b"Transfer-Encoding: chunked\r\n"),
+        Length::ToEnd => {}
+    }
+}
+
+/// The path and query of a target that may name the host as well.
+pub fn origin_form(target: &str) -> &str {
+    let Some(behind) = ["http://", "https://"].iter().find_map(|scheme| target.strip_prefix(scheme)) else {
+        return target;
+    };
+    behind.find(['/', '?']).map_or("/", |at| &behind[at..])
 }
 
 /// The call that opens a watch on the list's changes after a version.
@@ -368,9 +434,9 @@
             }
             let found = match round % good.len() {
                 0 | 1 => request(&mut buffer),
-                _ => answer(&mut buffer, round % 8 < 4).map(|found| found.map(|(frame, ..)| frame)),
+                _ => answer(&mut buffer, round % 8 < 4).map(|(read, ..)| read),
             };
-            if let Ok(Some(frame)) = found {
+            if let Ok(Read::Whole(frame) | Read::Long(frame, _)) = found {
                 assert!(frame.head + frame.body <= frame.end && frame.end <= buffer.len());
                 whole += 1;
             }
--- a/crates/sidecar/src/net/mod.rs
+++ b/crates/sidecar/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! What goes over sockets, by peer, and what the peers share.
 
+pub mod body;
 pub mod clients;
 pub mod connection;
 pub mod deadlines;
--- a/crates/sidecar/src/net/servers.rs
+++ b/crates/sidecar/src/net/servers.rs
@@ -2,13 +2,15 @@
 //! connection.
 
 use std::net::SocketAddr;
+use std::ops::Range;
 
 use appledyke::units::{Moment, Span};
 
 use super::Turn;
+use super::body::{Body, Step};
 use super::connection::{Connection, Ending};
 use super::deadlines::Due;
-use super::http::{self, Frame};
+use super::http::{self, Frame, Length, Read};
 use super::slots::{Key, Peer, Slots};
 
 /// Part of the endpoints' limit on idle connections after which this side closes one: well before them.
@@ -18,6 +20,9 @@
 /// connection costs the endpoint work.
 const REST: Span = Span::from_millis(2);
 const WARY_FOR: Span = Span::from_millis(60_000);
+/// How long an endpoint may bring nothing of a long answer that it has begun, or take nothing of a long req: peers
+/// take seconds, and what it still gives is not to be cut off.
+const PASS_SILENT: Span = Span::from_millis(10_000);
 
 /// In place of a req's index: its connection carries a probe, and in place of a write-out's number stands the endpoint.
 pub const PROBE: usize = usize::MAX;
@@ -39,6 +44,38 @@
     deadline: Option<Moment>,
     /// The write-out that it carries is counted as written whole.
     counted: bool,
+    /// When that set out, and how what is to come of its req is framed, behind what was written.
+    sent: Moment,
+    coming: Option<Length>,
+    passes: Option<Passing>,
+}
+
+/// A long answer that passes through.
+struct Passing {
+    client: Key,
+    method: usize,
+    satisfied: bool,
+    body: Body,
+    keep: bool,
+}
+
+/// A req as it goes to an endpoint: what of its body is held, or how what is to come is framed.
+#[derive(Clone, Copy)]
+pub struct Message<'a> {
+    pub head: &'a [u8],
+    pub body: &'a [u8],
+    pub coming: Option<Length>,
+}
+
+/// What stands next of a body that passes through, in its connection's buffer.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Piece {
+    Data(Range<usize>),
+    End,
+    /// Nothing yet.
+    Later,
+    /// Nothing more, though it is not whole.
+    Broken,
 }
 
 #[derive(Clone, Default)]
@@ -53,10 +90,15 @@
     /// 1 once the last byte of the write-out that it carries is written, 0 before and after.
     fn newly_written(&mut self) -> u64 {
         let req = self.carries.is_some_and(|carried| carried.req != PROBE);
-        let newly = req && self.connection.all_sent() && !std::mem::replace(&mut self.counted, true);
+        let newly = req && self.whole() && !std::mem::replace(&mut self.counted, true);
         u64::from(newly)
     }
 
+    /// Whether the last byte of what it carries is written.
+    fn whole(&self) -> bool {
+        self.up && self.connection.all_sent() && self.coming.is_none()
+    }
+
     /// Whether it has neither ended nor brought what nobody asked for.
     fn still_idle(&mut self) -> bool {
         self.connection.fill(1).is_ok() && !self.connection.ended && self.connection.input.is_empty()
@@ -68,6 +110,8 @@
     pub carried: Carried,
     pub ending: Ending,
     pub answer: Option<Frame>,
+    /// What is to pass through behind that, where the answer is long.
+    pub long: Option<Body>,
 }
 
 pub struct Servers {
@@ -144,13 +188,14 @@
         &mut self,
         endpoint: usize,
         carried: Carried,
-        (head, body): (&[u8], &[u8]),
+        Message { head, body, coming }: Message,
         turn: &mut Turn,
     ) -> Result<Key, Ending> {
         self.head.clear();
         let left = carried.give_up.since(turn.now);
+        let length = coming.unwrap_or(Length::Known(body.len() as u64));
         let out = &mut self.head;
-        http::with_request(head, |request| http::forwarded_head(out, request, body.len(), left));
+        http::with_request(head, |request| http::forwarded_head(out, request, length, left));
         // Danger: what comes late behind an answer would pass for the answer to the next req.
         let now = turn.now;
         let rest = if now < self.wary_until { REST } else { Span::ZERO };
@@ -170,9 +215,10 @@
                 self.close(key, turn);
                 return Err(Ending::Broken { whole: false });
             }
-            (link.carries, link.counted) = (Some(carried), false);
+            (link.carries, link.counted, link.sent, link.coming) = (Some(carried), false, now, coming);
             self.written += link.newly_written();
-            turn.deadlines.shift(Due::Server(key), &mut link.deadline, Some(carried.give_up));
+            let until = if coming.is_some() { now + PASS_SILENT } else { carried.give_up };
+            turn.deadlines.shift(Due::Server(key), &mut link.deadline, Some(until));
             return Ok(key);
         }
         let to = self.places.get(endpoint).and_then(|place| place.address).ok_or(Ending::NeverUp)?;
@@ -183,7 +229,18 @@
             let mut connection = Connection::open(to, &turn.registry, Peer::Server(key).token())?;
             connection.queue(&[&self.head, body], 0);
             let carries = Some(carried);
-            Ok(Link { connection, endpoint, to, up: false, carries, deadline: None, counted: false })
+            Ok(Link {
+                connection,
+                endpoint,
+                to,
+                up: false,
+                carries,
+                deadline: None,
+                counted: false,
+                sent: now,
+                coming,
+                passes: None,
+            })
         });
         // What fails at once is the machine's: a refusal comes as an event.
         let key = opened.map_err(|e: std::io::Error| {
@@ -199,7 +256,7 @@
 
     /// Closes the connection that has been idle for longest.
     pub fn make_room(&mut self, turn: &mut Turn) -> bool {
-        let idle = self.links.iter().filter(|(_, link)| link.carries.is_none());
+        let idle = self.links.iter().filter(|(_, link)| link.carries.is_none() && link.passes.is_none());
         let Some(key) = idle.min_by_key(|(_, link)| link.deadline).map(|(key, _)| key) else { return false };
         self.close(key, turn);
         true
@@ -221,24 +278,36 @@
                 Ok(false) => return None,
                 Err(_) => return self.end(key, Ending::NeverUp, turn),
             }
-            turn.deadlines.shift(Due::Server(key), &mut link.deadline, Some(carried.give_up));
+            let until = if link.coming.is_some() { turn.now + PASS_SILENT } else { carried.give_up };
+            turn.deadlines.shift(Due::Server(key), &mut link.deadline, Some(until));
         }
         let written = link.connection.flush();
-        let whole = link.connection.all_sent();
+        let whole = link.whole();
         self.written += link.newly_written();
         let read = link.connection.fill(http::MESSAGE_MOST);
         let ended = link.connection.ended;
         // What was read before the connection broke still counts.
         let ending = match http::answer(&mut link.connection.input, ended) {
-            Ok(Some((frame, status, turned_away))) => {
+            Ok((Read::Whole(frame), status, turned_away)) => {
                 let ending = Ending::Answered { status, turned_away };
                 link.carries = None;
                 let keep = frame.keep && whole && !ended && read.is_ok() && written.is_ok();
-                return Some(Ended { carried, ending, answer: Some(Frame { keep, ..frame }) });
+                return Some(Ended { carried, ending, answer: Some(Frame { keep, ..frame }), long: None });
+            }
+            Ok((Read::Long(frame, body), status, turned_away)) => {
+                let ending = Ending::Answered { status, turned_away };
+                link.carries = None;
+                let keep = frame.keep && whole;
+                return Some(Ended {
+                    carried,
+                    ending,
+                    answer: Some(Frame { keep, ..frame }),
+                    long: Some(body),
+                });
             }
             Err(_) => Ending::Garbled,
-            Ok(None) if ended || read.is_err() || written.is_err() => Ending::Broken { whole },
-            Ok(None) => return None,
+            Ok(_) if ended || read.is_err() || written.is_err() => Ending::Broken { whole },
+            Ok(_) => return None,
         };
         self.end(key, ending, turn)
     }
@@ -250,7 +319,7 @@
             log::info!("connection to {}: {ending:?}", link.to);
         }
         self.close(key, turn);
-        Some(Ended { carried: carried?, ending, answer: None })
+        Some(Ended { carried: carried?, ending, answer: None, long: None })
     }
 
     /// The head and the body of an answer that has come.
@@ -271,10 +340,135 @@
         self.places[link.endpoint].idle.push((key, turn.now));
     }
 
+    /// An answer of which nothing is wanted: its connection cannot be used again.
+    pub fn drop_answer(&mut self, key: Key, turn: &mut Turn) {
+        self.close(key, turn);
+    }
+
+    // Long reqs.
+
+    /// The req whose body this connection still waits for.
+    pub fn awaits(&self, key: Key) -> Option<usize> {
+        let link = self.links.get(key).filter(|link| link.coming.is_some())?;
+        link.carries.map(|carried| carried.req)
+    }
+
+    /// Whether the endpoint has taken all that was written, and more is to come.
+    pub fn takes_more(&self, key: Key) -> bool {
+        self.links.get(key).is_some_and(|link| link.up && link.coming.is_some() && link.connection.all_sent())
+    }
+
+    /// More of a req's body, or its end. Says so if the write-out has ended by that.
+    pub fn feed(&mut self, key: Key, data: Option<&[u8]>, turn: &mut Turn) -> Option<Ended> {
+        let link = self.links.get_mut(key)?;
+        let (carried, coming) = (link.carries?, link.coming?);
+        let (before, behind) = http::chunk_frame(coming, data);
+        if link.connection.send(&[before.as_bytes(), data.unwrap_or_default(), behind]).is_err() {
+            return self.end(key, Ending::Broken { whole: false }, turn);
+        }
+        let until = if data.is_some() {
+            turn.now + PASS_SILENT
+        } else {
+            // The time for the answer runs from the last byte.
+            let give_up = turn.now + carried.give_up.since(link.sent);
+            (link.coming, link.carries) = (None, Some(Carried { give_up, ..carried }));
+            self.written += link.newly_written();
+            give_up
+        };
+        turn.deadlines.shift(Due::Server(key), &mut link.deadline, Some(until));
+        None
+    }
+
+    // Long answers.
+
+    /// The rest of the answer in this frame passes to a client from now on.
+    pub fn pass(
+        &mut self,
+        key: Key,
+        frame: Frame,
+        body: Body,
+        (client, method, satisfied): (Key, usize, bool),
+    ) {
+        let Some(link) = self.links.get_mut(key) else { return };
+        link.connection.consume(frame.end);
+        link.passes = Some(Passing { client, method, satisfied, body, keep: frame.keep });
+    }
+
+    /// The client that this connection's answer passes to, the method of its req, and whether it satisfies that.
+    pub fn passes(&self, key: Key) -> Option<(Key, usize, bool)> {
+        let passing = self.links.get(key)?.passes.as_ref()?;
+        Some((passing.client, passing.method, passing.satisfied))
+    }
+
+    /// The methods of all answers that pass.
+    pub fn passing(&self) -> impl Iterator<Item = usize> {
+        self.links.iter().filter_map(|(_, link)| link.passes.as_ref().map(|passing| passing.method))
+    }
+
+    /// What stands next of the answer that passes.
+    pub fn piece(&mut self, key: Key, turn: &mut Turn) -> Piece {
+        let Some(link) = self.links.get_mut(key) else { return Piece::Broken };
+        let Some(passing) = &mut link.passes else { return Piece::Broken };
+        let connection = &mut link.connection;
+        loop {
+            match passing.body.step(&connection.input) {
+                Err(_) => return Piece::Broken,
+                Ok(Step::Data(range)) => return Piece::Data(range),
+                Ok(Step::Done(used)) => {
+                    connection.consume(used);
+                    return Piece::End;
+                }
+                Ok(Step::More(used)) => {
+                    connection.consume(used);
+                    let before = connection.input.len();
+                    let works = connection.ended || connection.fill(http::MESSAGE_MOST).is_ok();
+                    if connection.input.len() > before {
+                        continue;
+                    }
+                    if !works {
+                        return Piece::Broken;
+                    }
+                    if connection.ended {
+                        return if passing.body.ends_here() { Piece::End } else { Piece::Broken };
+                    }
+                    let until = Some(turn.now + PASS_SILENT);
+                    turn.deadlines.shift(Due::Server(key), &mut link.deadline, until);
+                    return Piece::Later;
+                }
+            }
+        }
+    }
+
+    /// The client has to take more before the endpoint may bring it: it is not to be held against its time.
+    pub fn rest(&mut self, key: Key, turn: &mut Turn) {
+        if let Some(link) = self.links.get_mut(key) {
+            turn.deadlines.shift(Due::Server(key), &mut link.deadline, None);
+        }
+    }
+
+    /// The bytes of a piece, and what to do with them once they have gone on.
+    pub fn bytes(&self, key: Key, range: &Range<usize>) -> &[u8] {
+        self.links.get(key).map_or(&[], |link| &link.connection.input[range.clone()])
+    }
+
+    pub fn taken(&mut self, key: Key, bytes: usize) {
+        if let Some(link) = self.links.get_mut(key) {
+            link.connection.consume(bytes);
+        }
+    }
+
+    /// All of the answer has passed: its connection may be used again.
+    pub fn passed(&mut self, key: Key, turn: &mut Turn) {
+        let Some(link) = self.links.get_mut(key) else { return };
+        let Some(passing) = link.passes.take() else { return };
+        let keep = passing.keep && !link.connection.ended;
+        self.release(key, Frame { head: 0, body: 0, end: 0, keep }, turn);
+    }
+
     /// Stops waiting for a write-out. Closing its connection tells the endpoint.
     pub fn withdraw(&mut self, key: Key, turn: &mut Turn) -> Option<Ended> {
         let link = self.links.get(key)?;
-        let whole = link.up && link.connection.all_sent();
+        let whole = link.whole();
         self.end(key, Ending::Withdrawn { whole }, turn)
     }
 
@@ -286,7 +480,8 @@
             self.close(key, turn);
             return None;
         };
-        let whole = link.up && link.connection.all_sent();
+        // Danger: a req's times run from its last byte, so while it goes on in pieces no deadline of its own holds.
+        let whole = link.whole();
         let up = link.up || turn.now >= carried.give_up;
         self.end(key, if up { Ending::GivenUp { whole } } else { Ending::NeverUp }, turn)
     }
@@ -310,7 +505,8 @@
         servers.place(0, listener.local_addr().unwrap(), None, &mut turn);
         let give_up = turn.now + Span::from_millis(2000);
         let carried = Carried { req: 0, write_out: 0, give_up };
-        let send = |servers: &mut Servers, turn: &mut Turn| servers.send(0, carried, (HEAD, b""), turn);
+        let message = Message { head: HEAD, body: b"", coming: None };
+        let send = |servers: &mut Servers, turn: &mut Turn| servers.send(0, carried, message, turn);
         let key = send(&mut servers, &mut turn).unwrap();
         send(&mut servers, &mut turn).unwrap();
         // Both carry a req, so there is no room for a third.
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -17,13 +17,14 @@
 
 use crate::figures::{End, Figures, Now};
 use crate::launch::{Launch, Winner};
-use crate::net::clients::{Clients, Said};
+use crate::net::body::Body;
+use crate::net::clients::{self, Clients, Said};
 use crate::net::connection::Ending;
 use crate::net::deadlines::{Deadlines, Due};
-use crate::net::http::Frame;
+use crate::net::http::{Frame, Length};
 use crate::net::list::{self, List};
 use crate::net::operator::{Call, Operators};
-use crate::net::servers::{Carried, Ended, PROBE, Servers};
+use crate::net::servers::{self, Carried, Ended, Message, PROBE, Servers};
 use crate::net::slots::{Key, Peer, Slots};
 use crate::net::{Turn, http};
 use crate::presence::{Others, Presence, Standing};
@@ -32,6 +33,8 @@
 const PROBE_HEAD: &[u8] = b"GET /load HTTP/1.1\r\n\r\n";
 /// Longest that a probe may take: by then the req that waits for it has long set out.
 const PROBE_WAIT: Span = Span::from_millis(200);
+/// Pieces of a long message that are passed on before others have their turn: operators wait a second at the most.
+const PIECES_MOST: usize = 16;
 /// Events taken from one poll.
 const EVENTS: usize = 512;
 /// After SIGTERM all must be answered within the longest deadline, at most this, and so much more: whoever
@@ -96,6 +99,8 @@
     list: List,
     /// Clients whose next req may have come already.
     look_again: Vec<Key>,
+    /// Connections with more to pass on than a turn may take up: of clients, and of endpoints.
+    pass_again: Vec<Peer>,
     operators: Option<Operators>,
     figures: Figures,
     started: Moment,
@@ -161,6 +166,7 @@
             servers: Servers::new(launch.connection_idle, launch.connect_timeout),
             list: List::new(launch.discovery, known.map_or(0, |(version, _)| version), launch.seed),
             look_again: Vec::new(),
+            pass_again: Vec::new(),
             operators,
             figures: Figures::default(),
             started: now,
@@ -209,6 +215,7 @@
         loop {
             let wait =
                 self.turn.deadlines.next().map(|at| Duration::from_nanos(at.since(self.clock.now()).nanos()));
+            let wait = if self.pass_again.is_empty() { wait } else { Some(Duration::ZERO) };
             match self.poll.poll(&mut events, wait) {
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 other => other.map_err(|e| format!("poll: {e}"))?,
@@ -227,14 +234,18 @@
                     Peer::Listener => self.accept(),
                     Peer::Signal => self.told(),
                     Peer::Client(key) => self.client_ready(key),
-                    Peer::Server(key) => {
-                        let ended = self.servers.ready(key, &mut self.turn);
-                        self.ended(key, ended);
-                    }
+                    Peer::Server(key) => self.server_ready(key),
                     Peer::List(key) => self.list_ready(key),
                     Peer::Operators | Peer::Operator(_) => {}
                 }
             }
+            for peer in std::mem::take(&mut self.pass_again) {
+                match peer {
+                    Peer::Client(key) => self.pass_up(key),
+                    Peer::Server(key) => self.pass_down(key),
+                    _ => {}
+                }
+            }
             while let Some(due) = self.turn.deadlines.pop(self.turn.now) {
                 self.due(due);
             }
@@ -297,7 +308,8 @@
 
     /// Other terms hold for reqs that arrive from now on; open ones keep the methods that they came with.
     fn retune(&mut self, terms: Terms, watched: Option<Terms>) {
-        let held: HashSet<usize> = self.reqs.iter().map(|(_, req)| req.method).collect();
+        let held = self.reqs.iter().map(|(_, req)| req.method).chain(self.servers.passing());
+        let held: HashSet<usize> = held.collect();
         let (terms, places) = terms.after(self.choice.terms(), |at| held.contains(&at));
         let names = places.iter().map(|(at, _)| terms.methods[*at].name.as_str()).collect::<Vec<_>>();
         if !names.is_empty() {
@@ -418,7 +430,8 @@
     }
 
     fn figures(&self) -> String {
-        let open = self.reqs.iter().filter(|(_, r)| r.client.is_some()).count();
+        let open =
+            self.reqs.iter().filter(|(_, r)| r.client.is_some()).count() + self.servers.passing().count();
         let (listed, avoided) = self.choice.avoided(self.turn.now);
         self.figures.text(Now { open, written: self.servers.written, listed, avoided })
     }
@@ -452,7 +465,11 @@
         let (now, turn) = (self.turn.now, &mut self.turn);
         match due {
             Due::Wake => self.choice.wake(now),
-            Due::Client(key) => self.look_again.extend(self.clients.overdue(key, turn)),
+            Due::Client(key) => {
+                let said = self.clients.overdue(key, turn);
+                self.said(key, said);
+            }
+            Due::Server(key) if self.servers.passes(key).is_some() => self.break_off(key),
             Due::Server(key) => {
                 let ended = self.servers.overdue(key, turn);
                 self.ended(key, ended);
@@ -469,8 +486,21 @@
     }
 
     fn client_ready(&mut self, key: Key) {
-        match self.clients.ready(key, self.choice.terms(), &mut self.turn) {
+        let said = self.clients.ready(key, self.choice.terms(), &mut self.turn);
+        self.said(key, said);
+    }
+
+    fn said(&mut self, key: Key, said: Said) {
+        match said {
             Said::Nothing => {}
+            Said::Brought => self.look_again.push(key),
+            Said::More => self.pass_up(key),
+            Said::Takes { from } => self.pass_down(from),
+            Said::Gone { from } => self.servers.drop_answer(from, &mut self.turn),
+            Said::Silent { req } => {
+                self.answer(req, 408, None);
+                self.choice.hangup(req);
+            }
             Said::Arrival { method, left, work, frame } => {
                 let req = Req { method, client: Some(key), write_outs: Vec::new() };
                 let Ok(at) = self.reqs.insert_with(|_| Ok::<_, Infallible>(req));
@@ -488,6 +518,94 @@
         }
     }
 
+    fn server_ready(&mut self, key: Key) {
+        if self.servers.passes(key).is_some() {
+            return self.pass_down(key);
+        }
+        let ended = self.servers.ready(key, &mut self.turn);
+        self.ended(key, ended);
+        let req = self.servers.awaits(key);
+        if let Some(client) = req.and_then(|req| self.req(req)).and_then(|req| req.client) {
+            self.pass_up(client);
+        }
+    }
+
+    /// Passes on what there is of a long req's body, as far as its endpoint takes it.
+    fn pass_up(&mut self, client: Key) {
+        let Some(req) = self.clients.brings(client) else { return };
+        let now = self.turn.now;
+        for _ in 0..PIECES_MOST {
+            let link = self.req(req).and_then(|r| r.write_outs.last().copied().flatten());
+            let Some(link) = link.filter(|link| self.servers.takes_more(*link)) else {
+                return self.clients.rest(client, &mut self.turn);
+            };
+            match self.clients.piece(client, &mut self.turn) {
+                clients::Piece::Data(range) => {
+                    self.choice.gone_in_part(now, req);
+                    let data = self.clients.bytes(client, &range);
+                    let ended = self.servers.feed(link, Some(data), &mut self.turn);
+                    self.clients.taken(client, &range, &mut self.turn);
+                    if ended.is_some() {
+                        return self.ended(link, ended);
+                    }
+                }
+                clients::Piece::End => {
+                    self.choice.gone_in_part(now, req);
+                    let ended = self.servers.feed(link, None, &mut self.turn);
+                    return self.ended(link, ended);
+                }
+                clients::Piece::Later => return,
+                clients::Piece::Bad(status) => {
+                    self.answer(req, status, None);
+                    return self.choice.hangup(req);
+                }
+                clients::Piece::Gone => return self.client_ready(client),
+            }
+        }
+        self.pass_again.push(Peer::Client(client));
+    }
+
+    /// Passes on what there is of a long answer, as far as its client takes it.
+    fn pass_down(&mut self, link: Key) {
+        for _ in 0..PIECES_MOST {
+            let Some((client, method, satisfied)) = self.servers.passes(link) else { return };
+            if !self.clients.takes_more(client) {
+                return self.servers.rest(link, &mut self.turn);
+            }
+            match self.servers.piece(link, &mut self.turn) {
+                servers::Piece::Data(range) => {
+                    let data = self.servers.bytes(link, &range);
+                    if !self.clients.pass(client, data, &mut self.turn) {
+                        return self.servers.drop_answer(link, &mut self.turn);
+                    }
+                    self.servers.taken(link, range.end);
+                }
+                servers::Piece::End => {
+                    self.clients.end_pass(client, true, &mut self.turn);
+                    self.servers.passed(link, &mut self.turn);
+                    self.look_again.push(client);
+                    return self.count(method, if satisfied { End::Satisfied } else { End::Failed });
+                }
+                servers::Piece::Later => return,
+                servers::Piece::Broken => return self.break_off(link),
+            }
+        }
+        self.pass_again.push(Peer::Server(link));
+    }
+
+    /// A long answer that was begun cannot be finished.
+    fn break_off(&mut self, link: Key) {
+        let Some((client, method, _)) = self.servers.passes(link) else { return };
+        log::info!("an answer broke off on its way");
+        self.clients.end_pass(client, false, &mut self.turn);
+        self.servers.drop_answer(link, &mut self.turn);
+        self.count(method, End::Failed);
+    }
+
+    fn count(&mut self, method: usize, end: End) {
+        self.figures.ended(&self.choice.terms().methods[method].name, end);
+    }
+
     fn req(&mut self, at: usize) -> Option<&mut Req> {
         let key = self.reqs.key_at(at)?;
         self.reqs.get_mut(key)
@@ -495,30 +613,61 @@
 
     /// A write-out on this connection has ended: its answer goes to the client if no other could be better.
     fn ended(&mut self, key: Key, ended: Option<Ended>) {
-        let Some(Ended { carried: Carried { req, write_out, .. }, ending, answer }) = ended else { return };
+        let Some(Ended { carried: Carried { req, write_out, .. }, ending, answer, long }) = ended else {
+            return;
+        };
         if req == PROBE {
-            return self.probed(write_out, key, answer);
+            return self.probed(write_out, key, answer, long.is_some());
         }
         let outcome = ending.outcome();
-        let mut closed = true;
+        let (mut closed, mut passes) = (true, false);
         if let Some(r) = self.req(req) {
             r.write_outs[write_out] = None;
             let last = matches!(outcome, Outcome::Satisfied | Outcome::Rejected);
             let (method, client) = (r.method, if last { r.client.take() } else { None });
             closed = r.client.is_none();
-            let message = answer.and_then(|frame| self.servers.message(key, frame));
-            if let (Some(client), Some((head, body))) = (client, message) {
-                let write = |out: &mut Vec<u8>, keep| http::relayed_head(out, head, body.len(), keep);
-                self.clients.answer(client, write, body, &mut self.turn);
-                self.look_again.push(client);
-                let end = if outcome == Outcome::Satisfied { End::Satisfied } else { End::Failed };
-                self.figures.ended(&self.choice.terms().methods[method].name, end);
+            if let (Some(client), Some(frame)) = (client, answer) {
+                let satisfied = outcome == Outcome::Satisfied;
+                match &long {
+                    Some(body) => passes = self.begin(key, frame, body.clone(), (client, method, satisfied)),
+                    None => {
+                        self.relay(key, frame, client);
+                        self.count(method, if satisfied { End::Satisfied } else { End::Failed });
+                    }
+                }
             }
         }
-        if let Some(frame) = answer {
-            self.servers.release(key, frame, &mut self.turn);
+        match answer {
+            Some(frame) if long.is_none() => self.servers.release(key, frame, &mut self.turn),
+            // A long answer either passes to its client or is of no use.
+            Some(_) if !passes => self.servers.drop_answer(key, &mut self.turn),
+            _ => {}
         }
         self.choice.outcome(self.turn.now, req, write_out, outcome, closed);
+        if passes {
+            self.pass_down(key);
+        }
+    }
+
+    /// An answer that is there whole goes to the client.
+    fn relay(&mut self, key: Key, frame: Frame, client: Key) {
+        if let Some((head, body)) = self.servers.message(key, frame) {
+            let length = Length::Known(body.len() as u64);
+            let write = |out: &mut Vec<u8>, keep| http::relayed_head(out, head, length, keep);
+            self.clients.answer(client, write, body, &mut self.turn);
+            self.look_again.push(client);
+        }
+    }
+
+    /// A long answer is to pass to the client; whether it can.
+    fn begin(&mut self, key: Key, frame: Frame, body: Body, whose: (Key, usize, bool)) -> bool {
+        let Some((head, _)) = self.servers.message(key, frame) else { return false };
+        let write = |out: &mut Vec<u8>, length, keep| http::relayed_head(out, head, length, keep);
+        let begun = self.clients.begin(whose.0, key, body.length(), write, &mut self.turn);
+        if begun {
+            self.servers.pass(key, frame, body, whose);
+        }
+        begun
     }
 
     fn list_ready(&mut self, key: Key) {
@@ -590,9 +739,13 @@
                 }
                 let Some(r) = self.req(req) else { return };
                 r.write_outs.push(sent.ok());
+                let brings = r.client.filter(|_| sent.is_ok());
                 if let Err(ending) = sent {
                     self.choice.outcome(now, req, carried.write_out, ending.outcome(), false);
                 }
+                if let Some(client) = brings {
+                    self.pass_up(client);
+                }
             }
             Decision::Nack { req, come_back } => self.answer(req, 503, come_back),
             Decision::Fail { req } => self.answer(req, 502, None),
@@ -629,19 +782,22 @@
 
     fn probe(&mut self, endpoint: usize) {
         let carried = Carried { req: PROBE, write_out: endpoint, give_up: self.turn.now + PROBE_WAIT };
-        if self.servers.send(endpoint, carried, (PROBE_HEAD, b""), &mut self.turn).is_err() {
+        let message = Message { head: PROBE_HEAD, body: b"", coming: None };
+        if self.servers.send(endpoint, carried, message, &mut self.turn).is_err() {
             self.choice.probed(self.turn.now, endpoint, None);
         }
     }
 
     /// What a probe's answer says of the reqs in hand.
-    fn probed(&mut self, endpoint: usize, key: Key, answer: Option<Frame>) {
+    fn probed(&mut self, endpoint: usize, key: Key, answer: Option<Frame>, long: bool) {
         let body = answer.and_then(|frame| self.servers.message(key, frame)).map(|(_, body)| body);
         let report = body.and_then(|body| std::str::from_utf8(body).ok());
         let load = report.and_then(|report| self.choice.terms().load(report));
         self.choice.probed(self.turn.now, endpoint, load);
-        if let Some(frame) = answer {
-            self.servers.release(key, frame, &mut self.turn);
+        match answer {
+            Some(_) if long => self.servers.drop_answer(key, &mut self.turn),
+            Some(frame) => self.servers.release(key, frame, &mut self.turn),
+            None => {}
         }
     }
 
@@ -656,8 +812,7 @@
         let Some((method, client)) = self.req(req).and_then(|r| Some((r.method, r.client.take()?))) else {
             return;
         };
-        let end = if status == 503 { End::Nacked } else { End::Failed };
-        self.figures.ended(&self.choice.terms().methods[method].name, end);
+        self.count(method, if status == 503 { End::Nacked } else { End::Failed });
         let head = |out: &mut Vec<u8>, keep| http::own_answer(out, status, come_back, keep);
         self.clients.answer(client, head, b"", &mut self.turn);
         self.look_again.push(client);
--- a/crates/sidecar/src/watch.rs
+++ b/crates/sidecar/src/watch.rs
@@ -88,6 +88,10 @@
         self.real.terms()
     }
 
+    pub fn gone_in_part(&mut self, now: Moment, req: usize) {
+        self.both(|choice| choice.gone_in_part(now, req));
+    }
+
     /// Other terms hold from now on, at these places.
     pub fn retune(&mut self, terms: Terms, watched: Option<Terms>, places: &[(usize, Option<usize>)]) {
         if let Some(watch) = &mut self.watch {
