--- /dev/null
+++ b/crates/sidecar/tests/daily/long.rs
@@ -0,0 +1,346 @@
+//! Long and slow messages, on the loopback.
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{Receiver, channel};
+use std::time::{Duration, Instant};
+
+use crate::stand_ins::{Client, Endpoint, Sidecar, configuration, entry, list, list_of, ok};
+
+const LONG: usize = 32_000_000;
+
+/// An endpoint that does as it is told with each connection.
+fn raw(serve: impl Fn(TcpStream) + Send + Clone + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let serve = serve.clone();
+            std::thread::spawn(move || serve(stream));
+        }
+    });
+    at
+}
+
+/// Reads up to the end of a head.
+fn head(stream: &mut TcpStream) -> String {
+    let (mut head, mut byte) = (Vec::new(), [0]);
+    while !head.ends_with(b"\r\n\r\n") && stream.read(&mut byte).unwrap_or(0) > 0 {
+        head.push(byte[0]);
+    }
+    String::from_utf8(head).unwrap()
+}
+
+fn body(bytes: usize) -> Vec<u8> {
+    (0..bytes).map(|at| (at * 31 % 251) as u8).collect()
+}
+
+/// What a chunked body holds, and whether it has an end.
+fn unchunked(mut bytes: &[u8]) -> (Vec<u8>, bool) {
+    let mut data = Vec::new();
+    while let Some(end) = bytes.windows(2).position(|pair| pair == b"\r\n") {
+        let size = usize::from_str_radix(std::str::from_utf8(&bytes[..end]).unwrap(), 16).unwrap();
+        bytes = &bytes[end + 2..];
+        if size == 0 {
+            return (data, bytes == b"\r\n");
+        }
+        data.extend_from_slice(&bytes[..size.min(bytes.len())]);
+        bytes = bytes.get(size + 2..).unwrap_or_default();
+    }
+    (data, false)
+}
+
+fn connect(sidecar: &Sidecar) -> TcpStream {
+    let stream = TcpStream::connect(sidecar.at).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+    stream
+}
+
+const VIEW: &[u8] = b"GET /view/1 HTTP/1.1\r\nX-Txn: 7a01\r\nConnection: close\r\n\r\n";
+
+#[test]
+fn long_answers_pass_whole_in_every_framing() {
+    for framing in ["Content-Length: 32000000", "Transfer-Encoding: chunked", "X-Ends: with the connection"] {
+        let at = raw(move |mut stream| {
+            head(&mut stream);
+            let (data, chunked) = (body(LONG), framing.contains("chunked"));
+            write!(stream, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n{framing}\r\n\r\n").unwrap();
+            for piece in data.chunks(777_777) {
+                if chunked {
+                    write!(stream, "{:X};x=y\r\n", piece.len()).unwrap();
+                }
+                stream.write_all(piece).unwrap();
+                if chunked {
+                    stream.write_all(b"\r\n").unwrap();
+                }
+            }
+            if chunked {
+                stream.write_all(b"0\r\nT: t\r\n\r\n").unwrap();
+            }
+        });
+        let sidecar = Sidecar::before(&[at]);
+        let mut client = connect(&sidecar);
+        client.write_all(VIEW).unwrap();
+        let head = head(&mut client);
+        assert!(head.starts_with("HTTP/1.1 200 "), "{head}");
+        let mut bytes = Vec::new();
+        client.read_to_end(&mut bytes).unwrap();
+        if !head.contains("Content-Length") {
+            let (data, whole) = unchunked(&bytes);
+            assert!(whole, "{framing}");
+            bytes = data;
+        }
+        assert!(bytes == body(LONG), "{framing}: {} bytes", bytes.len());
+    }
+}
+
+#[test]
+fn an_answer_goes_on_at_once_and_one_that_breaks_off_can_be_told_and_is_not_sent_again() {
+    for framing in ["Content-Length: 32000000", "Transfer-Encoding: chunked"] {
+        let (tell, asked) = channel();
+        let (go, wait) = channel::<()>();
+        let wait = std::sync::Arc::new(std::sync::Mutex::new(wait));
+        let serve = move |mut stream: TcpStream| {
+            tell.send(head(&mut stream)).unwrap();
+            write!(stream, "HTTP/1.1 200 OK\r\n{framing}\r\n\r\n").unwrap();
+            let piece = body(100_000);
+            let chunk = if framing.contains("chunked") { "186a0\r\n" } else { "" };
+            stream.write_all(&[chunk.as_bytes(), &piece].concat()).unwrap();
+            let _ = wait.lock().unwrap().recv();
+        };
+        let sidecar = Sidecar::before(&[raw(serve.clone()), raw(serve)]);
+        let mut client = connect(&sidecar);
+        client.write_all(VIEW).unwrap();
+        let head = head(&mut client);
+        assert!(head.starts_with("HTTP/1.1 200 "), "{head}");
+        // The rest has not come, and this has.
+        client.read_exact(&mut [0; 60_000]).unwrap();
+        drop(go);
+        let mut rest = Vec::new();
+        let _ = client.read_to_end(&mut rest);
+        assert!(rest.len() <= 50_000 && !rest.ends_with(b"0\r\n\r\n"), "{framing}: {}", rest.len());
+        assert_eq!(asked.try_iter().count(), 1, "{framing}");
+    }
+}
+
+/// An endpoint that reads each req whole, and tells its head and how much body came behind it; whether that had its end.
+fn reader() -> (SocketAddr, Receiver<(String, Vec<u8>, bool)>) {
+    let (tell, told) = channel();
+    let at = raw(move |mut stream| {
+        loop {
+            let head = head(&mut stream);
+            if head.is_empty() {
+                return;
+            }
+            let length = head.lines().find_map(|line| line.strip_prefix("Content-Length: "));
+            let mut bytes = Vec::new();
+            let whole = match length.map(|length| length.parse::<usize>().unwrap()) {
+                Some(length) => {
+                    let _ = (&mut stream).take(length as u64).read_to_end(&mut bytes);
+                    bytes.len() == length
+                }
+                None => {
+                    let mut piece = [0; 65536];
+                    while !bytes.ends_with(b"\r\n0\r\n\r\n") {
+                        match stream.read(&mut piece) {
+                            Ok(n) if n > 0 => bytes.extend_from_slice(&piece[..n]),
+                            _ => break,
+                        }
+                    }
+                    let (data, whole) = unchunked(&bytes);
+                    bytes = data;
+                    whole
+                }
+            };
+            if tell.send((head, bytes, whole)).is_err() {
+                return;
+            }
+            if stream.write_all(ok("menu").unwrap().as_bytes()).is_err() {
+                return;
+            }
+        }
+    });
+    (at, told)
+}
+
+const ORDER: &str = "POST /order/1 HTTP/1.1\r\nX-Txn: 7a02\r\nIdempotency-Key: 5\r\n";
+
+#[test]
+fn long_reqs_pass_whole_in_both_framings_and_the_connection_goes_on() {
+    let (at, told) = reader();
+    let sidecar = Sidecar::before(&[at]);
+    let mut client = connect(&sidecar);
+    let data = body(LONG);
+    for chunked in [false, true, false] {
+        // Named with its host, as a client may.
+        let order = ORDER.replace("/order/1", "http://menu.svc:80/order/1?day=2");
+        if chunked {
+            write!(client, "{order}Transfer-Encoding: chunked\r\nExpect: 100-continue\r\n\r\n").unwrap();
+            for piece in data.chunks(300_001) {
+                write!(client, "{:x}\r\n", piece.len()).unwrap();
+                client.write_all(piece).unwrap();
+                client.write_all(b"\r\n").unwrap();
+            }
+            client.write_all(b"0\r\n\r\n").unwrap();
+            assert!(head(&mut client).starts_with("HTTP/1.1 100 "));
+        } else {
+            write!(client, "{order}Content-Length: {LONG}\r\n\r\n").unwrap();
+            client.write_all(&data).unwrap();
+        }
+        let answer = head(&mut client);
+        assert!(answer.starts_with("HTTP/1.1 200 ") && !answer.contains("close"), "{answer}");
+        client.read_exact(&mut [0; 4]).unwrap();
+        let (head, bytes, whole) = told.recv().unwrap();
+        assert!(head.starts_with("POST /order/1?day=2 HTTP/1.1\r\n"), "{head}");
+        assert!(whole && bytes == data, "{} bytes", bytes.len());
+    }
+}
+
+#[test]
+fn a_long_req_is_sent_elsewhere_before_its_first_piece_and_not_after() {
+    let nobody = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let (good, told) = reader();
+    let sidecar = Sidecar::before(&[nobody, good]);
+    for _ in 0..6 {
+        let mut client = connect(&sidecar);
+        write!(client, "{ORDER}Content-Length: 200000\r\n\r\n").unwrap();
+        client.write_all(&body(200_000)).unwrap();
+        assert!(head(&mut client).starts_with("HTTP/1.1 200 "));
+        assert!(told.recv().unwrap().2);
+    }
+    // Each takes some and breaks: it never ran, and cannot be sent again.
+    let (tell, asked) = channel();
+    let serve = move |mut stream: TcpStream| {
+        tell.send(head(&mut stream)).unwrap();
+        let _ = stream.read_exact(&mut [0; 100_000]);
+    };
+    let sidecar = Sidecar::before(&[raw(serve.clone()), raw(serve)]);
+    let mut client = connect(&sidecar);
+    write!(client, "{ORDER}Content-Length: {LONG}\r\n\r\n").unwrap();
+    let _ = client.write_all(&body(LONG));
+    let answer = head(&mut client);
+    // A client that is still sending may be cut off before it reads; it is told where it can be.
+    assert!(answer.is_empty() || answer.starts_with("HTTP/1.1 503 "), "{answer}");
+    assert_eq!(asked.try_iter().count(), 1);
+}
+
+#[test]
+fn a_client_that_leaves_halfway_or_falls_silent_never_has_its_req_run() {
+    let (at, told) = reader();
+    let sidecar = Sidecar::before(&[at]);
+    for framing in ["Content-Length: 200000", "Transfer-Encoding: chunked"] {
+        for silent in [false, true] {
+            let mut client = connect(&sidecar);
+            let chunk = if framing.contains("chunked") { "186a0\r\n" } else { "" };
+            write!(client, "{ORDER}{framing}\r\n\r\n{chunk}").unwrap();
+            client.write_all(&body(100_000)).unwrap();
+            if silent {
+                let asked = Instant::now();
+                assert!(head(&mut client).starts_with("HTTP/1.1 408 "));
+                assert!(asked.elapsed() < Duration::from_secs(3), "{:?}", asked.elapsed());
+            } else {
+                client.shutdown(Shutdown::Both).unwrap();
+            }
+            let (_, _, whole) = told.recv().unwrap();
+            assert!(!whole, "{framing} {silent}");
+        }
+    }
+}
+
+#[test]
+fn slow_clients_are_served_and_dripping_ones_are_told() {
+    let (at, told) = reader();
+    let sidecar = Sidecar::before(&[at]);
+    let order = |id: &str, lines: &str| format!("{}{lines}\r\n\r\n", ORDER.replace("7a02", id));
+    let slow = |first: &str, rest: Vec<u8>, piece: usize, every: u64| {
+        let mut client = connect(&sidecar);
+        client.write_all(first.as_bytes()).unwrap();
+        std::thread::sleep(Duration::from_millis(every));
+        for piece in rest.chunks(piece) {
+            if client.write_all(piece).is_err() {
+                break;
+            }
+            std::thread::sleep(Duration::from_millis(every));
+        }
+        head(&mut client)
+    };
+    let slow_body = |id, bytes: usize, piece, every| {
+        slow(&order(id, &format!("Content-Length: {bytes}")), body(bytes), piece, every)
+    };
+    std::thread::scope(|scope| {
+        // A head that takes two seconds; a held body, and one that passes, at some 64 kB a second.
+        let slow_head = scope.spawn(|| {
+            let text = order("1", "Content-Length: 4") + "soup";
+            slow(&text[..10], text.as_bytes()[10..].to_vec(), 20, 400)
+        });
+        let held = scope.spawn(|| slow_body("2", 64_000, 16_000, 300));
+        let passing = scope.spawn(|| slow_body("3", 200_000, 32_000, 500));
+        let drips = scope.spawn(|| slow(&order("4", "Content-Length: 64000"), body(30), 1, 100));
+        assert!(slow_head.join().unwrap().starts_with("HTTP/1.1 200 "));
+        for served in [held, passing] {
+            assert_eq!(
+                served.join().unwrap().split(' ').nth(1),
+                Some("409").filter(|_| false).or(Some("200"))
+            );
+        }
+        let drips = drips.join().unwrap();
+        assert!(drips.is_empty() || drips.starts_with("HTTP/1.1 408 "), "{drips}");
+    });
+    assert_eq!(told.try_iter().filter(|(_, _, whole)| *whole).count(), 3);
+}
+
+#[test]
+fn however_a_message_is_split_it_is_the_same() {
+    let (at, told) = reader();
+    let sidecar = Sidecar::before(&[at]);
+    let mut client = connect(&sidecar);
+    let text = "POST /order/1 HTTP/1.1\r\nX-Txn: 1\r\nIdempotency-Key: 5\r\nTransfer-Encoding: chunked\r\n\r\n\
+                2;x=y\r\nso\r\n2\r\nup\r\n0\r\nT: t\r\n\r\n";
+    for cut in 1..text.len() {
+        client.write_all(&text.as_bytes()[..cut]).unwrap();
+        std::thread::sleep(Duration::from_millis(1));
+        client.write_all(&text.as_bytes()[cut..]).unwrap();
+        assert!(head(&mut client).starts_with("HTTP/1.1 200 "), "{cut}");
+        client.read_exact(&mut [0; 4]).unwrap();
+        assert_eq!(told.recv().unwrap().1, b"soup", "{cut}");
+    }
+}
+
+#[test]
+fn memory_is_bounded_while_long_answers_stand_still_and_operators_are_answered() {
+    let at = raw(|mut stream| {
+        head(&mut stream);
+        let _ = write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {LONG}\r\n\r\n");
+        let _ = stream.write_all(&body(LONG));
+    });
+    let known = list_of(1, true, &[entry("e0", at, 0, "up")]);
+    let limits = configuration(list().0, 1024, &known).replace("\"memory_mb\":192", "\"memory_mb\":32");
+    let sidecar = Sidecar::start(&crate::stand_ins::asked(&limits));
+    let mut clients: Vec<_> = (0..40).map(|_| connect(&sidecar)).collect();
+    for (number, client) in clients.iter_mut().enumerate() {
+        write!(client, "GET /view/1 HTTP/1.1\r\nX-Txn: still{number}\r\n\r\n").unwrap();
+    }
+    let begun = clients.iter_mut().map(head).filter(|head| head.starts_with("HTTP/1.1 200 ")).count();
+    assert!(begun > 8, "{begun}");
+    let asked = Instant::now();
+    assert!(sidecar.figure("sidecar_pending") >= 8);
+    assert!(asked.elapsed() < Duration::from_millis(500), "{:?}", asked.elapsed());
+    assert!(sidecar.memory() < 24 << 20, "{} bytes", sidecar.memory());
+    // One that reads on gets all of its own.
+    let mut bytes = Vec::new();
+    (&mut clients[0]).take(LONG as u64).read_to_end(&mut bytes).unwrap();
+    assert!(bytes.len() < 100 || bytes == body(LONG));
+}
+
+#[test]
+fn a_long_answer_counts_once_when_it_has_passed() {
+    let endpoint = Endpoint::start(|_| ok(&"x".repeat(300_000)));
+    let sidecar = Sidecar::asked_before(&[endpoint.at]);
+    let mut client = Client::connect(&sidecar);
+    for _ in 0..3 {
+        client.view();
+        assert!(client.answer().ends_with('x'));
+    }
+    assert_eq!(sidecar.figure("sidecar_completed{lane=\"view\"}"), 3);
+    assert_eq!(sidecar.figure("sidecar_pending"), 0);
+}
--- a/crates/sidecar/tests/daily/mod.rs
+++ b/crates/sidecar/tests/daily/mod.rs
@@ -1,5 +1,6 @@
 //! The days of daily service, a file for each part.
 
+mod long;
 mod operator;
 mod settings;
 mod upgrade;
