A new process tells the old one that it is ready before it says so itself

Seen: one of four hand-overs fell back to leaving as at a restart, as SIGTERM came 0.8 s after the start, right after the yes, and the file was only renamed at the next look. Ruled out: a race at the lock (the other three saw it). The test has no pause any more and fails without it.

--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -366,7 +366,11 @@
         let call = self.operators.as_mut().and_then(|operators| operators.ready(key, &mut self.turn));
         let Some(call) = call else { return };
         let answer = match call {
-            Call::Ready => self.is_ready().to_string(),
+            Call::Ready => {
+                // Danger: SIGTERM may reach the other process right after the yes, so it has to be told before.
+                self.look_at_others();
+                self.is_ready().to_string()
+            }
             Call::Figures => format!("{}EOF", self.figures()),
             Call::Drain => self.drain().to_string(),
             Call::Resume => self.resume().to_string(),
--- a/crates/sidecar/tests/daily/upgrade.rs
+++ b/crates/sidecar/tests/daily/upgrade.rs
@@ -76,8 +76,7 @@
             serves(&mut kept);
             new.told("ready\n").starts_with("200 ")
         });
-        // It is told of within a look.
-        std::thread::sleep(Duration::from_millis(700));
+        // Right after the yes: the old one must know by then.
         old.signal("-TERM");
         let told = Instant::now();
         while told.elapsed() < Duration::from_millis(1500) {
