--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -2,6 +2,7 @@
 //! decision module of the package `appledyke` decides about them. Nothing is decided here.
 
 mod figures;
+mod handover;
 mod launch;
 mod logger;
 mod net;
--- a/crates/sidecar/src/net/servers.rs
+++ b/crates/sidecar/src/net/servers.rs
@@ -107,6 +107,9 @@
 
 /// How a write-out ended, and the answer if it has one, still in its connection's buffer.
 pub struct Ended {
+    /// Where it was to, and since when: for a req that went in pieces, since its last byte.
+    pub endpoint: usize,
+    pub sent: Moment,
     pub carried: Carried,
     pub ending: Ending,
     pub answer: Option<Frame>,
@@ -292,17 +295,28 @@
                 let ending = Ending::Answered { status, turned_away };
                 link.carries = None;
                 let keep = frame.keep && whole && !ended && read.is_ok() && written.is_ok();
-                return Some(Ended { carried, ending, answer: Some(Frame { keep, ..frame }), long: None });
+                let (answer, long) = (Some(Frame { keep, ..frame }), None);
+                return Some(Ended {
+                    endpoint: link.endpoint,
+                    sent: link.sent,
+                    carried,
+                    ending,
+                    answer,
+                    long,
+                });
             }
             Ok((Read::Long(frame, body), status, turned_away)) => {
                 let ending = Ending::Answered { status, turned_away };
                 link.carries = None;
                 let keep = frame.keep && whole;
+                let (answer, long) = (Some(Frame { keep, ..frame }), Some(body));
                 return Some(Ended {
+                    endpoint: link.endpoint,
+                    sent: link.sent,
                     carried,
                     ending,
-                    answer: Some(Frame { keep, ..frame }),
-                    long: Some(body),
+                    answer,
+                    long,
                 });
             }
             Err(_) => Ending::Garbled,
@@ -314,12 +328,12 @@
 
     fn end(&mut self, key: Key, ending: Ending, turn: &mut Turn) -> Option<Ended> {
         let link = self.links.get_mut(key)?;
-        let carried = link.carries.take();
+        let (carried, endpoint, sent) = (link.carries.take(), link.endpoint, link.sent);
         if matches!(ending, Ending::NeverUp | Ending::Broken { .. } | Ending::Garbled) {
             log::info!("connection to {}: {ending:?}", link.to);
         }
         self.close(key, turn);
-        Some(Ended { carried: carried?, ending, answer: None, long: None })
+        Some(Ended { endpoint, sent, carried: carried?, ending, answer: None, long: None })
     }
 
     /// The head and the body of an answer that has come.
@@ -372,6 +386,7 @@
             // The time for the answer runs from the last byte.
             let give_up = turn.now + carried.give_up.since(link.sent);
             (link.coming, link.carries) = (None, Some(Carried { give_up, ..carried }));
+            link.sent = turn.now;
             self.written += link.newly_written();
             give_up
         };
--- a/crates/sidecar/src/presence.rs
+++ b/crates/sidecar/src/presence.rs
@@ -5,6 +5,9 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
+/// The end of the name of a file in which a process tells the others at its address something.
+const WORD: &str = "word";
+
 /// How a process stands at its address; the end of its file's name.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Standing {
@@ -22,6 +25,12 @@
             Standing::Leaving => "leaving",
         }
     }
+
+    fn of(name: &str) -> Option<Standing> {
+        [Standing::Starting, Standing::Ready, Standing::Leaving]
+            .into_iter()
+            .find(|standing| standing.name() == name)
+    }
 }
 
 /// This process's own file, as long as there is a folder to hold it.
@@ -36,12 +45,18 @@
 }
 
 /// The others that are alive.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Others {
-    pub alive: usize,
+    names: Vec<String>,
     pub ready: usize,
 }
 
+impl Others {
+    pub fn alive(&self) -> usize {
+        self.names.len()
+    }
+}
+
 impl Presence {
     /// Tells others that this process starts at this address. Without a folder to write to nobody can know.
     pub fn announce(folder: &Path, at: SocketAddr, process: u32) -> std::io::Result<Presence> {
@@ -75,6 +90,25 @@
         }
     }
 
+    /// Leaves a word for the others. Danger: one that is being written would be read in part.
+    pub fn leave_word(&self, word: &str) {
+        let draft = self.folder.join(format!("draft-{}.{WORD}", self.own));
+        let placed = fs::write(&draft, word).and_then(|()| fs::rename(&draft, self.word()));
+        if let Err(e) = placed {
+            log::warn!("presence: {e}");
+        }
+    }
+
+    fn word(&self) -> PathBuf {
+        self.folder.join(format!("{}.{WORD}", self.own))
+    }
+
+    /// The words that others who are alive have left.
+    pub fn words(&self, others: &Others) -> Vec<String> {
+        let words = others.names.iter().map(|name| self.folder.join(format!("{name}.{WORD}")));
+        words.filter_map(|path| fs::read_to_string(path).ok()).collect()
+    }
+
     /// Looks who else is there, and clears away what dead processes have left.
     pub fn others(&self) -> Others {
         let mut others = Others::default();
@@ -82,16 +116,20 @@
         for entry in entries.flatten() {
             let name = entry.file_name().to_string_lossy().into_owned();
             let Some((process, standing)) = name.rsplit_once('.') else { continue };
+            let Some(standing) = Standing::of(standing) else { continue };
             if !process.starts_with(&self.prefix) || process == self.own {
                 continue;
             }
             let Ok(file) = File::open(entry.path()) else { continue };
             match file.try_lock() {
                 Err(TryLockError::WouldBlock) => {
-                    others.alive += 1;
-                    others.ready += usize::from(standing == Standing::Ready.name());
+                    others.names.push(process.to_string());
+                    others.ready += usize::from(standing == Standing::Ready);
+                }
+                Ok(()) => {
+                    let _ = fs::remove_file(self.folder.join(format!("{process}.{WORD}")));
+                    let _ = fs::remove_file(entry.path());
                 }
-                Ok(()) => drop(fs::remove_file(entry.path())),
                 Err(TryLockError::Error(e)) => log::warn!("presence: {name}: {e}"),
             }
         }
@@ -101,6 +139,7 @@
 
 impl Drop for Presence {
     fn drop(&mut self) {
+        let _ = fs::remove_file(self.word());
         let _ = fs::remove_file(self.path(self.standing));
     }
 }
@@ -118,20 +157,24 @@
         assert_eq!(first.others(), Others::default());
         let mut second = Presence::announce(&folder, at, 2).unwrap();
         let _elsewhere = Presence::announce(&folder, "127.0.0.1:5001".parse().unwrap(), 3).unwrap();
-        assert_eq!(first.others(), Others { alive: 1, ready: 0 });
+        let seen = |presence: &Presence| (presence.others().alive(), presence.others().ready);
+        assert_eq!(seen(&first), (1, 0));
         second.stands(Standing::Ready);
+        assert_eq!((seen(&first), seen(&second)), ((1, 1), (1, 0)));
+        second.leave_word("hot");
         assert_eq!(
-            (first.others(), second.others()),
-            (Others { alive: 1, ready: 1 }, Others { alive: 1, ready: 0 })
+            (first.words(&first.others()), second.words(&second.others())),
+            (vec!["hot".into()], vec![])
         );
         second.stands(Standing::Leaving);
-        assert_eq!(first.others(), Others { alive: 1, ready: 0 });
+        assert_eq!(seen(&first), (1, 0));
         // Killed, it has no time to clear up: its lock is gone, its file is not.
-        let left = second.path(Standing::Ready);
+        let (left, word) = (second.path(Standing::Ready), second.word());
         drop(second);
         File::create(&left).unwrap();
+        File::create(&word).unwrap();
         assert_eq!(first.others(), Others::default());
-        assert!(!left.exists());
+        assert!(!left.exists() && !word.exists());
         drop(first);
         assert!(Presence::announce(&folder.join("absent"), at, 1).is_err());
         fs::remove_dir_all(&folder).unwrap();
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use appledyke::ids::{self, Names};
+use appledyke::news::Told;
 use appledyke::terms::Terms;
 use appledyke::units::{Moment, Span};
 use appledyke::{Decision, Entry, Outcome};
@@ -16,6 +17,7 @@
 use signal_hook_mio::v1_0::Signals;
 
 use crate::figures::{End, Figures, Now};
+use crate::handover::{self, Latest};
 use crate::launch::{Launch, Winner};
 use crate::net::body::Body;
 use crate::net::clients::{self, Clients, Said};
@@ -111,6 +113,8 @@
     /// What other processes at this address see of this one, and what it saw of them last.
     presence: Option<Presence>,
     others: Others,
+    /// What is handed over to these.
+    latest: Latest,
     /// Connections that there may be at this address, and this process's part of them.
     connections: usize,
     part: usize,
@@ -174,6 +178,7 @@
             draining: None,
             presence: None,
             others: Others::default(),
+            latest: Latest::default(),
             connections: launch.connections,
             part: launch.connections,
             leaving: None,
@@ -399,13 +404,14 @@
             presence.stands(Standing::Ready);
         }
         let others = presence.others();
-        if others.alive != self.others.alive {
-            log::info!("other processes at this address: {}", others.alive);
+        if others.alive() != self.others.alive() {
+            log::info!("other processes at this address: {}", others.alive());
         }
-        self.others = others;
-        let part = self.connections / (1 + others.alive);
+        let part = self.connections / (1 + others.alive());
         self.turn.room += part as isize - std::mem::replace(&mut self.part, part) as isize;
         self.clients.resize(part);
+        self.others = others;
+        self.hand_over();
         self.turn.deadlines.shift(Due::Others, &mut self.others_at, Some(self.turn.now + OTHERS_LOOK));
     }
 
@@ -617,13 +623,13 @@
 
     /// A write-out on this connection has ended: its answer goes to the client if no other could be better.
     fn ended(&mut self, key: Key, ended: Option<Ended>) {
-        let Some(Ended { carried: Carried { req, write_out, .. }, ending, answer, long }) = ended else {
-            return;
-        };
+        let Some(ended) = ended else { return };
+        let Ended { carried: Carried { req, write_out, .. }, ending, answer, long, .. } = ended;
         if req == PROBE {
             return self.probed(write_out, key, answer, long.is_some());
         }
         let outcome = ending.outcome();
+        self.book(req, ended.endpoint, ended.sent, outcome);
         let (mut closed, mut passes) = (true, false);
         if let Some(r) = self.req(req) {
             r.write_outs[write_out] = None;
@@ -653,6 +659,39 @@
         }
     }
 
+    /// Keeps how a write-out ended, for another process at this address.
+    fn book(&mut self, req: usize, endpoint: usize, sent: Moment, outcome: Outcome) {
+        let Some(method) = self.presence.as_ref().and_then(|_| self.reqs.get(self.reqs.key_at(req)?)) else {
+            return;
+        };
+        let method = &self.choice.terms().methods[method.method];
+        self.latest.book(handover::Ended {
+            at: self.turn.now,
+            endpoint: ids::mark(self.endpoints.name(endpoint)),
+            method: ids::mark(&method.name),
+            outcome,
+            part: self.turn.now.since(sent).secs() / method.latency_budget.secs().max(1e-6),
+        });
+    }
+
+    /// Tells other processes at this address how write-outs ended here, and hears of theirs.
+    fn hand_over(&mut self) {
+        let now = self.turn.now;
+        let Some(presence) = self.presence.as_ref().filter(|_| self.others.alive() > 0) else { return };
+        presence.leave_word(&self.latest.text(now));
+        let words = presence.words(&self.others);
+        let heard: Vec<_> = words.iter().flat_map(|word| self.latest.hear(word, now)).collect();
+        let terms = self.choice.terms();
+        let marked = |at: &usize, mark| terms.offered[*at] && ids::mark(&terms.methods[*at].name) == mark;
+        let told =
+            heard.into_iter().filter_map(|handover::Ended { endpoint, method, outcome, part, .. }| {
+                let method = (0..terms.methods.len()).find(|at| marked(at, method))?;
+                Some(Told { mark: endpoint, method, outcome, part, load: None })
+            });
+        let told: Vec<_> = told.collect();
+        self.choice.told(now, &told);
+    }
+
     /// An answer that is there whole goes to the client.
     fn relay(&mut self, key: Key, frame: Frame, client: Key) {
         if let Some((head, body)) = self.servers.message(key, frame) {
--- a/crates/sidecar/src/watch.rs
+++ b/crates/sidecar/src/watch.rs
@@ -6,6 +6,7 @@
 use std::fmt;
 
 use appledyke::choice::Choice;
+use appledyke::news::Told;
 use appledyke::terms::Terms;
 use appledyke::units::{Moment, Span};
 use appledyke::{Decision, Entry, Outcome};
@@ -88,6 +89,11 @@
         self.real.terms()
     }
 
+    /// Write-outs of another process of this sidecar have ended.
+    pub fn told(&mut self, now: Moment, news: &[Told]) {
+        self.both(|choice| choice.told(now, news.iter().copied(), true));
+    }
+
     pub fn gone_in_part(&mut self, now: Moment, req: usize) {
         self.both(|choice| choice.gone_in_part(now, req));
     }
--- a/crates/sidecar/tests/daily/upgrade.rs
+++ b/crates/sidecar/tests/daily/upgrade.rs
@@ -142,3 +142,22 @@
     let said = String::from_utf8_lossy(&second.stderr).into_owned();
     assert!(!second.status.success() && said.contains("listen: "), "{said}");
 }
+
+#[test]
+fn a_new_one_hears_from_the_old_one_which_endpoint_to_avoid() {
+    let endpoint = Endpoint::start(|_| ok("menu"));
+    let nobody = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let known = list_of(1, true, &[entry("e0", endpoint.at, 0, "up"), entry("e1", nobody, 1, "up")]);
+    let folder = Folder::new("hears");
+    let text = asked(&configuration(list_that_tells(&known), 1024, &known));
+    let old = folder.start(&text);
+    let mut client = Client::connect(&old);
+    wait_for("the old one avoids it", || {
+        client.view();
+        assert_eq!(client.status(), "200");
+        old.figure("sidecar_members_unavailable") == 1
+    });
+    let new = folder.start(&beside(&old, &text));
+    wait_for("the new one avoids it", || new.figure("sidecar_members_unavailable") == 1);
+    assert_eq!(new.figure("sidecar_upstream_requests"), 0);
+}
--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -8,6 +8,7 @@
 
 use appledyke::choice::Choice;
 use appledyke::ids::{self, Names};
+use appledyke::news::Told;
 use appledyke::terms::Terms;
 use appledyke::units::{Moment, Span};
 use appledyke::{Decision, Entry, Outcome, Standing};
@@ -211,7 +212,7 @@
         }
         match word {
             "begin" => {}
-            "neighbour_says" => instance.choice.told(now, &bytes(fields.text("blob")?)?),
+            "neighbour_says" => instance.choice.told(now, Told::read(&bytes(fields.text("blob")?)?), false),
             "health_result" => instance.probed(now, fields)?,
             "arrival" => instance.arrival(now, fields)?,
             "answer" => instance.answer(now, fields)?,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,6 +1,6 @@
 //! Every decision of one instance. Make a `Choice` from the decoded terms and a seed, tell it what happens
 //! (`arrival`, `outcome`, `gone_in_part`, `streaming`, `hangup`, `list_*`, `wake`, `retune`), then pull
-//! `next_decision` until none is left. `lib.rs` defines the decisions and the words they are made of, `terms.rs` the terms.
+//! `next_decision` until none is left. `lib.rs` defines the decisions and their words, `terms.rs` the terms.
 //!
 //! The ordinary way of a req is the design's: the drop chance from a rolling window on arrival, fractions
 //! from inverse smoothed served latency, weighted draws that pass over an endpoint with much in flight. Loads
@@ -364,13 +364,13 @@
         self.due.extend(self.asking_load.drain(..));
     }
 
-    /// A peer tells how write-outs of its own have ended. What is not on the own list is passed over.
-    pub fn told(&mut self, now: Moment, bytes: &[u8]) {
+    /// A peer tells how write-outs ended; `ours`: another process of this instance. Only listed ones count.
+    pub fn told(&mut self, now: Moment, news: impl Iterator<Item = Told>, ours: bool) {
         let methods = self.terms.methods.len();
-        for told in Told::read(bytes).filter(|told| told.method < methods) {
+        for told in news.filter(|told| told.method < methods) {
             let listed = |at: &&usize| self.endpoints[**at].as_ref().is_some_and(Endpoint::is_ready);
             if let Some(endpoint) = self.marks.get(&told.mark).filter(listed) {
-                self.learn(now, *endpoint, told, None);
+                self.learn(now, *endpoint, told, ours.then_some(false));
             }
         }
     }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -236,7 +236,7 @@
                     (word.first().map_or(Outcome::Satisfied, |word| outcome(word)), millis(method) as usize);
                 let mut news = Vec::new();
                 Told { mark, method, outcome, part, load: None }.write(&mut news);
-                (0..millis(count)).for_each(|_| self.choice.told(moment(now), &news));
+                (0..millis(count)).for_each(|_| self.choice.told(moment(now), Told::read(&news), false));
             }
             ["list-failed"] => self.choice.list_failed(moment(now)),
             ["flood", ref words @ ..] => self.flood(now, words),
