Slow answers of unknown length pass on early; leaving waits for long ones; what a restart fixes is named

Need: an answer of unknown length that comes slowly was held until 64 KiB had come, and a long one was cut off as its process left. At SIGHUP the log names keys that differ and wait for a start; connection limits of the settings are taken.

--- a/crates/sidecar/src/launch.rs
+++ b/crates/sidecar/src/launch.rs
@@ -34,6 +34,30 @@
     File,
 }
 
+/// What a running sidecar does not take over from a file that is read again.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fixed {
+    name: String,
+    listen: SocketAddr,
+    operator: Option<SocketAddr>,
+    connections: usize,
+    watches: bool,
+}
+
+impl Fixed {
+    /// The keys at which the two differ.
+    pub fn differs(&self, other: &Fixed) -> Vec<&'static str> {
+        let keys = [
+            ("name", self.name != other.name),
+            ("listen", self.listen != other.listen),
+            ("operator", self.operator != other.operator),
+            ("limits", self.connections != other.connections),
+            ("watch", self.watches != other.watches),
+        ];
+        keys.into_iter().filter_map(|(key, differs)| differs.then_some(key)).collect()
+    }
+}
+
 /// All that a sidecar is told at its start.
 pub struct Launch {
     /// The file that this was read from.
@@ -57,6 +81,7 @@
     pub keys: Vec<String>,
     /// What the settings allow and this program cannot do, by key.
     pub unmet: Vec<String>,
+    pub fixed: Fixed,
     pub connection_idle: Span,
     pub connect_timeout: Span,
 }
@@ -167,7 +192,7 @@
     }
 
     fn check(mut file: Value, path: PathBuf, winner: Winner) -> Result<Launch, String> {
-        let may_be = |variable, key: &'static str| {
+        let may_be = |variable, key: &'static str, winner| {
             let found = text(variable, &file, key, winner)?;
             let parsed = found.map(|(text, named)| {
                 text.parse::<SocketAddr>()
@@ -175,11 +200,14 @@
             });
             parsed.transpose()
         };
-        let address = |variable, key| may_be(variable, key)?.ok_or_else(|| format!("{key}: missing"));
-        let operator = may_be("BALANCER_OPERATOR", "operator")?;
-        let (listen, discovery) =
-            (address("BALANCER_LISTEN", "listen")?, address("BALANCER_DISCOVERY", "discovery")?);
-        let name = text("BALANCER_NAME", &file, "name", winner)?;
+        let missing = |key| format!("{key}: missing");
+        // What only a start takes goes by the variables also in a file that is read again.
+        let operator = may_be("BALANCER_OPERATOR", "operator", Winner::Variable)?;
+        let listen = may_be("BALANCER_LISTEN", "listen", Winner::Variable)?;
+        let listen = listen.ok_or_else(|| missing("listen"))?;
+        let discovery = may_be("BALANCER_DISCOVERY", "discovery", winner)?;
+        let discovery = discovery.ok_or_else(|| missing("discovery"))?;
+        let name = text("BALANCER_NAME", &file, "name", Winner::Variable)?;
         let name = name.map_or_else(|| "sidecar".to_string(), |(name, _)| name);
         if !file["settings"].is_object() {
             return Err("settings: missing, or no object".to_string());
@@ -229,8 +257,10 @@
                 .and_then(|_| list::entries(known, |_, _, _, _, _| {}))
                 .map_err(|what| format!("known.{what}"))?;
         }
+        let fixed = Fixed { name: name.clone(), listen, operator, connections, watches: watched.is_some() };
         Ok(Launch {
             path,
+            fixed,
             name,
             listen,
             operator,
@@ -261,3 +291,28 @@
     let pairs = plain.chain([("methods.0.name", method)]).chain(changes.iter().copied());
     Terms::decode(pairs).expect("readable terms")
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_a_start_has_fixed_is_named_where_a_file_read_again_differs() {
+        let file: Value = serde_json::from_str(include_str!("../../../examples/sidecar.json")).unwrap();
+        let read = |file: &Value| {
+            Launch::check(file.clone(), PathBuf::new(), Winner::File).map(|launch| launch.fixed)
+        };
+        let before = read(&file).unwrap();
+        assert_eq!(before.differs(&before), [""; 0]);
+        let mut other = file.clone();
+        other["operator"] = "127.0.0.1:5009".into();
+        other["limits"]["sockets"] = 512.into();
+        other["watch"] = serde_json::json!({"ceilings": {"mostWriteOuts": 1}});
+        assert_eq!(before.differs(&read(&other).unwrap()), ["operator", "limits", "watch"]);
+        other["operator"] = "nowhere".into();
+        assert_eq!(read(&other).unwrap_err(), "operator: expected address:port, not 'nowhere'");
+        // A key that was there must stay, but for what may go.
+        assert!(keys(&file).contains(&"settings.rules".to_string()));
+        assert!(!keys(&file).contains(&"known".to_string()));
+    }
+}
--- a/crates/sidecar/src/net/body.rs
+++ b/crates/sidecar/src/net/body.rs
@@ -62,6 +62,11 @@
         self.length
     }
 
+    /// Whether its end shows in its own bytes.
+    pub fn framed(&self) -> bool {
+        self.at != At::ToEnd
+    }
+
     pub fn done(&self) -> bool {
         self.at == At::Done
     }
--- a/crates/sidecar/src/net/clients.rs
+++ b/crates/sidecar/src/net/clients.rs
@@ -39,6 +39,8 @@
 const LINGER: Span = Span::from_millis(1000);
 /// How long a connection may bring its next req once connections part: it was opened for one.
 const LEAVE_IDLE: Span = Span::from_millis(300);
+/// The same for the rest of a req that it has begun: clients may be slow.
+const LEAVE_BEGUN: Span = Span::from_millis(1200);
 /// How long a new connection is safe from making room: it was opened for a req, which is on its way.
 const FRESH: Span = Span::from_millis(1000);
 /// Buffers that are read and thrown away at one event, of a connection that is being closed.
@@ -407,7 +409,7 @@
             let Some(client) = self.slots.get_mut(key) else { return Said::Nothing };
             let input = &mut client.connection.input;
             let read = http::request(input);
-            if matches!(read, Ok(Read::Body | Read::Long(..)))
+            if matches!(read, Ok(Read::Body { .. } | Read::Long(..)))
                 && !client.leave_given
                 && http::expects_leave(input)
             {
@@ -426,7 +428,7 @@
                     }
                     return Said::Nothing;
                 }
-                Ok(Read::Body) => {
+                Ok(Read::Body { .. }) => {
                     client.timed = true;
                     let more =
                         input.len() - std::mem::replace(&mut client.seen, input.len()).min(input.len());
@@ -727,10 +729,15 @@
         self.parting = true;
         let brought = self.accept(turn);
         // The next req of any of them may be under way, so it has a moment for it.
-        let until = turn.now + LEAVE_IDLE;
-        let late = |c: &Client| (c.idle() || c.begun()) && c.deadline.is_none_or(|at| at > until);
-        let between = self.slots.iter().filter(|(_, c)| late(c)).map(|(key, _)| key);
-        for key in between.collect::<Vec<Key>>() {
+        let between = self.slots.iter().filter_map(|(key, c)| {
+            let until = match c {
+                _ if c.idle() => turn.now + LEAVE_IDLE,
+                _ if c.begun() => turn.now + LEAVE_BEGUN,
+                _ => return None,
+            };
+            c.deadline.is_none_or(|at| at > until).then_some((key, until))
+        });
+        for (key, until) in between.collect::<Vec<_>>() {
             self.time_out(key, until, turn);
         }
         brought
--- a/crates/sidecar/src/net/http.rs
+++ b/crates/sidecar/src/net/http.rs
@@ -172,8 +172,10 @@
 pub enum Read {
     /// Part of a head.
     Head,
-    /// A whole head, and part of a body that will be held.
-    Body,
+    /// A whole head, and part of a body that will be held; its length is known or not.
+    Body {
+        open: bool,
+    },
     Whole(Frame),
     /// A whole head, in a frame without a body, and what stands behind it: it is to pass through.
     Long(Frame, Body),
@@ -181,6 +183,7 @@
 
 /// Finds the end of the body behind a head, and makes a chunked body contiguous.
 fn body(buffer: &mut [u8], head: usize, framing: Framing, ended: bool, keep: bool) -> Result<Read, Bad> {
+    let open = !matches!(framing, Framing::Length(_));
     let held = BODY_MOST as u64;
     let long = |body| Ok(Read::Long(Frame { head, body: 0, end: head, keep }, body));
     match framing {
@@ -189,17 +192,17 @@
             let body = length as usize;
             Ok(Read::Whole(Frame { head, body, end: head + body, keep }))
         }
-        Framing::Length(_) => Ok(Read::Body),
+        Framing::Length(_) => Ok(Read::Body { open }),
         Framing::ToEnd if buffer.len() > head + BODY_MOST => {
             Ok(Read::Long(Frame { head, body: 0, end: head, keep: false }, Body::to_end()))
         }
         Framing::ToEnd if ended => {
             Ok(Read::Whole(Frame { head, body: buffer.len() - head, end: buffer.len(), keep: false }))
         }
-        Framing::ToEnd => Ok(Read::Body),
+        Framing::ToEnd => Ok(Read::Body { open }),
         Framing::Chunked => match chunks(buffer, head)? {
             // Chunks have frames: small ones may fill the buffer before their data does.
-            Chunked::Partial if buffer.len() < MESSAGE_MOST => Ok(Read::Body),
+            Chunked::Partial if buffer.len() < MESSAGE_MOST => Ok(Read::Body { open }),
             Chunked::Partial | Chunked::Long => long(Body::chunked()),
             Chunked::Whole(found, end) => {
                 let mut body = 0;
@@ -250,8 +253,9 @@
     with_request(buffer, |request| lists(request.headers, "Expect", "100-continue")).unwrap_or(false)
 }
 
-/// The first answer in the buffer: its status, and whether it says that the req was turned away.
-pub fn answer(buffer: &mut Vec<u8>, ended: bool) -> Result<(Read, u16, bool), Bad> {
+/// The first answer in the buffer: its status, and whether it says that the req was turned away. `late`: one of
+/// unknown length has been held for long, and is to pass through from here.
+pub fn answer(buffer: &mut Vec<u8>, ended: bool, late: bool) -> Result<(Read, u16, bool), Bad> {
     loop {
         let mut headers = [EMPTY_HEADER; HEADERS_MOST];
         let mut response = Response::new(&mut headers);
@@ -266,7 +270,21 @@
         match status {
             101 => return Err(MALFORMED),
             100..200 => drop(buffer.drain(..head)),
-            _ => return Ok((body(buffer, head, framing, ended, keep)?, status, turned_away)),
+            _ => {
+                let passes = match framing {
+                    Framing::Length(_) => None,
+                    Framing::Chunked => Some(Body::chunked()),
+                    Framing::ToEnd => Some(Body::to_end()),
+                };
+                let read = match (body(buffer, head, framing, ended, keep)?, passes) {
+                    (Read::Body { .. }, Some(body)) if late => {
+                        let keep = keep && body.framed();
+                        Read::Long(Frame { head, body: 0, end: head, keep }, body)
+                    }
+                    (read, _) => read,
+                };
+                return Ok((read, status, turned_away));
+            }
         }
     }
 }
@@ -434,7 +452,7 @@
             }
             let found = match round % good.len() {
                 0 | 1 => request(&mut buffer),
-                _ => answer(&mut buffer, round % 8 < 4).map(|(read, ..)| read),
+                _ => answer(&mut buffer, round % 8 < 4, round % 16 < 8).map(|(read, ..)| read),
             };
             if let Ok(Read::Whole(frame) | Read::Long(frame, _)) = found {
                 assert!(frame.head + frame.body <= frame.end && frame.end <= buffer.len());
--- a/crates/sidecar/src/net/servers.rs
+++ b/crates/sidecar/src/net/servers.rs
@@ -20,6 +20,8 @@
 /// connection costs the endpoint work.
 const REST: Span = Span::from_millis(2);
 const WARY_FOR: Span = Span::from_millis(60_000);
+/// How long an answer of unknown length is held for its end while more of it comes.
+const HELD_MOST: Span = Span::from_millis(500);
 /// How long an endpoint may bring nothing of a long answer that it has begun, or take nothing of a long req: peers
 /// take seconds, and what it still gives is not to be cut off.
 const PASS_SILENT: Span = Span::from_millis(10_000);
@@ -47,6 +49,8 @@
     /// When that set out, and how what is to come of its req is framed, behind what was written.
     sent: Moment,
     coming: Option<Length>,
+    /// Since when an answer of unknown length is held that is not whole.
+    held_since: Option<Moment>,
     passes: Option<Passing>,
 }
 
@@ -142,6 +146,11 @@
         }
     }
 
+    /// Other limits hold from now on.
+    pub fn retune(&mut self, idle_limit: Span, connect_timeout: Span) {
+        (self.idle_most, self.connect_timeout) = (idle_limit * IDLE_SHARE, connect_timeout);
+    }
+
     /// Where an endpoint is to be found from now on, and since when. Danger: a machine that was cut off comes
     /// back without a word to the connections of before; a req written to one of them ends as a reset, and
     /// may have run for all that can be told.
@@ -219,6 +228,7 @@
                 return Err(Ending::Broken { whole: false });
             }
             (link.carries, link.counted, link.sent, link.coming) = (Some(carried), false, now, coming);
+            link.held_since = None;
             self.written += link.newly_written();
             let until = if coming.is_some() { now + PASS_SILENT } else { carried.give_up };
             turn.deadlines.shift(Due::Server(key), &mut link.deadline, Some(until));
@@ -242,6 +252,7 @@
                 counted: false,
                 sent: now,
                 coming,
+                held_since: None,
                 passes: None,
             })
         });
@@ -287,40 +298,31 @@
         let written = link.connection.flush();
         let whole = link.whole();
         self.written += link.newly_written();
-        let read = link.connection.fill(http::MESSAGE_MOST);
+        let read_on = link.connection.fill(http::MESSAGE_MOST);
         let ended = link.connection.ended;
+        // Danger: an answer of unknown length that comes slowly would be held back for as long as it takes to fill
+        // what is held. One that has stopped is waited for as ever: it may be spoilt, and another endpoint answer.
+        let late = link.held_since.is_some_and(|since| turn.now.since(since) >= HELD_MOST);
         // What was read before the connection broke still counts.
-        let ending = match http::answer(&mut link.connection.input, ended) {
-            Ok((Read::Whole(frame), status, turned_away)) => {
-                let ending = Ending::Answered { status, turned_away };
+        let ending = match http::answer(&mut link.connection.input, ended, late) {
+            Ok((read @ (Read::Whole(_) | Read::Long(..)), status, turned_away)) => {
+                let works = !ended && read_on.is_ok() && written.is_ok();
+                let (frame, long) = match read {
+                    Read::Whole(frame) => (Frame { keep: frame.keep && whole && works, ..frame }, None),
+                    Read::Long(frame, body) => (Frame { keep: frame.keep && whole, ..frame }, Some(body)),
+                    _ => return None,
+                };
                 link.carries = None;
-                let keep = frame.keep && whole && !ended && read.is_ok() && written.is_ok();
-                let (answer, long) = (Some(Frame { keep, ..frame }), None);
-                return Some(Ended {
-                    endpoint: link.endpoint,
-                    sent: link.sent,
-                    carried,
-                    ending,
-                    answer,
-                    long,
-                });
-            }
-            Ok((Read::Long(frame, body), status, turned_away)) => {
+                let (endpoint, sent) = (link.endpoint, link.sent);
                 let ending = Ending::Answered { status, turned_away };
-                link.carries = None;
-                let keep = frame.keep && whole;
-                let (answer, long) = (Some(Frame { keep, ..frame }), Some(body));
-                return Some(Ended {
-                    endpoint: link.endpoint,
-                    sent: link.sent,
-                    carried,
-                    ending,
-                    answer,
-                    long,
-                });
+                return Some(Ended { endpoint, sent, carried, ending, answer: Some(frame), long });
             }
             Err(_) => Ending::Garbled,
-            Ok(_) if ended || read.is_err() || written.is_err() => Ending::Broken { whole },
+            Ok(_) if ended || read_on.is_err() || written.is_err() => Ending::Broken { whole },
+            Ok((Read::Body { open: true }, ..)) => {
+                link.held_since.get_or_insert(turn.now);
+                return None;
+            }
             Ok(_) => return None,
         };
         self.end(key, ending, turn)
@@ -495,7 +497,6 @@
             self.close(key, turn);
             return None;
         };
-        // Danger: a req's times run from its last byte, so while it goes on in pieces no deadline of its own holds.
         let whole = link.whole();
         let up = link.up || turn.now >= carried.give_up;
         self.end(key, if up { Ending::GivenUp { whole } } else { Ending::NeverUp }, turn)
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -18,7 +18,7 @@
 
 use crate::figures::{End, Figures, Now};
 use crate::handover::{self, Latest};
-use crate::launch::{Launch, Winner};
+use crate::launch::{Fixed, Launch, Winner};
 use crate::net::body::Body;
 use crate::net::clients::{self, Clients, Said};
 use crate::net::connection::Ending;
@@ -50,6 +50,8 @@
 const LEAVE_LEAST: Span = Span::from_millis(600);
 /// Time in which last answers go out.
 const LEAVE_LAST: Span = Span::from_millis(150);
+/// Time in which long answers that have begun may go on.
+const LEAVE_PASSING: Span = Span::from_millis(30_000);
 /// Between two looks at how far leaving or draining has come.
 const AWAY_LOOK: Span = Span::from_millis(50);
 /// How long all goes on as ever once the health check says no to a drain: the front asks often, and sends new
@@ -85,8 +87,9 @@
 pub struct Sidecar {
     /// What configures it.
     file: PathBuf,
-    /// The keys of the file taken last.
+    /// The keys of the file taken last, and what of it the start has fixed.
     keys: Vec<String>,
+    fixed: Fixed,
     poll: Poll,
     signals: Signals,
     clock: Clock,
@@ -158,6 +161,7 @@
         let mut sidecar = Sidecar {
             file: launch.path,
             keys: launch.keys,
+            fixed: launch.fixed,
             signals,
             clock,
             turn,
@@ -259,7 +263,7 @@
                 self.accept();
                 self.decide();
             }
-            let over = self.leaving.is_some_and(|leaving| self.turn.now >= leaving.until + LEAVE_LAST);
+            let over = self.leaving.is_some_and(|leaving| self.all_over(leaving));
             if over || self.clients.none_left() {
                 self.tell_watch();
                 log::info!("left with all answered");
@@ -268,6 +272,13 @@
         }
     }
 
+    /// Nothing is left that is worth staying for. Danger: what an endpoint still gives of a long answer would be cut
+    /// off; whoever cannot wait for it ends this process.
+    fn all_over(&self, leaving: Leaving) -> bool {
+        let last = if self.servers.passing().next().is_some() { LEAVE_PASSING } else { LEAVE_LAST };
+        self.turn.now >= leaving.until + last
+    }
+
     // What is heard.
 
     fn accept(&mut self) {
@@ -301,6 +312,11 @@
                 if self.list.move_to(launch.discovery, &mut self.turn) {
                     self.choice.list_failed(self.turn.now);
                 }
+                self.servers.retune(launch.connection_idle, launch.connect_timeout);
+                let waits = self.fixed.differs(&launch.fixed);
+                if !waits.is_empty() {
+                    log::warn!("read again: {}: taken at the next start only", waits.join(", "));
+                }
                 self.keys = launch.keys;
                 self.retune(launch.terms, launch.watched);
             }
--- a/crates/sidecar/tests/daily/long.rs
+++ b/crates/sidecar/tests/daily/long.rs
@@ -94,6 +94,28 @@
     }
 }
 
+#[test]
+fn an_answer_of_unknown_length_that_comes_slowly_is_not_held_back() {
+    let at = raw(|mut stream| {
+        head(&mut stream);
+        write!(stream, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
+        while write!(stream, "4\r\nmenu\r\n").is_ok() {
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    });
+    let sidecar = Sidecar::before(&[at]);
+    let mut client = connect(&sidecar);
+    let asked = Instant::now();
+    client.write_all(VIEW).unwrap();
+    assert!(head(&mut client).starts_with("HTTP/1.1 200 "));
+    client.read_exact(&mut [0; 100]).unwrap();
+    // It has far from filled what is held of a message; the client's time, 3 s, does not end it either.
+    assert!(asked.elapsed() < Duration::from_secs(2), "{:?}", asked.elapsed());
+    while asked.elapsed() < Duration::from_millis(3500) {
+        client.read_exact(&mut [0; 9]).unwrap();
+    }
+}
+
 #[test]
 fn an_answer_goes_on_at_once_and_one_that_breaks_off_can_be_told_and_is_not_sent_again() {
     for framing in ["Content-Length: 32000000", "Transfer-Encoding: chunked"] {
--- a/crates/sidecar/tests/daily/upgrade.rs
+++ b/crates/sidecar/tests/daily/upgrade.rs
@@ -129,6 +129,33 @@
     assert!(old.end().success());
 }
 
+#[test]
+fn an_old_one_that_is_killed_leaves_the_new_one_serving_and_all_the_room() {
+    let endpoint = Endpoint::start(|_| ok("menu"));
+    let known = list_of(1, true, &[entry("e0", endpoint.at, 0, "up")]);
+    let folder = Folder::new("killed");
+    let text = asked(&configuration(list_that_tells(&known), 1024, &known));
+    let old = folder.start(&text);
+    let mut new = folder.start(&beside(&old, &text));
+    wait_for("the new one is ready", || new.told("ready\n").starts_with("200 "));
+    // Killed outright: nothing is handed over, and its files stay.
+    drop(old);
+    wait_for("its files are cleared away", || std::fs::read_dir(&folder.0).unwrap().count() <= 2);
+    for _ in 0..20 {
+        let mut client = Client::connect(&new);
+        client.view();
+        assert_eq!(client.status(), "200");
+    }
+    // With nobody to serve on it leaves as ever.
+    new.signal("-TERM");
+    wait_for("a no", || {
+        let mut client = Client::connect(&new);
+        client.send("GET /healthz HTTP/1.1\r\n\r\n");
+        client.status() == "503"
+    });
+    assert!(new.end().success());
+}
+
 #[test]
 fn without_a_second_address_a_taken_address_stays_an_error() {
     let text = configuration(list().0, 1024, &list_of(1, true, &[]));
