--- a/crates/sidecar/src/launch.rs
+++ b/crates/sidecar/src/launch.rs
@@ -305,7 +305,7 @@
         let before = read(&file).unwrap();
         assert_eq!(before.differs(&before), [""; 0]);
         let mut other = file.clone();
-        other["operator"] = "127.0.0.1:5009".into();
+        other["operator"] = "127.0.0.1:5010".into();
         other["limits"]["sockets"] = 512.into();
         other["watch"] = serde_json::json!({"ceilings": {"mostWriteOuts": 1}});
         assert_eq!(before.differs(&read(&other).unwrap()), ["operator", "limits", "watch"]);
