--- a/crates/sidecar/tests/daily/long.rs
+++ b/crates/sidecar/tests/daily/long.rs
@@ -246,6 +246,28 @@
     assert_eq!(asked.try_iter().count(), 1);
 }
 
+#[test]
+fn an_answer_that_comes_before_the_body_has_been_taken_goes_on_and_ends_both_connections() {
+    for long in [false, true] {
+        let at = raw(move |mut stream| {
+            head(&mut stream);
+            let answer = ok(&"x".repeat(if long { 200_000 } else { 4 })).unwrap();
+            stream.write_all(answer.as_bytes()).unwrap();
+            // What still comes is read, so that the answer is not lost on the way.
+            let _ = std::io::copy(&mut stream, &mut std::io::sink());
+        });
+        let sidecar = Sidecar::before(&[at]);
+        let mut client = connect(&sidecar);
+        write!(client, "{ORDER}Content-Length: 200000\r\n\r\n").unwrap();
+        client.write_all(&body(100_000)).unwrap();
+        let answer = head(&mut client);
+        assert!(answer.starts_with("HTTP/1.1 200 ") && answer.contains("Connection: close"), "{answer}");
+        let mut rest = Vec::new();
+        client.read_to_end(&mut rest).unwrap();
+        assert_eq!(rest.len(), if long { 200_000 } else { 4 });
+    }
+}
+
 #[test]
 fn a_client_that_leaves_halfway_or_falls_silent_never_has_its_req_run() {
     let (at, told) = reader();
--- a/crates/sidecar/tests/daily/settings.rs
+++ b/crates/sidecar/tests/daily/settings.rs
@@ -83,6 +83,26 @@
     assert_eq!(open.status(), "502");
 }
 
+#[test]
+fn watched_settings_follow_the_methods_that_come_and_go() {
+    let endpoint = Endpoint::start(|_| ok("menu"));
+    let known = list_of(1, true, &[entry("e0", endpoint.at, 0, "up")]);
+    let watch = "{\"watch\":{\"ceilings\":{\"mostWriteOuts\":1}},";
+    let text = asked(&configuration(list().0, 1024, &known)).replacen('{', watch, 1);
+    let sidecar = Sidecar::start(&text);
+    let more = with_method(&text, "soups", "retryable");
+    for (file, soups) in [(&more, "200"), (&text, "404"), (&more, "200"), (&text, "404")] {
+        assert_eq!(reload(&sidecar, file), "taken");
+        assert_eq!(
+            (asks(&sidecar, "GET", "soups"), asks(&sidecar, "GET", "view")),
+            (soups.into(), "200".into())
+        );
+    }
+    // Without it, it goes on as it was.
+    assert_eq!(reload(&sidecar, &text.replacen(watch, "{", 1)), "taken");
+    assert_eq!(asks(&sidecar, "GET", "view"), "200");
+}
+
 #[test]
 fn a_broken_file_changes_nothing_and_is_counted() {
     let endpoint = Endpoint::start(|_| ok("menu"));
