--- a/crates/sidecar/tests/daily/long.rs
+++ b/crates/sidecar/tests/daily/long.rs
@@ -2,6 +2,7 @@
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::LazyLock;
 use std::sync::mpsc::{Receiver, channel};
 use std::time::{Duration, Instant};
 
@@ -31,8 +32,12 @@
     String::from_utf8(head).unwrap()
 }
 
-fn body(bytes: usize) -> Vec<u8> {
-    (0..bytes).map(|at| (at * 31 % 251) as u8).collect()
+/// Made once. Danger: made anew in a slow build on a busy machine, it is what the other side waits for too long.
+static BODY: LazyLock<Vec<u8>> =
+    LazyLock::new(|| (0..251).map(|at| (at * 31 % 251) as u8).collect::<Vec<_>>().repeat(LONG / 251 + 1));
+
+fn body(bytes: usize) -> &'static [u8] {
+    &BODY[..bytes]
 }
 
 /// What a chunked body holds, and whether it has an end.
@@ -127,7 +132,7 @@
             write!(stream, "HTTP/1.1 200 OK\r\n{framing}\r\n\r\n").unwrap();
             let piece = body(100_000);
             let chunk = if framing.contains("chunked") { "186a0\r\n" } else { "" };
-            stream.write_all(&[chunk.as_bytes(), &piece].concat()).unwrap();
+            stream.write_all(&[chunk.as_bytes(), piece].concat()).unwrap();
             let _ = wait.lock().unwrap().recv();
         };
         let sidecar = Sidecar::before(&[raw(serve.clone()), raw(serve)]);
@@ -207,7 +212,7 @@
             assert!(head(&mut client).starts_with("HTTP/1.1 100 "));
         } else {
             write!(client, "{order}Content-Length: {LONG}\r\n\r\n").unwrap();
-            client.write_all(&data).unwrap();
+            client.write_all(data).unwrap();
         }
         let answer = head(&mut client);
         assert!(answer.starts_with("HTTP/1.1 200 ") && !answer.contains("close"), "{answer}");
@@ -226,7 +231,7 @@
     for _ in 0..6 {
         let mut client = connect(&sidecar);
         write!(client, "{ORDER}Content-Length: 200000\r\n\r\n").unwrap();
-        client.write_all(&body(200_000)).unwrap();
+        client.write_all(body(200_000)).unwrap();
         assert!(head(&mut client).starts_with("HTTP/1.1 200 "));
         assert!(told.recv().unwrap().2);
     }
@@ -239,7 +244,7 @@
     let sidecar = Sidecar::before(&[raw(serve.clone()), raw(serve)]);
     let mut client = connect(&sidecar);
     write!(client, "{ORDER}Content-Length: {LONG}\r\n\r\n").unwrap();
-    let _ = client.write_all(&body(LONG));
+    let _ = client.write_all(body(LONG));
     let answer = head(&mut client);
     // A client that is still sending may be cut off before it reads; it is told where it can be.
     assert!(answer.is_empty() || answer.starts_with("HTTP/1.1 503 "), "{answer}");
@@ -259,7 +264,7 @@
         let sidecar = Sidecar::before(&[at]);
         let mut client = connect(&sidecar);
         write!(client, "{ORDER}Content-Length: 200000\r\n\r\n").unwrap();
-        client.write_all(&body(100_000)).unwrap();
+        client.write_all(body(100_000)).unwrap();
         let answer = head(&mut client);
         assert!(answer.starts_with("HTTP/1.1 200 ") && answer.contains("Connection: close"), "{answer}");
         let mut rest = Vec::new();
@@ -277,7 +282,7 @@
             let mut client = connect(&sidecar);
             let chunk = if framing.contains("chunked") { "186a0\r\n" } else { "" };
             write!(client, "{ORDER}{framing}\r\n\r\n{chunk}").unwrap();
-            client.write_all(&body(100_000)).unwrap();
+            client.write_all(body(100_000)).unwrap();
             if silent {
                 let asked = Instant::now();
                 assert!(head(&mut client).starts_with("HTTP/1.1 408 "));
@@ -309,7 +314,7 @@
         head(&mut client)
     };
     let slow_body = |id, bytes: usize, piece, every| {
-        slow(&order(id, &format!("Content-Length: {bytes}")), body(bytes), piece, every)
+        slow(&order(id, &format!("Content-Length: {bytes}")), body(bytes).to_vec(), piece, every)
     };
     std::thread::scope(|scope| {
         // A head that takes two seconds; a held body, and one that passes, at some 64 kB a second.
@@ -319,7 +324,7 @@
         });
         let held = scope.spawn(|| slow_body("2", 64_000, 16_000, 300));
         let passing = scope.spawn(|| slow_body("3", 200_000, 32_000, 500));
-        let drips = scope.spawn(|| slow(&order("4", "Content-Length: 64000"), body(30), 1, 100));
+        let drips = scope.spawn(|| slow(&order("4", "Content-Length: 64000"), body(30).to_vec(), 1, 100));
         assert!(slow_head.join().unwrap().starts_with("HTTP/1.1 200 "));
         for served in [held, passing] {
             assert_eq!(
@@ -355,7 +360,7 @@
     let at = raw(|mut stream| {
         head(&mut stream);
         let _ = write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {LONG}\r\n\r\n");
-        let _ = stream.write_all(&body(LONG));
+        let _ = stream.write_all(body(LONG));
     });
     let known = list_of(1, true, &[entry("e0", at, 0, "up")]);
     let limits = configuration(list().0, 1024, &known).replace("\"memory_mb\":192", "\"memory_mb\":32");
--- a/crates/sidecar/tests/daily/mod.rs
+++ b/crates/sidecar/tests/daily/main.rs
@@ -4,3 +4,6 @@
 mod operator;
 mod settings;
 mod upgrade;
+
+#[path = "../stand_ins/mod.rs"]
+mod stand_ins;
--- a/crates/sidecar/tests/sockets.rs
+++ b/crates/sidecar/tests/sockets.rs
@@ -1,6 +1,5 @@
 //! The sidecar on real sockets, among stand-ins on the loopback.
 
-mod daily;
 mod stand_ins;
 
 use std::io::{BufReader, Write};
--- a/crates/sidecar/tests/stand_ins/mod.rs
+++ b/crates/sidecar/tests/stand_ins/mod.rs
@@ -1,5 +1,8 @@
 //! What a sidecar talks to, as small as it can be: endpoints and a list that do as a test says, and a client.
 
+// Each of the test programs uses a part of these.
+#![allow(dead_code)]
+
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
