--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -302,7 +302,8 @@
         }
     }
 
-    /// Takes over what can change while reqs are under way: where the list is asked. The rest is for a start.
+    /// Takes over what can change while reqs are under way: the settings, and where the list is asked. The rest is for a
+    /// start.
     fn read_again(&mut self) {
         self.tell_watch();
         match Launch::read_from(self.file.clone(), Winner::File, &self.keys) {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -30,7 +30,7 @@
 const SOLVE_EVERY: Span = Span::from_millis(1000); // between two solves of the fractions
 const SMOOTHING: f64 = 0.1; // least part of a new latency: about the last ten count
 const SMOOTHING_OVER: Span = Span::from_millis(2500); // of one heard from seldom: those of this time count
-const MARGIN: (f64, f64) = (1.25, 0.5); // in flight beyond so many means, plus that, is well above it
+const MARGIN: (f64, f64) = (1.25, 0.5); // in flight beyond the mean times this, plus that, is well above it
 const TRIED_WEIGHT: f64 = 0.01; // of an endpoint that the req has been to: only if there is hardly another
 // Distrust, in halvings of traffic.
 const DISTRUST_STEP: f64 = 1.0; // for a failure
@@ -38,8 +38,8 @@
 const DISTRUST_OTHERS: f64 = 0.5; // part of it for other methods, unless connections fail: mostly all fail
 const DISTRUST_KEPT: f64 = 0.8; // part of it that any other answer leaves: three halve it
 const DISTRUST_MOST: f64 = 10.0; // a thousandth of the traffic can still tell of recovery
-const AVOIDED_TRUST: f64 = 0.25; // from here down it counts as avoided: two failures at the least
 const DISTRUST_HALF: Span = Span::from_millis(4000); // to half, as old latencies do: a fault is short
+const AVOIDED_TRUST: f64 = 0.25; // of its traffic, at most, has one that counts as avoided: two failures
 // Further write-outs.
 const PURSE_SHARE: f64 = 0.2; // that one arrival pays for: a fifth of the load for long
 const PURSE_MOST: f64 = 10.0; // saved up: enough to carry reqs past one endpoint's fall
@@ -53,7 +53,7 @@
 // Bound: aim as part of the budget, least and first in write-outs at an endpoint from all instances together.
 const BOUND_OWN: (f64, f64, f64) = (0.36, 6.0, 8.0); // room for spread; under the least, cores idle
 const BOUND_TOLD: (f64, f64, f64) = (0.3, 1.5, 3.0); // where load is told it acts on all at once: low
-const BOUND_GAIN: (f64, f64) = (0.8, 0.25); // change in a second of answers a budget off the aim; by one
+const BOUND_GAIN: (f64, f64) = (0.8, 0.25); // relative change in a second a whole budget off; most by one
 const BOUND_USED: f64 = 0.7; // grows only while this part is in use: else answers teach nothing,
 const BOUND_SPARE: f64 = 2.0; // and all of it but so many instances' parts, if that is more
 const CROWD_OVER: Span = Span::from_millis(20); // smoothing of what is out, times the instances that share
@@ -364,7 +364,7 @@
         self.due.extend(self.asking_load.drain(..));
     }
 
-    /// A peer tells how write-outs ended; `ours`: another process of this instance. Only listed ones count.
+    /// How write-outs to listed endpoints ended, as a peer tells, or (`ours`) this instance's other process.
     pub fn told(&mut self, now: Moment, news: impl Iterator<Item = Told>, ours: bool) {
         let methods = self.terms.methods.len();
         for told in news.filter(|told| told.method < methods) {
@@ -506,6 +506,7 @@
         if further && (spent || only_once) {
             return self.end(req);
         }
+        self.solve(now);
         if self.asks(now, req) {
             return;
         }
@@ -609,7 +610,6 @@
     /// Whether the req waits for reports of load, where endpoints give them to probes: from a few, drawn as
     /// the write-out itself would be.
     fn asks(&mut self, now: Moment, req: usize) -> bool {
-        self.solve(now);
         let r = self.reqs[req].as_ref().expect("only open reqs ask");
         if self.asks > 0 && r.asked.is_empty() {
             let until = now + self.terms.methods[r.method].latency_budget * ASKED_WAIT;
