Read once more: one reader of bodies that pass, one accept, what a start fixes held once

Twins made one: the loop that reads on in a long body stood in clients.rs and in servers.rs, each with a Piece of its own (now Body::next); taking a connection stood in clients.rs and in operator.rs (connection::accept); the listing of stand-ins stood twice in the tests. Launch held name, addresses and connections beside Fixed, and the sidecar the connections once more: Fixed alone holds them. What of a body passes is said once, in http's body; passed_over was another way of what keeps() says; the time of a write-out is Link::until in its three places; drop_answer only called close.

Behaviour is meant to be the same, and no test changed what it asserts.

--- a/crates/sidecar/src/launch.rs
+++ b/crates/sidecar/src/launch.rs
@@ -37,10 +37,12 @@
 /// What a running sidecar does not take over from a file that is read again.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Fixed {
-    name: String,
-    listen: SocketAddr,
-    operator: Option<SocketAddr>,
-    connections: usize,
+    pub name: String,
+    pub listen: SocketAddr,
+    /// Where operators call; without it there is no second address.
+    pub operator: Option<SocketAddr>,
+    /// Most connections to clients and endpoints together.
+    pub connections: usize,
     watches: bool,
 }
 
@@ -62,16 +64,11 @@
 pub struct Launch {
     /// The file that this was read from.
     pub path: PathBuf,
-    pub name: String,
-    pub listen: SocketAddr,
-    /// Where operators call; without it there is no second address.
-    pub operator: Option<SocketAddr>,
+    pub fixed: Fixed,
     /// Where processes at the same address see one another, if there is such a place and operators are to see two.
     pub folder: Option<PathBuf>,
     pub discovery: SocketAddr,
     pub seed: u64,
-    /// Most connections to clients and endpoints together.
-    pub connections: usize,
     /// The list of endpoints as this sidecar last had it, in the list's own form.
     pub known: Value,
     pub terms: Terms,
@@ -81,7 +78,6 @@
     pub keys: Vec<String>,
     /// What the settings allow and this program cannot do, by key.
     pub unmet: Vec<String>,
-    pub fixed: Fixed,
     pub connection_idle: Span,
     pub connect_timeout: Span,
 }
@@ -257,17 +253,13 @@
                 .and_then(|_| list::entries(known, |_, _, _, _, _| {}))
                 .map_err(|what| format!("known.{what}"))?;
         }
-        let fixed = Fixed { name: name.clone(), listen, operator, connections, watches: watched.is_some() };
+        let fixed = Fixed { name, listen, operator, connections, watches: watched.is_some() };
         Ok(Launch {
             path,
             fixed,
-            name,
-            listen,
-            operator,
             folder: env::var_os("TMPDIR").map(PathBuf::from).filter(|_| operator.is_some()),
             discovery,
             seed: seed(&file)?,
-            connections,
             connection_idle: span("ceilings.connIdleNs")?,
             connect_timeout: span("ceilings.connectTimeoutNs")?,
             keys: keys(&file),
--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -66,7 +66,7 @@
             launch.unmet.iter().for_each(|unmet| println!("{unmet}"));
             println!(
                 "{}: listens on {}, room for {} connections",
-                launch.name, launch.listen, launch.connections
+                launch.fixed.name, launch.fixed.listen, launch.fixed.connections
             );
         }),
         Command::Version(Version {}) => {
--- a/crates/sidecar/src/net/body.rs
+++ b/crates/sidecar/src/net/body.rs
@@ -4,7 +4,8 @@
 
 use httparse::Status;
 
-use super::http::{Bad, LONG_MOST};
+use super::connection::Connection;
+use super::http::{Bad, LONG_MOST, MESSAGE_MOST};
 
 /// Bytes that the line before a chunk may have, and all trailers together: several times what is usual.
 const LINE_MOST: usize = 1024;
@@ -37,6 +38,17 @@
     Done(usize),
 }
 
+/// What stands next of a body in its connection's buffer.
+pub enum Piece {
+    Data(Range<usize>),
+    End,
+    /// Nothing yet.
+    Later,
+    Bad(u16),
+    /// Nothing more, though it is not whole.
+    Broken,
+}
+
 #[derive(Clone, Debug)]
 pub struct Body {
     at: At,
@@ -62,11 +74,6 @@
         self.length
     }
 
-    /// Whether its end shows in its own bytes.
-    pub fn framed(&self) -> bool {
-        self.at != At::ToEnd
-    }
-
     pub fn done(&self) -> bool {
         self.at == At::Done
     }
@@ -79,6 +86,33 @@
         self.done()
     }
 
+    /// Reads on in the connection's buffer from `from` on, and what more the socket has. `last_count`: what came before
+    /// the connection broke still counts.
+    pub fn next(&mut self, connection: &mut Connection, from: usize, last_count: bool) -> Piece {
+        loop {
+            match self.step(&connection.input[from..]) {
+                Err(Bad(status)) => return Piece::Bad(status),
+                Ok(Step::Data(range)) => return Piece::Data(from + range.start..from + range.end),
+                Ok(Step::Done(used)) => {
+                    connection.consume_at(from, used);
+                    return Piece::End;
+                }
+                Ok(Step::More(used)) => {
+                    connection.consume_at(from, used);
+                    let before = connection.input.len();
+                    let works = connection.fill(MESSAGE_MOST).is_ok();
+                    let more = connection.input.len() > before;
+                    match (works || last_count && more, more) {
+                        (false, _) => return Piece::Broken,
+                        (true, true) => {}
+                        _ if !connection.ended => return Piece::Later,
+                        _ => return if self.ends_here() { Piece::End } else { Piece::Broken },
+                    }
+                }
+            }
+        }
+    }
+
     /// Reads on in a buffer that begins where the last step ended.
     pub fn step(&mut self, input: &[u8]) -> Result<Step, Bad> {
         let mut used = 0;
--- a/crates/sidecar/src/net/clients.rs
+++ b/crates/sidecar/src/net/clients.rs
@@ -1,7 +1,7 @@
 //! The clients' side: the listener, reqs in, answers out. One req at a time on a connection.
 
 use std::collections::HashSet;
-use std::io::{self, ErrorKind};
+use std::io;
 use std::net::SocketAddr;
 use std::ops::Range;
 
@@ -12,8 +12,8 @@
 use socket2::{Domain, Protocol, Socket, Type};
 
 use super::Turn;
-use super::body::{Body, Step};
-use super::connection::Connection;
+use super::body::{Body, Piece};
+use super::connection::{self, Connection};
 use super::deadlines::Due;
 use super::http::{self, Bad, Frame, Length, Read};
 use super::servers::Message;
@@ -119,15 +119,6 @@
     },
 }
 
-/// What stands next of a body that is still to come, in its connection's buffer.
-pub enum Piece {
-    Data(Range<usize>),
-    End,
-    Later,
-    Bad(u16),
-    Gone,
-}
-
 /// Until when more of a body must have come, now that so many bytes have.
 fn body_until(until: Option<Moment>, bytes: usize, now: Moment) -> Moment {
     let most = now + BODY_SILENT;
@@ -255,12 +246,9 @@
                 break;
             }
             let Some(listener) = &self.listener else { break };
-            let stream = match listener.accept() {
-                Ok((stream, _)) => stream,
-                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
-                Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {
-                    continue;
-                }
+            let stream = match connection::accept(listener) {
+                Ok(Some(stream)) => stream,
+                Ok(None) => break,
                 Err(e) => {
                     log::warn!("accept: {e}");
                     self.hold_back(turn);
@@ -442,21 +430,22 @@
                     return Said::Nothing;
                 }
             };
-            match asked(frame.head_in(input), terms) {
+            let head = asked(frame.head_in(input), terms);
+            client.coming = long;
+            match head {
                 Ok(Asked::Req { method, left, work, id }) => {
                     // Danger: two reqs of one id would pass for repeats of each other wherever they go.
                     if self.open.insert(id) {
-                        client.coming = long;
                         turn.deadlines.shift(Due::Client(key), &mut client.deadline, None);
                         return Said::Arrival { method, left, work, frame };
                     }
-                    self.answer_own(key, passed_over(frame, &long), 409, turn);
+                    self.answer_own(key, frame, 409, turn);
                 }
                 Ok(Asked::Health) => {
                     let status = if self.away { 503 } else { 200 };
-                    self.answer_own(key, passed_over(frame, &long), status, turn);
+                    self.answer_own(key, frame, status, turn);
                 }
-                Err(Bad(status)) => self.answer_own(key, passed_over(frame, &long), status, turn),
+                Err(Bad(status)) => self.answer_own(key, frame, status, turn),
             }
             let more = |c: &Client| c.reading() && !c.connection.input.is_empty();
             if !self.slots.get(key).is_some_and(more) {
@@ -511,39 +500,20 @@
 
     /// What stands next of its body.
     pub fn piece(&mut self, key: Key, turn: &mut Turn) -> Piece {
-        let Some(client) = self.slots.get_mut(key) else { return Piece::Gone };
+        let Some(client) = self.slots.get_mut(key) else { return Piece::Broken };
         let (Stage::Waiting { frame, .. }, Some(body)) = (&client.stage, &mut client.coming) else {
-            return Piece::Gone;
+            return Piece::Broken;
         };
-        let (at, connection) = (frame.end, &mut client.connection);
-        loop {
-            match body.step(&connection.input[at..]) {
-                Err(Bad(status)) => return Piece::Bad(status),
-                Ok(Step::Data(range)) => return Piece::Data(at + range.start..at + range.end),
-                Ok(Step::Done(used)) => {
-                    connection.consume_at(at, used);
-                    turn.deadlines.shift(Due::Client(key), &mut client.deadline, None);
-                    return Piece::End;
-                }
-                Ok(Step::More(used)) => {
-                    connection.consume_at(at, used);
-                    let before = connection.input.len();
-                    if connection.fill(http::MESSAGE_MOST).is_err() {
-                        return Piece::Gone;
-                    }
-                    if connection.input.len() > before {
-                        continue;
-                    }
-                    if connection.ended {
-                        return Piece::Gone;
-                    }
-                    let until = body_until(client.body_until, 0, turn.now);
-                    client.body_until = Some(until);
-                    self.time_out(key, until, turn);
-                    return Piece::Later;
-                }
-            }
-        }
+        // Danger: the last bytes of a client that has gone could make its req whole, and it would run.
+        let piece = body.next(&mut client.connection, frame.end, false);
+        let until = match piece {
+            Piece::Later => Some(body_until(client.body_until, 0, turn.now)),
+            Piece::End => None,
+            _ => return piece,
+        };
+        client.body_until = until;
+        turn.deadlines.shift(Due::Client(key), &mut client.deadline, until);
+        piece
     }
 
     pub fn bytes(&self, key: Key, range: &Range<usize>) -> &[u8] {
@@ -751,11 +721,6 @@
     }
 }
 
-/// The frame of a req that is answered though its body is still to come, which nobody will read.
-fn passed_over(frame: Frame, long: &Option<Body>) -> Frame {
-    Frame { keep: frame.keep && long.is_none(), ..frame }
-}
-
 impl Client {
     /// Whether the connection may carry another req after this one: not where part of its body is left.
     fn keeps(&self, frame: Frame) -> bool {
--- a/crates/sidecar/src/net/connection.rs
+++ b/crates/sidecar/src/net/connection.rs
@@ -4,7 +4,7 @@
 use std::net::{Shutdown, SocketAddr};
 
 use appledyke::Outcome;
-use mio::net::TcpStream;
+use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Registry, Token};
 
 /// Bytes read at a time: most messages come in one piece.
@@ -66,6 +66,19 @@
     finished: bool,
 }
 
+/// The next connection that waits at a listener.
+pub fn accept(listener: &TcpListener) -> io::Result<Option<TcpStream>> {
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => return Ok(Some(stream)),
+            Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(None),
+            // One that has gone before it was taken says nothing of the next.
+            Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
+            Err(e) => return Err(e),
+        }
+    }
+}
+
 impl Connection {
     pub fn open(to: SocketAddr, registry: &Registry, token: Token) -> io::Result<Connection> {
         Connection::take(TcpStream::connect(to)?, registry, token)
@@ -166,14 +179,14 @@
         self.unsent.is_empty()
     }
 
+    /// Drops the message that stands first in the input.
+    pub fn consume(&mut self, bytes: usize) {
+        self.consume_at(0, bytes.min(self.input.len()));
+    }
+
     /// Drops so many bytes behind others.
     pub fn consume_at(&mut self, at: usize, bytes: usize) {
         self.input.drain(at..at + bytes);
-    }
-
-    /// Drops the message that stands first in the input.
-    pub fn consume(&mut self, bytes: usize) {
-        self.input.drain(..bytes.min(self.input.len()));
         if self.input.is_empty() && self.input.capacity() > KEPT_ROOM {
             self.input = Vec::new();
         }
--- a/crates/sidecar/src/net/http.rs
+++ b/crates/sidecar/src/net/http.rs
@@ -181,8 +181,16 @@
     Long(Frame, Body),
 }
 
-/// Finds the end of the body behind a head, and makes a chunked body contiguous.
-fn body(buffer: &mut [u8], head: usize, framing: Framing, ended: bool, keep: bool) -> Result<Read, Bad> {
+/// Finds the end of the body behind a head, and makes a chunked body contiguous. `late`: one of unknown length is
+/// not to be held any longer.
+fn body(
+    buffer: &mut [u8],
+    head: usize,
+    framing: Framing,
+    ended: bool,
+    keep: bool,
+    late: bool,
+) -> Result<Read, Bad> {
     let open = !matches!(framing, Framing::Length(_));
     let held = BODY_MOST as u64;
     let long = |body| Ok(Read::Long(Frame { head, body: 0, end: head, keep }, body));
@@ -193,16 +201,16 @@
             Ok(Read::Whole(Frame { head, body, end: head + body, keep }))
         }
         Framing::Length(_) => Ok(Read::Body { open }),
-        Framing::ToEnd if buffer.len() > head + BODY_MOST => {
-            Ok(Read::Long(Frame { head, body: 0, end: head, keep: false }, Body::to_end()))
-        }
-        Framing::ToEnd if ended => {
+        Framing::ToEnd if ended && buffer.len() <= head + BODY_MOST => {
             Ok(Read::Whole(Frame { head, body: buffer.len() - head, end: buffer.len(), keep: false }))
         }
+        Framing::ToEnd if late || buffer.len() > head + BODY_MOST => {
+            Ok(Read::Long(Frame { head, body: 0, end: head, keep: false }, Body::to_end()))
+        }
         Framing::ToEnd => Ok(Read::Body { open }),
         Framing::Chunked => match chunks(buffer, head)? {
             // Chunks have frames: small ones may fill the buffer before their data does.
-            Chunked::Partial if buffer.len() < MESSAGE_MOST => Ok(Read::Body { open }),
+            Chunked::Partial if !late && buffer.len() < MESSAGE_MOST => Ok(Read::Body { open }),
             Chunked::Partial | Chunked::Long => long(Body::chunked()),
             Chunked::Whole(found, end) => {
                 let mut body = 0;
@@ -240,7 +248,7 @@
     let Some(head) = head_end(request.parse(buffer), buffer.len())? else { return Ok(Read::Head) };
     let keep = keeps(request.headers, request.version);
     let framing = framing(request.headers, Framing::Length(0))?;
-    body(buffer, head, framing, false, keep)
+    body(buffer, head, framing, false, keep, false)
 }
 
 /// Whether the client that sent this head can read chunks.
@@ -270,21 +278,7 @@
         match status {
             101 => return Err(MALFORMED),
             100..200 => drop(buffer.drain(..head)),
-            _ => {
-                let passes = match framing {
-                    Framing::Length(_) => None,
-                    Framing::Chunked => Some(Body::chunked()),
-                    Framing::ToEnd => Some(Body::to_end()),
-                };
-                let read = match (body(buffer, head, framing, ended, keep)?, passes) {
-                    (Read::Body { .. }, Some(body)) if late => {
-                        let keep = keep && body.framed();
-                        Read::Long(Frame { head, body: 0, end: head, keep }, body)
-                    }
-                    (read, _) => read,
-                };
-                return Ok((read, status, turned_away));
-            }
+            _ => return Ok((body(buffer, head, framing, ended, keep, late)?, status, turned_away)),
         }
     }
 }
--- a/crates/sidecar/src/net/operator.rs
+++ b/crates/sidecar/src/net/operator.rs
@@ -1,6 +1,6 @@
 //! The operators' side: a second address where each connection asks one thing in a line and is answered once.
 
-use std::io::{self, ErrorKind};
+use std::io;
 use std::net::SocketAddr;
 
 use appledyke::units::{Moment, Span};
@@ -8,7 +8,7 @@
 use mio::net::TcpListener;
 
 use super::Turn;
-use super::connection::Connection;
+use super::connection::{self, Connection};
 use super::deadlines::Due;
 use super::slots::{Key, Peer, Slots};
 
@@ -82,12 +82,9 @@
     /// Takes all callers that wait.
     pub fn accept(&mut self, turn: &mut Turn) {
         loop {
-            let stream = match self.listener.accept() {
-                Ok((stream, _)) => stream,
-                Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {
-                    continue;
-                }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+            let stream = match connection::accept(&self.listener) {
+                Ok(Some(stream)) => stream,
+                Ok(None) => return,
                 Err(e) => return log::warn!("operator: accept: {e}"),
             };
             // Danger: callers that connect and say nothing would keep out one that has something to ask.
--- a/crates/sidecar/src/net/servers.rs
+++ b/crates/sidecar/src/net/servers.rs
@@ -7,11 +7,12 @@
 use appledyke::units::{Moment, Span};
 
 use super::Turn;
-use super::body::{Body, Step};
+use super::body::{Body, Piece};
 use super::connection::{Connection, Ending};
 use super::deadlines::Due;
 use super::http::{self, Frame, Length, Read};
 use super::slots::{Key, Peer, Slots};
+use crate::figures::End;
 
 /// Part of the endpoints' limit on idle connections after which this side closes one: well before them.
 const IDLE_SHARE: f64 = 0.75;
@@ -58,7 +59,8 @@
 struct Passing {
     client: Key,
     method: usize,
-    satisfied: bool,
+    /// How the req ends once it has passed.
+    end: End,
     body: Body,
     keep: bool,
 }
@@ -71,17 +73,6 @@
     pub coming: Option<Length>,
 }
 
-/// What stands next of a body that passes through, in its connection's buffer.
-#[derive(Debug, PartialEq, Eq)]
-pub enum Piece {
-    Data(Range<usize>),
-    End,
-    /// Nothing yet.
-    Later,
-    /// Nothing more, though it is not whole.
-    Broken,
-}
-
 #[derive(Clone, Default)]
 struct Place {
     address: Option<SocketAddr>,
@@ -98,6 +89,12 @@
         u64::from(newly)
     }
 
+    /// Until when it has for what it carries. Danger: a req's times run from its last byte, so while it goes on in
+    /// pieces only a standstill ends it.
+    fn until(&self, give_up: Moment, now: Moment) -> Moment {
+        if self.coming.is_some() { now + PASS_SILENT } else { give_up }
+    }
+
     /// Whether the last byte of what it carries is written.
     fn whole(&self) -> bool {
         self.up && self.connection.all_sent() && self.coming.is_none()
@@ -179,7 +176,7 @@
         }
     }
 
-    fn close(&mut self, key: Key, turn: &mut Turn) {
+    pub fn close(&mut self, key: Key, turn: &mut Turn) {
         let Some(mut link) = self.links.remove(key) else { return };
         turn.room += 1;
         turn.deadlines.shift(Due::Server(key), &mut link.deadline, None);
@@ -230,7 +227,7 @@
             (link.carries, link.counted, link.sent, link.coming) = (Some(carried), false, now, coming);
             link.held_since = None;
             self.written += link.newly_written();
-            let until = if coming.is_some() { now + PASS_SILENT } else { carried.give_up };
+            let until = link.until(carried.give_up, now);
             turn.deadlines.shift(Due::Server(key), &mut link.deadline, Some(until));
             return Ok(key);
         }
@@ -292,7 +289,7 @@
                 Ok(false) => return None,
                 Err(_) => return self.end(key, Ending::NeverUp, turn),
             }
-            let until = if link.coming.is_some() { turn.now + PASS_SILENT } else { carried.give_up };
+            let until = link.until(carried.give_up, turn.now);
             turn.deadlines.shift(Due::Server(key), &mut link.deadline, Some(until));
         }
         let written = link.connection.flush();
@@ -356,11 +353,6 @@
         self.places[link.endpoint].idle.push((key, turn.now));
     }
 
-    /// An answer of which nothing is wanted: its connection cannot be used again.
-    pub fn drop_answer(&mut self, key: Key, turn: &mut Turn) {
-        self.close(key, turn);
-    }
-
     // Long reqs.
 
     /// The req whose body this connection still waits for.
@@ -382,16 +374,14 @@
         if link.connection.send(&[before.as_bytes(), data.unwrap_or_default(), behind]).is_err() {
             return self.end(key, Ending::Broken { whole: false }, turn);
         }
-        let until = if data.is_some() {
-            turn.now + PASS_SILENT
-        } else {
+        let mut give_up = carried.give_up;
+        if data.is_none() {
             // The time for the answer runs from the last byte.
-            let give_up = turn.now + carried.give_up.since(link.sent);
-            (link.coming, link.carries) = (None, Some(Carried { give_up, ..carried }));
-            link.sent = turn.now;
+            give_up = turn.now + carried.give_up.since(link.sent);
+            (link.coming, link.carries, link.sent) = (None, Some(Carried { give_up, ..carried }), turn.now);
             self.written += link.newly_written();
-            give_up
-        };
+        }
+        let until = link.until(give_up, turn.now);
         turn.deadlines.shift(Due::Server(key), &mut link.deadline, Some(until));
         None
     }
@@ -399,22 +389,16 @@
     // Long answers.
 
     /// The rest of the answer in this frame passes to a client from now on.
-    pub fn pass(
-        &mut self,
-        key: Key,
-        frame: Frame,
-        body: Body,
-        (client, method, satisfied): (Key, usize, bool),
-    ) {
+    pub fn pass(&mut self, key: Key, frame: Frame, body: Body, (client, method, end): (Key, usize, End)) {
         let Some(link) = self.links.get_mut(key) else { return };
         link.connection.consume(frame.end);
-        link.passes = Some(Passing { client, method, satisfied, body, keep: frame.keep });
+        link.passes = Some(Passing { client, method, end, body, keep: frame.keep });
     }
 
-    /// The client that this connection's answer passes to, the method of its req, and whether it satisfies that.
-    pub fn passes(&self, key: Key) -> Option<(Key, usize, bool)> {
+    /// The client that this connection's answer passes to, the method of its req, and how that ends.
+    pub fn passes(&self, key: Key) -> Option<(Key, usize, End)> {
         let passing = self.links.get(key)?.passes.as_ref()?;
-        Some((passing.client, passing.method, passing.satisfied))
+        Some((passing.client, passing.method, passing.end))
     }
 
     /// The methods of all answers that pass.
@@ -426,34 +410,11 @@
     pub fn piece(&mut self, key: Key, turn: &mut Turn) -> Piece {
         let Some(link) = self.links.get_mut(key) else { return Piece::Broken };
         let Some(passing) = &mut link.passes else { return Piece::Broken };
-        let connection = &mut link.connection;
-        loop {
-            match passing.body.step(&connection.input) {
-                Err(_) => return Piece::Broken,
-                Ok(Step::Data(range)) => return Piece::Data(range),
-                Ok(Step::Done(used)) => {
-                    connection.consume(used);
-                    return Piece::End;
-                }
-                Ok(Step::More(used)) => {
-                    connection.consume(used);
-                    let before = connection.input.len();
-                    let works = connection.ended || connection.fill(http::MESSAGE_MOST).is_ok();
-                    if connection.input.len() > before {
-                        continue;
-                    }
-                    if !works {
-                        return Piece::Broken;
-                    }
-                    if connection.ended {
-                        return if passing.body.ends_here() { Piece::End } else { Piece::Broken };
-                    }
-                    let until = Some(turn.now + PASS_SILENT);
-                    turn.deadlines.shift(Due::Server(key), &mut link.deadline, until);
-                    return Piece::Later;
-                }
-            }
+        let piece = passing.body.next(&mut link.connection, 0, true);
+        if matches!(piece, Piece::Later) {
+            turn.deadlines.shift(Due::Server(key), &mut link.deadline, Some(turn.now + PASS_SILENT));
         }
+        piece
     }
 
     /// The client has to take more before the endpoint may bring it: it is not to be held against its time.
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -19,14 +19,14 @@
 use crate::figures::{End, Figures, Now};
 use crate::handover::{self, Latest};
 use crate::launch::{Fixed, Launch, Winner};
-use crate::net::body::Body;
-use crate::net::clients::{self, Clients, Said};
+use crate::net::body::{Body, Piece};
+use crate::net::clients::{Clients, Said};
 use crate::net::connection::Ending;
 use crate::net::deadlines::{Deadlines, Due};
 use crate::net::http::{Frame, Length};
 use crate::net::list::{self, List};
 use crate::net::operator::{Call, Operators};
-use crate::net::servers::{self, Carried, Ended, Message, PROBE, Servers};
+use crate::net::servers::{Carried, Ended, Message, PROBE, Servers};
 use crate::net::slots::{Key, Peer, Slots};
 use crate::net::{Turn, http};
 use crate::presence::{Others, Presence, Standing};
@@ -118,8 +118,7 @@
     others: Others,
     /// What is handed over to these.
     latest: Latest,
-    /// Connections that there may be at this address, and this process's part of them.
-    connections: usize,
+    /// This process's part of the connections that there may be at this address.
     part: usize,
     leaving: Option<Leaving>,
     /// When it is looked next for other processes, and how far draining or leaving has come.
@@ -149,12 +148,12 @@
         let now = clock.now();
         let registry = poll.registry().try_clone().map_err(|e| format!("poll: {e}"))?;
         let mut turn =
-            Turn { now, registry, deadlines: Deadlines::default(), room: launch.connections as isize };
-        let clients = Clients::listen(launch.listen, launch.operator.is_some(), &mut turn)
-            .map_err(|e| format!("listen: {}: {e}", launch.listen))?;
-        let operators = launch
-            .operator
-            .map(|at| Operators::listen(at, &mut turn).map_err(|e| format!("operator: {at}: {e}")));
+            Turn { now, registry, deadlines: Deadlines::default(), room: launch.fixed.connections as isize };
+        let Fixed { name, listen, operator, connections, .. } = launch.fixed.clone();
+        let clients = Clients::listen(listen, operator.is_some(), &mut turn)
+            .map_err(|e| format!("listen: {listen}: {e}"))?;
+        let operators =
+            operator.map(|at| Operators::listen(at, &mut turn).map_err(|e| format!("operator: {at}: {e}")));
         let operators = operators.transpose()?;
         let known = list::version(&launch.known).ok();
         let unasked = launch.terms.ask_within.is_none();
@@ -183,8 +182,7 @@
             presence: None,
             others: Others::default(),
             latest: Latest::default(),
-            connections: launch.connections,
-            part: launch.connections,
+            part: connections,
             leaving: None,
             others_at: None,
             away_at: None,
@@ -192,7 +190,7 @@
         };
         sidecar.choice.terms().methods.iter().for_each(|method| sidecar.figures.offer(&method.name));
         if let Some(folder) = &launch.folder {
-            let at = sidecar.clients.address().unwrap_or(launch.listen);
+            let at = sidecar.clients.address().unwrap_or(listen);
             match Presence::announce(folder, at, std::process::id()) {
                 Ok(presence) => sidecar.presence = Some(presence),
                 Err(e) => log::warn!(
@@ -212,9 +210,9 @@
         sidecar.decide();
         launch.unmet.iter().for_each(|unmet| log::warn!("{unmet}"));
         if let Some(at) = sidecar.operators.as_ref().and_then(|operators| operators.address().ok()) {
-            log::info!("{} is asked at {at}", launch.name);
+            log::info!("{name} is asked at {at}");
         }
-        log::info!("{} listens on {}", launch.name, sidecar.clients.address().unwrap_or(launch.listen));
+        log::info!("{name} listens on {}", sidecar.clients.address().unwrap_or(listen));
         Ok(sidecar)
     }
 
@@ -424,7 +422,7 @@
         if others.alive() != self.others.alive() {
             log::info!("other processes at this address: {}", others.alive());
         }
-        let part = self.connections / (1 + others.alive());
+        let part = self.fixed.connections / (1 + others.alive());
         self.turn.room += part as isize - std::mem::replace(&mut self.part, part) as isize;
         self.clients.resize(part);
         self.others = others;
@@ -523,7 +521,7 @@
             Said::Brought => self.look_again.push(key),
             Said::More => self.pass_up(key),
             Said::Takes { from } => self.pass_down(from),
-            Said::Gone { from } => self.servers.drop_answer(from, &mut self.turn),
+            Said::Gone { from } => self.servers.close(from, &mut self.turn),
             Said::Silent { req } => {
                 self.answer(req, 408, None);
                 self.choice.hangup(req);
@@ -567,7 +565,7 @@
                 return self.clients.rest(client, &mut self.turn);
             };
             match self.clients.piece(client, &mut self.turn) {
-                clients::Piece::Data(range) => {
+                Piece::Data(range) => {
                     self.choice.gone_in_part(now, req);
                     let data = self.clients.bytes(client, &range);
                     let ended = self.servers.feed(link, Some(data), &mut self.turn);
@@ -576,17 +574,17 @@
                         return self.ended(link, ended);
                     }
                 }
-                clients::Piece::End => {
+                Piece::End => {
                     self.choice.gone_in_part(now, req);
                     let ended = self.servers.feed(link, None, &mut self.turn);
                     return self.ended(link, ended);
                 }
-                clients::Piece::Later => return,
-                clients::Piece::Bad(status) => {
+                Piece::Later => return,
+                Piece::Bad(status) => {
                     self.answer(req, status, None);
                     return self.choice.hangup(req);
                 }
-                clients::Piece::Gone => return self.client_ready(client),
+                Piece::Broken => return self.client_ready(client),
             }
         }
         self.pass_again.push(Peer::Client(client));
@@ -595,26 +593,26 @@
     /// Passes on what there is of a long answer, as far as its client takes it.
     fn pass_down(&mut self, link: Key) {
         for _ in 0..PIECES_MOST {
-            let Some((client, method, satisfied)) = self.servers.passes(link) else { return };
+            let Some((client, method, end)) = self.servers.passes(link) else { return };
             if !self.clients.takes_more(client) {
                 return self.servers.rest(link, &mut self.turn);
             }
             match self.servers.piece(link, &mut self.turn) {
-                servers::Piece::Data(range) => {
+                Piece::Data(range) => {
                     let data = self.servers.bytes(link, &range);
                     if !self.clients.pass(client, data, &mut self.turn) {
-                        return self.servers.drop_answer(link, &mut self.turn);
+                        return self.servers.close(link, &mut self.turn);
                     }
                     self.servers.taken(link, range.end);
                 }
-                servers::Piece::End => {
+                Piece::End => {
                     self.clients.end_pass(client, true, &mut self.turn);
                     self.servers.passed(link, &mut self.turn);
                     self.look_again.push(client);
-                    return self.count(method, if satisfied { End::Satisfied } else { End::Failed });
+                    return self.count(method, end);
                 }
-                servers::Piece::Later => return,
-                servers::Piece::Broken => return self.break_off(link),
+                Piece::Later => return,
+                Piece::Bad(_) | Piece::Broken => return self.break_off(link),
             }
         }
         self.pass_again.push(Peer::Server(link));
@@ -625,7 +623,7 @@
         let Some((client, method, _)) = self.servers.passes(link) else { return };
         log::info!("an answer broke off on its way");
         self.clients.end_pass(client, false, &mut self.turn);
-        self.servers.drop_answer(link, &mut self.turn);
+        self.servers.close(link, &mut self.turn);
         self.count(method, End::Failed);
     }
 
@@ -654,12 +652,12 @@
             let (method, client) = (r.method, if last { r.client.take() } else { None });
             closed = r.client.is_none();
             if let (Some(client), Some(frame)) = (client, answer) {
-                let satisfied = outcome == Outcome::Satisfied;
+                let end = if outcome == Outcome::Satisfied { End::Satisfied } else { End::Failed };
                 match &long {
-                    Some(body) => passes = self.begin(key, frame, body.clone(), (client, method, satisfied)),
+                    Some(body) => passes = self.begin(key, frame, body.clone(), (client, method, end)),
                     None => {
                         self.relay(key, frame, client);
-                        self.count(method, if satisfied { End::Satisfied } else { End::Failed });
+                        self.count(method, end);
                     }
                 }
             }
@@ -667,7 +665,7 @@
         match answer {
             Some(frame) if long.is_none() => self.servers.release(key, frame, &mut self.turn),
             // A long answer either passes to its client or is of no use.
-            Some(_) if !passes => self.servers.drop_answer(key, &mut self.turn),
+            Some(_) if !passes => self.servers.close(key, &mut self.turn),
             _ => {}
         }
         self.choice.outcome(self.turn.now, req, write_out, outcome, closed);
@@ -720,7 +718,7 @@
     }
 
     /// A long answer is to pass to the client; whether it can.
-    fn begin(&mut self, key: Key, frame: Frame, body: Body, whose: (Key, usize, bool)) -> bool {
+    fn begin(&mut self, key: Key, frame: Frame, body: Body, whose: (Key, usize, End)) -> bool {
         let Some((head, _)) = self.servers.message(key, frame) else { return false };
         let write = |out: &mut Vec<u8>, length, keep| http::relayed_head(out, head, length, keep);
         let begun = self.clients.begin(whose.0, key, body.length(), write, &mut self.turn);
@@ -855,7 +853,7 @@
         let load = report.and_then(|report| self.choice.terms().load(report));
         self.choice.probed(self.turn.now, endpoint, load);
         match answer {
-            Some(_) if long => self.servers.drop_answer(key, &mut self.turn),
+            Some(_) if long => self.servers.close(key, &mut self.turn),
             Some(frame) => self.servers.release(key, frame, &mut self.turn),
             None => {}
         }
--- a/crates/sidecar/tests/stand_ins/mod.rs
+++ b/crates/sidecar/tests/stand_ins/mod.rs
@@ -145,6 +145,13 @@
     )
 }
 
+/// With these endpoints, each in a cell of its own, and a list that has no news.
+fn before(endpoints: &[SocketAddr]) -> String {
+    let cells = endpoints.iter().zip(0..);
+    let entries: Vec<_> = cells.map(|(at, cell)| entry(&format!("e{cell}"), *at, cell, "up")).collect();
+    configuration(list().0, 1024, &list_of(1, true, &entries))
+}
+
 /// The configuration with a second address.
 pub fn asked(configuration: &str) -> String {
     configuration.replacen('{', "{\"operator\":\"127.0.0.1:0\",", 1)
@@ -199,16 +206,12 @@
 
     /// With these endpoints, each in a cell of its own, and a list that has no news.
     pub fn before(endpoints: &[SocketAddr]) -> Sidecar {
-        let entries: Vec<_> =
-            endpoints.iter().zip(0..).map(|(at, cell)| entry(&format!("e{cell}"), *at, cell, "up")).collect();
-        Sidecar::start(&configuration(list().0, 1024, &list_of(1, true, &entries)))
+        Sidecar::start(&before(endpoints))
     }
 
     /// The same, with a second address for operators.
     pub fn asked_before(endpoints: &[SocketAddr]) -> Sidecar {
-        let entries: Vec<_> =
-            endpoints.iter().zip(0..).map(|(at, cell)| entry(&format!("e{cell}"), *at, cell, "up")).collect();
-        Sidecar::start(&asked(&configuration(list().0, 1024, &list_of(1, true, &entries))))
+        Sidecar::start(&asked(&before(endpoints)))
     }
 
     /// A connection to the operators' address.
