Two processes that are told to leave together do not count on each other

Seen on reading: leave() looked for others before it was marked as leaving, so the mark followed only at the next look, up to 0.3 s later. A second process told meanwhile took the first for one that serves on, closed its listener too, and the address was refused with nobody behind it; whoever ends a whole group of processes does just that. Now it says so, then looks. The test fails without.

--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -349,6 +349,8 @@
         let longest = self.choice.terms().methods.iter().map(|m| m.deadline).max().unwrap_or(LEAVE_DEADLINE);
         let since = self.turn.now;
         let until = since + (longest.min(LEAVE_DEADLINE) + LEAVE_MORE);
+        // Danger: two that are told together would each count on the other, if they looked before they said so.
+        self.leaving = Some(Leaving { since, until, succeeded: false });
         self.look_at_others();
         let succeeded = self.others.ready > 0;
         self.leaving = Some(Leaving { since, until, succeeded });
--- a/crates/sidecar/tests/daily/upgrade.rs
+++ b/crates/sidecar/tests/daily/upgrade.rs
@@ -156,6 +156,29 @@
     assert!(new.end().success());
 }
 
+#[test]
+fn two_that_are_told_to_leave_together_do_not_count_on_each_other() {
+    let known = list_of(1, true, &[]);
+    let folder = Folder::new("together");
+    let text = asked(&configuration(list_that_tells(&known), 1024, &known));
+    let first = folder.start(&text);
+    // Someone is there, so it does not leave at once.
+    let _stays = Client::connect(&first);
+    let second = folder.start(&beside(&first, &text));
+    for process in [&first, &second] {
+        wait_for("ready", || process.told("ready\n").starts_with("200 "));
+    }
+    first.signal("-TERM");
+    wait_for("the first leaves", || first.told("resume\n").starts_with("400 leaving"));
+    // At once, before the first looks again.
+    second.signal("-TERM");
+    wait_for("a no, as nobody serves on", || {
+        let mut client = Client::connect(&second);
+        client.send("GET /healthz HTTP/1.1\r\n\r\n");
+        client.status() == "503"
+    });
+}
+
 #[test]
 fn without_a_second_address_a_taken_address_stays_an_error() {
     let text = configuration(list().0, 1024, &list_of(1, true, &[]));
