Settings of the further deployments are decoded once, for adapter and sidecar

confinedTo, skusOpen, replySlots, deadlineDriftNs, drainBindsAlone, stampDoubtNs: read by Terms::decode alone. Names of zones and kinds get their indices from the host's one table (ids::Places), so a term and a list's entry mean the same by an index. A wrong type, an empty list, a negative span is refused at the start and at SIGHUP by its key; in the file a list or an object where a single value belongs would have been taken apart and passed over, so its form is looked at first. check shows them; replySlots is named as bounded by memory on sockets.

--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -2,6 +2,7 @@
 
 use std::path::Path;
 
+use appledyke::ids::Places;
 use appledyke::terms::Terms;
 use appledyke::units::{Moment, Span};
 use oorandom::Rand64;
@@ -444,7 +445,7 @@
 
     pub fn terms(&self, tier: usize) -> Terms {
         let pairs = self.settings(tier);
-        Terms::decode(pairs.iter().map(|(key, value)| (key.as_str(), value.as_str())))
+        Terms::decode(pairs.iter().map(|(key, value)| (key.as_str(), value.as_str())), &mut Places::default())
             .expect("a checked scenario makes readable terms")
     }
 }
--- a/crates/sidecar/src/launch.rs
+++ b/crates/sidecar/src/launch.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
+use appledyke::ids::Places;
 use appledyke::terms::Terms;
 use appledyke::units::Span;
 use serde_json::Value;
@@ -76,6 +77,8 @@
     pub watched: Option<Terms>,
     /// The keys that the file has, at its top and in `settings`, and that a later one must have too.
     pub keys: Vec<String>,
+    /// The settings that narrow where and until when a req may go, as they stand in the file.
+    pub bound: Vec<String>,
     /// What the settings allow and this program cannot do, by key.
     pub unmet: Vec<String>,
     pub connection_idle: Span,
@@ -97,6 +100,34 @@
     }
 }
 
+/// The settings that narrow where and until when a req may go, where the file has them: each as it stands there. One
+/// of a kind that cannot be read would be passed over when it is taken apart, and bind nothing.
+fn bound(key: &str, file: &Value) -> Result<Vec<String>, String> {
+    let row = |value: &Value| match value {
+        Value::Array(names) => names.iter().all(Value::is_string),
+        other => other.is_string(),
+    };
+    let single = |value: &Value| !value.is_object() && !value.is_array();
+    let method = |at: usize, method: &Value| {
+        let names = ["confinedTo", "skusOpen"].into_iter();
+        names.map(|name| (format!("methods.{at}.{name}"), method[name].clone(), true)).collect::<Vec<_>>()
+    };
+    let rules = ["deadlineDriftNs", "drainBindsAlone", "stampDoubtNs"].into_iter();
+    let rules = rules.map(|name| (format!("rules.{name}"), file["rules"][name].clone(), false));
+    let methods = file["methods"].as_array().into_iter().flatten().enumerate();
+    let slots = ("ceilings.replySlots".to_string(), file["ceilings"]["replySlots"].clone(), false);
+    let all = methods.flat_map(|(at, m)| method(at, m)).chain(rules).chain([slots]);
+    let stated = all.filter(|(_, value, _)| !value.is_null());
+    let told = stated.map(|(path, value, names)| {
+        let readable = if names { row(&value) } else { single(&value) };
+        let wanted = if names { "a list of names" } else { "a single value" };
+        readable
+            .then(|| format!("{key}.{path}: {value}"))
+            .ok_or(format!("{key}.{path}: expected {wanted}, not {value}"))
+    });
+    told.collect()
+}
+
 /// What the variable or the file says, and by which name it was found; `None` where neither says anything.
 fn text(
     variable: &'static str,
@@ -141,8 +172,13 @@
 }
 
 /// Messages between sidecars are not in the protocol: who allows them is told, and decides as without them.
-fn terms(key: &str, pairs: &[(String, String)], unmet: &mut Vec<String>) -> Result<Terms, String> {
-    let terms = Terms::decode(pairs.iter().map(|(path, value)| (path.as_str(), value.as_str())));
+fn terms(
+    key: &str,
+    pairs: &[(String, String)],
+    places: &mut Places,
+    unmet: &mut Vec<String>,
+) -> Result<Terms, String> {
+    let terms = Terms::decode(pairs.iter().map(|(path, value)| (path.as_str(), value.as_str())), places);
     let mut terms = terms.map_err(|what| format!("{key}: {what}"))?;
     let mut names: Vec<_> = terms.methods.iter().map(|method| method.name.as_str()).collect();
     names.sort_unstable();
@@ -156,6 +192,14 @@
     if terms.most_write_outs == 0 {
         return Err(format!("{key}.ceilings.mostWriteOuts: expected a positive whole number"));
     }
+    if terms.reply_slots == Some(0) {
+        return Err(format!("{key}.ceilings.replySlots: expected a positive whole number"));
+    }
+    if terms.reply_slots.is_some() {
+        unmet.push(format!(
+            "{key}.ceilings.replySlots: it counts in what is decided; what answers take here, limits.memory_mb bounds"
+        ));
+    }
     if std::mem::take(&mut terms.may_tell) {
         unmet.push(format!("{key}.ceilings.mayTell: messages cannot be sent on sockets; none are"));
     }
@@ -168,14 +212,19 @@
 
 impl Launch {
     /// Reads the file that is named here or in the variables.
-    pub fn read(path: Option<PathBuf>) -> Result<Launch, String> {
+    pub fn read(path: Option<PathBuf>, places: &mut Places) -> Result<Launch, String> {
         let path = path.or_else(|| env::var("BALANCER_CONFIG").ok().map(PathBuf::from));
         let path = path.ok_or("BALANCER_CONFIG: no configuration is named, by this variable or --config")?;
-        Launch::read_from(path, Winner::Variable, &[])
+        Launch::read_from(path, Winner::Variable, &[], places)
     }
 
     /// Reads a file that may have been read before, and then had these keys.
-    pub fn read_from(path: PathBuf, winner: Winner, keys: &[String]) -> Result<Launch, String> {
+    pub fn read_from(
+        path: PathBuf,
+        winner: Winner,
+        keys: &[String],
+        places: &mut Places,
+    ) -> Result<Launch, String> {
         let place = |path: &Path, what: String| format!("{}: {what}", path.display());
         let file = fs::read(&path).map_err(|e| place(&path, e.to_string()))?;
         let file = serde_json::from_slice(&file).map_err(|e| place(&path, format!("not JSON: {e}")))?;
@@ -184,10 +233,10 @@
         if let Some(lost) = keys.iter().find(|key| !has.contains(key)) {
             return Err(place(&path, format!("{lost}: missing, and it was there before")));
         }
-        Launch::check(file, path.clone(), winner).map_err(|what| place(&path, what))
+        Launch::check(file, path.clone(), winner, places).map_err(|what| place(&path, what))
     }
 
-    fn check(mut file: Value, path: PathBuf, winner: Winner) -> Result<Launch, String> {
+    fn check(mut file: Value, path: PathBuf, winner: Winner, places: &mut Places) -> Result<Launch, String> {
         let may_be = |variable, key: &'static str, winner| {
             let found = text(variable, &file, key, winner)?;
             let parsed = found.map(|(text, named)| {
@@ -208,10 +257,11 @@
         if !file["settings"].is_object() {
             return Err("settings: missing, or no object".to_string());
         }
+        let bound = [bound("settings", &file["settings"])?, bound("watch", &file["watch"])?].concat();
         let mut pairs = Vec::new();
         flatten("", &file["settings"], &mut pairs);
         let mut unmet = Vec::new();
-        let terms = terms("settings", &pairs, &mut unmet)?;
+        let terms = terms("settings", &pairs, places, &mut unmet)?;
         let watched = match &file["watch"] {
             Value::Null => None,
             Value::Object(_) => {
@@ -219,7 +269,7 @@
                 flatten("", &file["watch"], &mut changes);
                 let unchanged = |(path, _): &&(String, String)| !changes.iter().any(|(at, _)| at == path);
                 let kept = pairs.iter().filter(unchanged).cloned().collect::<Vec<_>>();
-                Some(self::terms("watch", &[kept, changes].concat(), &mut unmet)?)
+                Some(self::terms("watch", &[kept, changes].concat(), places, &mut unmet)?)
             }
             other => return Err(format!("watch: expected an object of settings, not {other}")),
         };
@@ -266,6 +316,7 @@
             known: file["known"].take(),
             terms,
             watched,
+            bound,
             unmet,
         })
     }
@@ -281,7 +332,7 @@
         methods.0.criticality=1";
     let plain = plain.split_whitespace().filter_map(|pair| pair.split_once('='));
     let pairs = plain.chain([("methods.0.name", method)]).chain(changes.iter().copied());
-    Terms::decode(pairs).expect("readable terms")
+    Terms::decode(pairs, &mut Places::default()).expect("readable terms")
 }
 
 #[cfg(test)]
@@ -292,7 +343,8 @@
     fn what_a_start_has_fixed_is_named_where_a_file_read_again_differs() {
         let file: Value = serde_json::from_str(include_str!("../../../examples/sidecar.json")).unwrap();
         let read = |file: &Value| {
-            Launch::check(file.clone(), PathBuf::new(), Winner::File).map(|launch| launch.fixed)
+            Launch::check(file.clone(), PathBuf::new(), Winner::File, &mut Places::default())
+                .map(|launch| launch.fixed)
         };
         let before = read(&file).unwrap();
         assert_eq!(before.differs(&before), [""; 0]);
@@ -303,6 +355,27 @@
         assert_eq!(before.differs(&read(&other).unwrap()), ["operator", "limits", "watch"]);
         other["operator"] = "nowhere".into();
         assert_eq!(read(&other).unwrap_err(), "operator: expected address:port, not 'nowhere'");
+        // What narrows where a req may go is shown, and never passed over for its form.
+        let bound = |path: &str, value: Value| {
+            let mut other = file.clone();
+            *other.pointer_mut(path).expect("a place in the example").as_object_mut().unwrap() =
+                value.as_object().unwrap().clone();
+            Launch::check(other, PathBuf::new(), Winner::File, &mut Places::default())
+                .map(|launch| launch.bound)
+        };
+        let mut method = file["settings"]["methods"][0].clone();
+        method["confinedTo"] = serde_json::json!(["attic"]);
+        let shown = bound("/settings/methods/0", method.clone()).unwrap();
+        assert_eq!(shown, [r#"settings.methods.0.confinedTo: ["attic"]"#]);
+        for wrong in [serde_json::json!({"a": 1}), 5.into(), serde_json::json!([]), serde_json::json!([5])] {
+            method["confinedTo"] = wrong;
+            let said = bound("/settings/methods/0", method.clone()).unwrap_err();
+            assert!(said.contains("methods.0.confinedTo"), "{said}");
+        }
+        let mut rules = file["settings"]["rules"].clone();
+        rules["drainBindsAlone"] = serde_json::json!([true]);
+        let said = bound("/settings/rules", rules).unwrap_err();
+        assert_eq!(said, "settings.rules.drainBindsAlone: expected a single value, not [true]");
         // A key that was there must stay, but for what may go.
         assert!(keys(&file).contains(&"settings.rules".to_string()));
         assert!(!keys(&file).contains(&"known".to_string()));
--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -15,6 +15,7 @@
 
 use argh::FromArgs;
 
+use appledyke::ids::Places;
 use launch::Launch;
 use sidecar::Sidecar;
 
@@ -60,10 +61,11 @@
     match command {
         Command::Serve(Serve { config }) => {
             logger::start();
-            Sidecar::start(Launch::read(config)?)?.run()
+            let mut places = Places::default();
+            Sidecar::start(Launch::read(config, &mut places)?, places)?.run()
         }
-        Command::Check(Check { config }) => Launch::read(config).map(|launch| {
-            launch.unmet.iter().for_each(|unmet| println!("{unmet}"));
+        Command::Check(Check { config }) => Launch::read(config, &mut Places::default()).map(|launch| {
+            launch.unmet.iter().chain(&launch.bound).for_each(|line| println!("{line}"));
             println!(
                 "{}: listens on {}, room for {} connections",
                 launch.fixed.name, launch.fixed.listen, launch.fixed.connections
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -6,7 +6,7 @@
 use std::path::PathBuf;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use appledyke::ids::{self, Names};
+use appledyke::ids::{self, Names, Places};
 use appledyke::news::Told;
 use appledyke::terms::Terms;
 use appledyke::units::{Moment, Span};
@@ -97,8 +97,7 @@
     choice: Decider,
     reqs: Slots<Req>,
     endpoints: Names,
-    zones: Names,
-    kinds: Names,
+    places: Places,
     clients: Clients,
     servers: Servers,
     list: List,
@@ -136,7 +135,7 @@
 }
 
 impl Sidecar {
-    pub fn start(launch: Launch) -> Result<Sidecar, String> {
+    pub fn start(launch: Launch, places: Places) -> Result<Sidecar, String> {
         let poll = Poll::new().map_err(|e| format!("poll: {e}"))?;
         let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|e| format!("signals: {e}"))?;
         let registered = poll.registry().register(&mut signals, Peer::Signal.token(), Interest::READABLE);
@@ -167,8 +166,7 @@
             choice: Decider::new(now, launch.terms, launch.watched, launch.seed),
             reqs: Slots::default(),
             endpoints: Names::default(),
-            zones: Names::default(),
-            kinds: Names::default(),
+            places,
             clients,
             servers: Servers::new(launch.connection_idle, launch.connect_timeout),
             list: List::new(launch.discovery, known.map_or(0, |(version, _)| version), launch.seed),
@@ -304,7 +302,7 @@
     /// start.
     fn read_again(&mut self) {
         self.tell_watch();
-        match Launch::read_from(self.file.clone(), Winner::File, &self.keys) {
+        match Launch::read_from(self.file.clone(), Winner::File, &self.keys, &mut self.places) {
             Ok(launch) => {
                 self.figures.reloads += 1;
                 log::info!("read again: list at {}", launch.discovery);
@@ -752,11 +750,11 @@
 
     /// A list that has been found readable.
     fn listed(&mut self, complete: bool, list: &Value) {
-        let Sidecar { turn, choice, servers, endpoints, zones, kinds, .. } = self;
+        let Sidecar { turn, choice, servers, endpoints, places, .. } = self;
         choice.list_opens(complete);
         let told = list::entries(list, |name, address, (zone, cell, kind), standing, started| {
             let endpoint = endpoints.index(name);
-            let (zone, kind) = (zones.index(zone), kinds.index(kind));
+            let (zone, kind) = (places.zones.index(zone), places.kinds.index(kind));
             let entry = Entry { standing, started, zone, cell, kind, mark: ids::mark(name) };
             choice.listed(turn.now, endpoint, entry);
             if let Some(address) = address {
--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -7,7 +7,7 @@
 use std::str::FromStr;
 
 use appledyke::choice::Choice;
-use appledyke::ids::{self, Names};
+use appledyke::ids::{self, Names, Places};
 use appledyke::news::Told;
 use appledyke::terms::Terms;
 use appledyke::units::{Moment, Span};
@@ -17,8 +17,7 @@
     choice: Choice,
     reqs: Names,
     endpoints: Names,
-    zones: Names,
-    kinds: Names,
+    places: Places,
 }
 
 #[derive(Default)]
@@ -88,10 +87,11 @@
 
 impl Instance {
     fn begin(now: Moment, fields: Fields) -> Result<Instance, String> {
-        let terms = Terms::decode(fields.pairs().filter(|(key, _)| *key != "seed"))?;
+        let mut places = Places::default();
+        let terms = Terms::decode(fields.pairs().filter(|(key, _)| *key != "seed"), &mut places)?;
         let choice = Choice::new(now, terms, fields.read("seed")?);
         let (reqs, endpoints) = (Names::default(), Names::default());
-        Ok(Instance { choice, reqs, endpoints, zones: Names::default(), kinds: Names::default() })
+        Ok(Instance { choice, reqs, endpoints, places })
     }
 
     fn arrival(&mut self, now: Moment, fields: Fields) -> Result<(), String> {
@@ -136,8 +136,8 @@
                 None | Some("0") => None,
                 Some(_) => Some(Moment::from_nanos(fields.read("upSinceNs")?)),
             };
-            let kind = self.kinds.index(fields.find("flavor").unwrap_or(""));
-            let zone = self.zones.index(fields.find("site").unwrap_or(""));
+            let kind = self.places.kinds.index(fields.find("flavor").unwrap_or(""));
+            let zone = self.places.zones.index(fields.find("site").unwrap_or(""));
             let name = fields.text("endpoint")?;
             let (cell, mark) = (fields.read("cohort")?, ids::mark(name));
             let entry = Entry { standing, started, zone, cell, kind, mark };
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -7,6 +7,14 @@
     name.bytes().fold(0x811c_9dc5, |hash, byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193))
 }
 
+/// The names of zones and kinds of machine, as settings and lists call them: a host has one of these, so that an index
+/// means the same in its terms and in its entries.
+#[derive(Default)]
+pub struct Places {
+    pub zones: Names,
+    pub kinds: Names,
+}
+
 /// Hands out the lowest-cost free index for a name and takes it back when the name is done with.
 ///
 /// ```
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -3,6 +3,8 @@
 use std::collections::HashMap;
 use std::str::FromStr;
 
+use crate::Entry;
+use crate::ids::{Names, Places};
 use crate::units::Span;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -30,6 +32,22 @@
     pub deadline: Span,
     pub overdue_criticality: f64,
     pub criticality: f64,
+    /// The only zones and kinds of machine that it may be sent to, by the host's `Places`; none: any.
+    pub zones: Option<Vec<usize>>,
+    pub kinds: Option<Vec<usize>>,
+}
+
+impl Method {
+    /// Whether it may be sent to such an endpoint at all.
+    pub fn open_to(&self, entry: &Entry) -> bool {
+        let among = |open: &Option<Vec<usize>>, own| open.as_ref().is_none_or(|open| open.contains(&own));
+        among(&self.zones, entry.zone) && among(&self.kinds, entry.kind)
+    }
+
+    /// Whether it is bound to some places.
+    pub fn is_placed(&self) -> bool {
+        self.zones.is_some() || self.kinds.is_some()
+    }
 }
 
 #[derive(Clone, Debug, Default)]
@@ -55,6 +73,13 @@
     pub cold_start: f64,
     pub cold_for: Span,
     pub fall_window: Span,
+    /// How far the time left that a req comes with may be off, and the moment at which an endpoint started, either way.
+    pub left_doubt: Span,
+    pub start_doubt: Span,
+    /// Whether an endpoint that has gone without having drained may still be sent to.
+    pub drains_alone: bool,
+    /// How many answers the instance can hold while clients read them, where that is limited.
+    pub reply_slots: Option<usize>,
 }
 
 /// The value of a load report that tells the reqs in hand.
@@ -92,6 +117,28 @@
         if self.0.contains_key(path) { self.flag(path) } else { Ok(default) }
     }
 
+    fn span_or_nought(&self, path: &str) -> Result<Span, String> {
+        self.or(path, 0).map(Span::from_nanos)
+    }
+
+    /// The names in a list, where there is one: set apart by commas, or one to a path.
+    fn names(&self, path: &str) -> Result<Option<Vec<&str>>, String> {
+        let counted = self.0.contains_key(format!("{path}.count").as_str());
+        let names = if counted {
+            (0..self.count(path)?)
+                .map(|at| self.text(&format!("{path}.{at}")))
+                .collect::<Result<Vec<_>, _>>()?
+        } else {
+            let Some(text) = self.0.get(path) else { return Ok(None) };
+            text.split(',').collect()
+        };
+        // Danger: a list without a name would bind to nothing, or be taken for one that does not bind.
+        if names.is_empty() || names.contains(&"") {
+            return Err(format!("setting {path} names no place, or an empty one"));
+        }
+        Ok(Some(names))
+    }
+
     fn count(&self, list: &str) -> Result<usize, String> {
         self.or(&format!("{list}.count"), 0)
     }
@@ -109,8 +156,13 @@
         Ok(names.iter().position(|name| *name == LOAD).filter(|_| probed))
     }
 
-    fn method(&self, at: &str) -> Result<Method, String> {
+    fn method(&self, at: &str, places: &mut Places) -> Result<Method, String> {
         let key = |name: &str| format!("{at}.{name}");
+        let indices = |names: Option<Vec<&str>>, among: &mut Names| {
+            names.map(|names| names.iter().map(|name| among.index(name)).collect())
+        };
+        let zones = indices(self.names(&key("confinedTo"))?, &mut places.zones);
+        let kinds = indices(self.names(&key("skusOpen"))?, &mut places.kinds);
         let effect = match self.text(&key("effect"))? {
             "retryable" => Effect::Retryable,
             "dedup" => Effect::Deduplicated,
@@ -132,6 +184,8 @@
             latency_budget: self.span(&key("latencyBudgetNs"))?,
             overdue_criticality: self.read(&key("overdueCriticality"))?,
             criticality: self.read(&key("criticality"))?,
+            zones,
+            kinds,
         })
     }
 }
@@ -193,10 +247,14 @@
         self
     }
 
-    /// Reads the terms from path and value pairs; paths that it does not know are passed over.
-    pub fn decode<'a>(pairs: impl Iterator<Item = (&'a str, &'a str)>) -> Result<Terms, String> {
+    /// Reads the terms from path and value pairs; paths that it does not know are passed over. Zones and kinds that
+    /// methods are bound to get their indices in the host's places.
+    pub fn decode<'a>(
+        pairs: impl Iterator<Item = (&'a str, &'a str)>,
+        places: &mut Places,
+    ) -> Result<Terms, String> {
         let p = Pairs(pairs.collect());
-        let methods = (0..p.count("methods")?).map(|i| p.method(&format!("methods.{i}")));
+        let methods = (0..p.count("methods")?).map(|i| p.method(&format!("methods.{i}"), places));
         let asked = p.text("discovery")? == "subscribe";
         let come_back = p.flag("ceilings.retryAfter")?;
         let (me, instances) = (p.or("me", 0)?, p.read::<f64>("nInstances")?.max(1.0));
@@ -219,6 +277,14 @@
             cold_start: p.read("rules.startCapacity")?,
             cold_for: p.span("rules.coldNs")?,
             fall_window: p.span("rules.overloadForNs")?,
+            left_doubt: p.span_or_nought("rules.deadlineDriftNs")?,
+            start_doubt: p.span_or_nought("rules.stampDoubtNs")?,
+            drains_alone: p.flag_or("rules.drainBindsAlone", false)?,
+            reply_slots: p
+                .text("ceilings.replySlots")
+                .ok()
+                .map(|_| p.read("ceilings.replySlots"))
+                .transpose()?,
         })
     }
 }
@@ -238,11 +304,61 @@
             deadline: Span::ZERO,
             overdue_criticality: 0.0,
             criticality: *criticality,
+            zones: None,
+            kinds: None,
         };
         let methods: Vec<_> = methods.iter().map(method).collect();
         Terms { offered: vec![true; methods.len()], methods, ..Terms::default() }
     }
 
+    /// Decoded from a plain row of settings and these.
+    fn decoded(more: &[(&str, &str)], places: &mut Places) -> Result<Terms, String> {
+        let plain = "nInstances=1 tickNs=1 discovery=automatic ceilings.cancel=true ceilings.retryAfter=false \
+            ceilings.mostWriteOuts=3 rules.startCapacity=0.25 rules.coldNs=8 rules.overloadForNs=1 methods.count=1 \
+            methods.0.name=read methods.0.effect=retryable methods.0.group=all methods.0.windowNs=2 \
+            methods.0.latencyBudgetNs=1 methods.0.deadlineNs=5 methods.0.overdueCriticality=0.5 methods.0.criticality=1";
+        let plain = plain.split_whitespace().filter_map(|pair| pair.split_once('='));
+        Terms::decode(plain.chain(more.iter().copied()), places)
+    }
+
+    #[test]
+    fn places_are_read_from_a_row_or_one_to_a_path_with_the_indices_of_the_host() {
+        let mut places = Places::default();
+        places.zones.index("attic");
+        let row = [("methods.0.confinedTo", "cellar,attic")];
+        let listed = [
+            ("methods.0.confinedTo.count", "1"),
+            ("methods.0.confinedTo.0", "attic"),
+            ("methods.0.skusOpen.count", "1"),
+            ("methods.0.skusOpen.0", "large"),
+        ];
+        let row = decoded(&row, &mut places).unwrap();
+        assert_eq!(row.methods[0].zones, Some(vec![1, 0]));
+        let listed = decoded(&listed, &mut places).unwrap();
+        let entry = |zone, kind| Entry { zone, kind, ..Entry::default() };
+        assert_eq!((places.kinds.find("large"), places.kinds.index("small")), (Some(0), 1));
+        let open = [(0, 0), (0, 1), (1, 0)].map(|(zone, kind)| listed.methods[0].open_to(&entry(zone, kind)));
+        assert_eq!(open, [true, false, false]);
+        assert!(decoded(&[], &mut places).unwrap().methods[0].open_to(&entry(7, 7)));
+    }
+
+    #[test]
+    fn a_setting_that_cannot_be_meant_is_refused_by_its_key() {
+        for (path, value) in [
+            ("methods.0.confinedTo", ""),
+            ("methods.0.skusOpen", "large,"),
+            ("methods.0.skusOpen.count", "0"),
+            ("ceilings.replySlots", "-1"),
+            ("ceilings.replySlots", "few"),
+            ("rules.deadlineDriftNs", "-5"),
+            ("rules.stampDoubtNs", "1.5"),
+            ("rules.drainBindsAlone", "perhaps"),
+        ] {
+            let said = decoded(&[(path, value)], &mut Places::default()).expect_err(path);
+            assert!(said.contains(path.trim_end_matches(".count")), "{path}={value}: {said}");
+        }
+    }
+
     #[test]
     fn a_method_that_has_changed_takes_a_place_of_its_own_and_held_ones_stay() {
         let first = terms(&[("a", 1.0), ("b", 1.0), ("c", 1.0)]);
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -1,7 +1,7 @@
 //! Plays every file of `tests/scenarios` on the module alone. The notation, one step a line:
 //!
 //! `terms PATH=VALUE ..`                       terms other than the usual ones below, before any other step
-//! `MS list|delta NAME[:STATE[:ZONE[:CELL[:STARTED_MS]]]] ..`   what the list says; `NAME*COUNT` for many
+//! `MS list|delta NAME[:STATE[:ZONE[:CELL[:STARTED_MS|-[:KIND]]]]] ..`   what the list says; `NAME*COUNT` for many
 //! `MS arrival REQ METHOD LEFT_MS`, `MS answer REQ WRITE_OUT OUTCOME`, `MS hangup REQ`, `MS wake`,
 //! `MS list-failed`, `MS probed NAME LOAD|none`, `MS told NAME[*COUNT] METHOD PARTS [OUTCOME]` (a peer
 //! was answered, after so many ten-thousandths of the budget; so many times)
@@ -17,7 +17,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use appledyke::choice::Choice;
-use appledyke::ids::{self, Names};
+use appledyke::ids::{self, Names, Places};
 use appledyke::news::Told;
 use appledyke::terms::Terms;
 use appledyke::units::{Moment, Span};
@@ -40,12 +40,13 @@
     choice: Choice,
     reqs: Names,
     endpoints: Names,
-    places: Names,
+    places: Places,
+    cells: Names,
     pending: VecDeque<String>,
     counts: BTreeMap<String, usize>,
 }
 
-fn terms(overrides: &str) -> Terms {
+fn terms(overrides: &str, places: &mut Places) -> Terms {
     let mut pairs: BTreeMap<String, String> = BTreeMap::new();
     for (at, (name, rest)) in METHODS.iter().enumerate() {
         let [effect, group, late] = rest.split(' ').collect::<Vec<_>>()[..] else { panic!("bad method") };
@@ -63,7 +64,7 @@
         let (path, value) = pair.split_once('=').expect("PATH=VALUE");
         pairs.insert(path.to_string(), value.to_string());
     }
-    Terms::decode(pairs.iter().map(|(k, v)| (k.as_str(), v.as_str()))).expect("readable terms")
+    Terms::decode(pairs.iter().map(|(k, v)| (k.as_str(), v.as_str())), places).expect("readable terms")
 }
 
 fn outcome(word: &str) -> Outcome {
@@ -90,10 +91,10 @@
 
 impl Play {
     fn new(overrides: &str) -> Play {
-        let places = Names::default();
-        let choice = Choice::new(moment(0), terms(overrides), 7);
+        let (mut places, cells) = (Places::default(), Names::default());
+        let choice = Choice::new(moment(0), terms(overrides, &mut places), 7);
         let (reqs, endpoints) = (Names::default(), Names::default());
-        Play { choice, reqs, endpoints, places, pending: VecDeque::new(), counts: BTreeMap::new() }
+        Play { choice, reqs, endpoints, places, cells, pending: VecDeque::new(), counts: BTreeMap::new() }
     }
 
     fn pull(&mut self, now: u64) {
@@ -142,14 +143,15 @@
                 "gone" => Standing::Gone,
                 other => panic!("unknown state {other}"),
             };
-            let zone = self.places.index(parts.next().unwrap_or("z0"));
-            let cell = self.places.index(parts.next().unwrap_or("c0")) as u64;
-            let started = parts.next().map(|ms| moment(millis(ms)));
+            let zone = self.places.zones.index(parts.next().unwrap_or("z0"));
+            let cell = self.cells.index(parts.next().unwrap_or("c0")) as u64;
+            let started = parts.next().filter(|ms| *ms != "-").map(|ms| moment(millis(ms)));
+            let kind = self.places.kinds.index(parts.next().unwrap_or("k0"));
             for number in 0..millis(count) {
                 let name = if count == "1" { name.to_string() } else { format!("{name}{number}") };
                 let endpoint = self.endpoints.index(&name);
                 let mark = ids::mark(&name);
-                let entry = Entry { standing, started, zone, cell, kind: 0, mark };
+                let entry = Entry { standing, started, zone, cell, kind, mark };
                 self.choice.listed(moment(now), endpoint, entry);
             }
         }
