Placement: a method bound to zones or kinds is sent to these alone, at every write-out

Now `trusted`, from which every draw, further write-out and probe choice is made, keeps only endpoints that the method is open to, so there is no other way to a send; where none is left the draw is empty, and the req is held or ended. Mean, trust and bound of such a method are over its own places; it has a window of its own, as the failure of its few places says nothing of the others; the circle holds CIRCLE_LEAST trusted of its places where there are so many; an early give-up asks whether its places may repeat.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -149,14 +149,14 @@
     held: Vec<usize>,        // reqs that wait for an endpoint, the most worth first
     look_at_held: bool,
     out: VecDeque<Decision>,
-    window: Rolling,    // requests and accepts
-    habits: Vec<Habit>, // of the clients, by method
-    usual: Usual,       // usual served latency of each method here by kind of machine, in seconds
-    load_usual: f64,    // usual load as reported
-    telling: Slope,     // what a load tells of the latency that follows
-    sends: Rate,        // in fall windows
-    answers: Rate,      // the same, here and at peers that told of them
-    news: Vec<u8>,      // what has yet to be told to peers
+    windows: Vec<Rolling>, // requests and accepts: of the methods that may go anywhere, then of each other
+    habits: Vec<Habit>,    // of the clients, by method
+    usual: Usual,          // usual served latency of each method here by kind of machine, in seconds
+    load_usual: f64,       // usual load as reported
+    telling: Slope,        // what a load tells of the latency that follows
+    sends: Rate,           // in fall windows
+    answers: Rate,         // the same, here and at peers that told of them
+    news: Vec<u8>,         // what has yet to be told to peers
     tell_at: Moment,
     marks: HashMap<u32, usize>, // the endpoints by what peers call them
     fleet: f64,                 // how many endpoints are ready
@@ -185,7 +185,6 @@
             habits: vec![Habit::default(); terms.methods.len()],
             load_usual: 1.0,
             telling: Slope::new(SLOPE_FIRST.0, SLOPE_FIRST.1),
-            window: Rolling::new(now, BUCKETS.0, BUCKETS.1),
             bound: first,
             bound_aim,
             bound_least,
@@ -321,7 +320,7 @@
             *score = (*score + failed * part).min(DISTRUST_MOST);
         }
         // Danger: a queue that answers late never fails, so the window would not see the overload in it.
-        self.window.book(now, 1.0, f64::from(u8::from(satisfied && part <= 1.0)));
+        self.window(now, method).book(now, 1.0, f64::from(u8::from(satisfied && part <= 1.0)));
         // Danger: crowded endpoints turn slower and stay so; the crowd must be kept from forming.
         let off = match outcome {
             Outcome::Satisfied | Outcome::Overdue => self.bound_aim - part.min(1.0),
@@ -492,9 +491,10 @@
         if now >= r.useful_until(&self.terms) {
             return self.end(req);
         }
+        let method = r.method;
         if !std::mem::replace(&mut r.admitted, true) {
             self.purse = (self.purse + PURSE_SHARE).min(PURSE_MOST);
-            let (requests, accepts) = self.window.sums(now);
+            let (requests, accepts) = self.window(now, method).sums(now);
             if self.chance.part() < (requests - PROTECTION - K * accepts) / (requests + 1.0) {
                 return self.end(req);
             }
@@ -537,13 +537,22 @@
     fn give_up(&self, now: Moment, req: usize) -> Moment {
         let r = self.reqs[req].as_ref().expect("only open reqs are sent");
         let (m, last) = (&self.terms.methods[r.method], r.write_outs.len() == r.most);
-        let others = self.fleet > 1.0 && self.ready().all(|(_, e)| self.may_repeat(now, r, m, e));
+        let mut open = self.ready().filter(|(_, e)| m.open_to(&e.entry));
+        let others = self.fleet > 1.0 && open.all(|(_, e)| self.may_repeat(now, r, m, e));
         let usual = self.usual.of(r.method).filter(|_| !last && self.purse >= PURSE_MOST / 2.0);
         let parts = usual.map(|usual| PATIENCE * usual * r.size / m.latency_budget.secs().max(1e-6));
         let parts = parts.filter(|parts| others && *parts < PATIENCE_PARTS.1).unwrap_or(f64::MAX);
         r.useful_until(&self.terms).min(now + m.latency_budget * parts.max(PATIENCE_PARTS.0))
     }
 
+    /// Danger: where the few places of one method are down, its failures would have all others refused too.
+    fn window(&mut self, now: Moment, method: usize) -> &mut Rolling {
+        let at = if self.terms.methods[method].is_placed() { method + 1 } else { 0 };
+        let windows = self.windows.len().max(at + 1);
+        self.windows.resize_with(windows, || Rolling::new(now, BUCKETS.0, BUCKETS.1));
+        &mut self.windows[at]
+    }
+
     /// Nothing can take the req now: it waits a little, the most worth in front, if that is likely to help.
     fn hold(&mut self, now: Moment, req: usize) {
         let r = self.reqs[req].as_mut().expect("only open reqs are held");
@@ -679,7 +688,9 @@
     /// The endpoints of the circle, or all, with their trust against that in the most trusted, so that all
     /// distrusted is the same as none; how many they count for, and the mean in flight.
     fn trusted(&self, now: Moment, method: usize, all: bool) -> (Vec<(usize, &Endpoint, f64)>, f64, f64) {
-        let used = if all { self.ready().collect() } else { self.kept() };
+        let mut used = if all { self.ready().collect() } else { self.kept() };
+        // Danger: the mean of all, and trust in all, say nothing of the few that a method is bound to.
+        used.retain(|(_, e)| self.terms.methods[method].open_to(&e.entry));
         let mut used: Vec<_> = used.into_iter().map(|(at, e)| (at, e, e.trust(now, Some(method)))).collect();
         let most = used.iter().map(|(_, _, trust)| *trust).fold(f64::MIN_POSITIVE, f64::max);
         used.iter_mut().for_each(|(_, _, trust)| *trust /= most);
@@ -701,6 +712,10 @@
             return self.crowd >= self.bound;
         }
         let (_, count, mean) = self.trusted(now, method, false);
+        let bound = self.bound_in_circle();
+        if self.terms.methods[method].is_placed() {
+            return mean >= bound + (bound / count).sqrt();
+        }
         let gap = now.since(std::mem::replace(&mut self.crowd_at, now)).secs();
         // Danger: one that has far more to send than its part would be slow to see that its bound is in use.
         let most = CROWD_SENDS / self.sends.in_second().max(1e-6);
@@ -708,7 +723,6 @@
         self.crowd += gap / (gap + over).max(1e-9) * (mean - self.crowd);
         // Danger: many instances that each keep a whole write-out at every endpoint crowd it together, so the
         // bound holds for the mean, not only for each endpoint. A burst must not pass it by much meanwhile.
-        let bound = self.bound_in_circle();
         self.crowd >= bound || mean >= bound + (bound / count).sqrt()
     }
 
@@ -844,6 +858,21 @@
             self.circle.push(joins);
             trusted += outside.extract_if(.., |(at, _)| *at == joins).map(|(_, trust)| trust).sum::<f64>();
         }
+        // Danger: chance may leave a circle without any of the places that a method is bound to.
+        for m in self.terms.methods.iter().filter(|m| m.is_placed()) {
+            let open = |at: &usize| self.endpoints[*at].as_ref().is_some_and(|e| m.open_to(&e.entry));
+            let trusts = self.circle.iter().filter(|at| open(at));
+            let mut trusted = trusts
+                .map(|at| self.endpoints[*at].as_ref().map_or(0.0, |e| e.trust(now, None)))
+                .sum::<f64>();
+            outside.retain(|(at, _)| !self.circle.contains(at));
+            let mut outside: Draw = outside.iter().copied().filter(|(at, _)| open(at)).collect();
+            while let Some(joins) = self.chance.drawn(&outside).filter(|_| trusted < CIRCLE_LEAST) {
+                self.circle.push(joins);
+                trusted +=
+                    outside.extract_if(.., |(at, _)| *at == joins).map(|(_, trust)| trust).sum::<f64>();
+            }
+        }
     }
 
     /// Leaves out the one of the circle that serves worst.
