--- a/src/choice.rs
+++ b/src/choice.rs
@@ -557,8 +557,11 @@
     fn hold(&mut self, now: Moment, req: usize) {
         let r = self.reqs[req].as_mut().expect("only open reqs are held");
         r.asked.clear();
-        let wait = self.terms.methods[r.method].latency_budget * HOLD_SHARE;
-        if now + HOLD_LOOK >= (r.arrived + wait).min(r.deadline) {
+        let m = &self.terms.methods[r.method];
+        let (wait, arrived, deadline) = (m.latency_budget * HOLD_SHARE, r.arrived, r.deadline);
+        // Where all places that a method is bound to are down, waiting a little brings none of them back.
+        let in_vain = m.is_placed() && !self.ready().any(|(_, e)| m.open_to(&e.entry));
+        if in_vain || now + HOLD_LOOK >= (arrived + wait).min(deadline) {
             return self.end(req);
         }
         self.out.extend(self.held.is_empty().then_some(Decision::Wake { at: now + HOLD_LOOK }));
