The time left and an endpoint's start are believed within their stated doubt

Cause, in `arrival`: the deadline was taken at its word, so reqs told of less time than they have were given up early, and the vote on the length of tries took them for late returns. Excluded: endpoints, which answered as quickly as before (median 0.103 s), and refusals (0.8%). Now the deadline lies the doubt later, which the rule on answers grants; where the time left is in doubt the vote concludes nothing. The adapter reads a negative time left as none.

--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -98,7 +98,8 @@
         let name = fields.text("service")?;
         let method = self.choice.terms().methods.iter().position(|m| m.name == name);
         let method = method.ok_or_else(|| format!("unknown method '{name}'"))?;
-        let left = Span::from_nanos(fields.read("leftNs")?);
+        // Danger: by a clock that is ahead, less than nothing may seem left.
+        let left = Span::from_nanos(fields.read::<i64>("leftNs")?.max(0) as u64);
         let req = self.reqs.index(fields.text("requestId")?);
         let work = fields.find("costGuessNs").map(|_| fields.read("costGuessNs")).transpose()?;
         self.choice.arrival(now, req, method, left, work.map(Span::from_nanos));
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -232,7 +232,9 @@
         self.reqs.resize_with(self.reqs.len().max(req + 1), || None);
         // Danger: a client that returns late would take a place for an answer that is worth nothing any more.
         // Tries have one length, found by a vote; one with less left is cut by its client's whole deadline.
-        let cut = self.habits[method].tries.shorter(left);
+        // Danger: where the time left is in doubt, its shortness tells nothing, and what seems over is not.
+        let doubt = self.terms.left_doubt;
+        let cut = doubt == Span::ZERO && self.habits[method].tries.shorter(left);
         let age = if cut { self.terms.methods[method].deadline.less(left) } else { Span::ZERO };
         self.reqs[req] = Some(Req {
             method,
@@ -240,7 +242,7 @@
             size,
             most: self.terms.most_write_outs,
             arrived: now,
-            deadline: now + left,
+            deadline: now + (left + doubt),
             asks_until: now,
             ..Req::default()
         });
@@ -935,7 +937,9 @@
 
     /// The part of its full capacity that an endpoint has at least, by the stated rise.
     fn cold_share(&self, now: Moment, terms: &Terms) -> f64 {
-        let up = self.entry.started.map(|at| now.since(at)).filter(|up| *up < terms.cold_for);
+        // Danger: one that has started later than it is stamped is colder than its stamp says.
+        let up = self.entry.started.map(|at| now.since(at).less(terms.start_doubt));
+        let up = up.filter(|up| *up < terms.cold_for);
         let rise = |up: Span| (1.0 - terms.cold_start) * (up.secs() / terms.cold_for.secs().max(1e-9));
         up.map_or(1.0, |up| terms.cold_start + rise(up))
     }
