Slow readers and calls that come back are told from failing endpoints and new work

Slow readers. Cause: outcome and learn count what a client is still reading as held by the endpoint (in_flight), and its overdue end as the endpoint's fault, so the bound shrank (0.99 to 0.48) and the circle grew (61 to 92). Excluded: endpoints (no errors, none full), the throttle. Where reply slots are stated, one write-out at each endpoint that is out for READ_AFTER times its usual is taken for read: it holds no place, its overdue end is excused, and beyond READ_SHARE of the slots the longest is ended.

Calls that come back. What comes back has no key where all else has one; it was refused by throttle, bound and hold like new work, and each refusal failed what waited for it. It now passes the throttle and the bound, and goes first among those held.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -46,6 +46,9 @@
 const PURSE_MOST: f64 = 10.0; // saved up: enough to carry reqs past one endpoint's fall
 const PATIENCE: f64 = 5.0; // times the usual that one may take while another may follow: few take as long
 const PATIENCE_PARTS: (f64, f64) = (0.2, 1.0); // least and most, of the budget: past it another earns little
+// Buffers for answers that clients read, where they are few.
+const READ_AFTER: f64 = 3.0; // times the usual for its size: few write-outs are out as long for the endpoint
+const READ_SHARE: f64 = 0.5; // of the buffers, for those who read slowly
 // Circle.
 const CIRCLE_SENDS: f64 = 2.0; // to each endpoint in a solve interval: as many as keep its latency known
 const CIRCLE_LEAST: f64 = 4.0; // endpoints, as a few may fall at once
@@ -95,6 +98,7 @@
     endpoint: usize,
     sent: Moment,
     ended: Option<Outcome>,
+    read: bool,       // it is taken for answered: its client seems to be reading
     off: Option<f64>, // how far the load reported there was off the usual one, in parts of it
 }
 
@@ -104,8 +108,9 @@
     most: usize, // write-outs that it may have
     method: usize,
     key: Option<u32>,
-    age: Span, // for how long at least the client has been asking before
-    size: f64, // its work against what is usual for its method, as far as that is told
+    within: bool, // others wait for it with places that they hold
+    age: Span,    // for how long at least the client has been asking before
+    size: f64,    // its work against what is usual for its method, as far as that is told
     arrived: Moment,
     deadline: Moment,
     write_outs: Vec<WriteOut>,
@@ -133,6 +138,7 @@
     credit: f64,         // sends that a cold endpoint may still get, as of a moment
     credit_at: Moment,
     gone_at: Moment,
+    reading: bool,   // a write-out there is taken for one whose client reads
     new: bool,       // it has started since the circle was last looked at
     connected: bool, // it has answered since its connections were last closed here
 }
@@ -151,6 +157,7 @@
     exchange_at: Moment,
     due: VecDeque<usize>,
 
+    keyed: bool,                 // reqs come with keys here
     keys: HashMap<u32, Rolling>, // requests and accepts since one failed, of the keys that have failed lately
     asks: usize,                 // from how many endpoints a req asks for reports of load
     asking_load: Vec<usize>,     // reqs that wait for these
@@ -232,6 +239,11 @@
 
     pub fn arrival(&mut self, now: Moment, req: usize, ask: Ask) {
         let Ask { method, left, work, key } = ask;
+        // Danger: where all else has a key, what has none is a call that comes back to the tier that waits for
+        // it. Refused, it undoes what waits; behind new work, it waits for places that its own callers hold. It
+        // holds against any work within work that shows so; it hurts where clients leave out keys at will.
+        self.keyed |= key.is_some();
+        let within = self.keyed && key.is_none();
 
         // A req's size is its expected work against what its method's reqs have in the mean.
         let size = work.map_or(1.0, |work| {
@@ -249,6 +261,7 @@
         self.reqs[req] = Some(Req {
             method,
             key,
+            within,
             age,
             size,
             most: self.terms.most_write_outs,
@@ -266,16 +279,23 @@
         w.ended = Some(outcome);
         r.closed |= closed;
         let (endpoint, method, off, key) = (w.endpoint, r.method, w.off, r.key);
+        let read = w.read;
         let part =
             now.since(w.sent).secs() / r.size / self.terms.methods[method].latency_budget.secs().max(1e-6);
         let in_vain = outcome == Outcome::Overdue && now >= r.useful_until(&self.terms);
         self.due.push_back(req);
         self.look_at_held = true;
         let e = self.endpoints[endpoint].as_mut().expect("an endpoint with a write-out is kept");
-        e.in_flight -= 1;
+        e.in_flight -= usize::from(!read);
+        e.reading &= !read;
         let mark = e.entry.mark;
         self.close_idle(endpoint);
-        let tells = !matches!(outcome, Outcome::Recalled | Outcome::NeverSent | Outcome::Rejected);
+        if self.terms.reply_slots.is_some() {
+            self.readers(now);
+        }
+        let excused = read && outcome == Outcome::Overdue;
+        let tells =
+            !excused && !matches!(outcome, Outcome::Recalled | Outcome::NeverSent | Outcome::Rejected);
         // What never ran there has not got as far as to what its key stands for.
         let accepted = Some(outcome == Outcome::Satisfied && part <= 1.0).filter(|_| !outcome.never_ran());
         if tells && (!self.fails_by_key(now, key, accepted) || outcome.never_ran()) {
@@ -291,6 +311,32 @@
         }
     }
 
+    /// Where few answers can be held for clients, one long out may have been answered, and its client reads
+    /// slowly: one at each endpoint is taken for that. Danger: it would hold a place there and have the endpoint
+    /// distrusted for no fault of it, and slow readers would take all buffers from the others. It holds against
+    /// whatever keeps answers behind endpoints, and hurts where one of a few endpoints hangs.
+    fn readers(&mut self, now: Moment) {
+        let mut longest = (Span::ZERO, 0);
+        let mut reading = 0;
+        for (at, r) in self.reqs.iter_mut().enumerate().filter_map(|(at, r)| Some((at, r.as_mut()?))) {
+            let Some(w) = r.write_outs.last_mut().filter(|w| w.ended.is_none()) else { continue };
+            let Some(e) = self.endpoints[w.endpoint].as_mut() else { continue };
+            let (age, usual) = (now.since(w.sent), self.usual.of(r.method).unwrap_or(f64::MAX) * r.size);
+            let usual = usual * e.latency.unwrap_or(1.0).max(1.0);
+            if !w.read && !e.reading && age.secs() > READ_AFTER * usual {
+                (w.read, e.reading) = (true, true);
+                e.in_flight -= 1;
+            }
+            if w.read && !r.closed {
+                reading += 1;
+                longest = longest.max((age, at));
+            }
+        }
+        if reading as f64 > self.terms.reply_slots.unwrap_or(0) as f64 * READ_SHARE {
+            self.end(longest.1);
+        }
+    }
+
     /// What a write-out's end teaches, from a peer or from here, where it may have been waited for in vain.
     fn learn(&mut self, now: Moment, endpoint: usize, told: Told, own: Option<bool>) {
         let Told { method, outcome, part, load, .. } = told;
@@ -405,7 +451,7 @@
             self.endpoints[wrong.endpoint].iter_mut().for_each(|e| e.in_flight -= 1);
         }
         if let Some(endpoint) = endpoint.filter(|at| self.endpoints[*at].is_some()) {
-            r.write_outs.push(WriteOut { endpoint, sent: now, ended: None, off: None });
+            r.write_outs.push(WriteOut { endpoint, sent: now, ended: None, read: false, off: None });
             self.endpoints[endpoint].iter_mut().for_each(|e| e.in_flight += 1);
         }
     }
@@ -507,8 +553,8 @@
         if now >= r.useful_until(&self.terms) {
             return self.end(req);
         }
-        let (method, key) = (r.method, r.key);
-        if !std::mem::replace(&mut r.admitted, true) {
+        let (method, key, within) = (r.method, r.key, r.within);
+        if !std::mem::replace(&mut r.admitted, true) && !within {
             self.purse = (self.purse + PURSE_SHARE).min(PURSE_MOST);
             let (requests, accepts) = self.window(now, method).sums(now);
             if self.chance.part() < (requests - PROTECTION - K * accepts) / (requests + 1.0) {
@@ -541,7 +587,7 @@
         let credit = cold.map(|e| self.credit(now, e) - 1.0);
         let off = self.endpoints[endpoint].as_ref().and_then(|e| self.load_off(e));
         let r = self.reqs[req].as_mut().expect("only open reqs are sent");
-        r.write_outs.push(WriteOut { endpoint, sent: now, ended: None, off });
+        r.write_outs.push(WriteOut { endpoint, sent: now, ended: None, read: false, off });
         r.asked.clear();
         let give_up = self.give_up(now, req);
         let e = self.endpoints[endpoint].as_mut().expect("only known endpoints are picked");
@@ -566,7 +612,7 @@
     }
 
     /// The design's drop chance for the reqs of one key, against what is accepted of all others. Danger: reqs
-    /// that wait for one another behind all endpoints fill these, and their failures are no endpoint's. It holds
+    /// that wait for one another behind all endpoints fill these, and their failures are no endpoint's. It is
     /// against a lock, a hot record, a poisoned key; it hurts a key whose few reqs met a failing endpoint.
     fn drop_by_key(&mut self, now: Moment, key: Option<u32>) -> f64 {
         let Some(window) = key.and_then(|key| self.keys.get_mut(&key)) else { return 0.0 };
@@ -609,7 +655,8 @@
         self.out.extend(self.held.is_empty().then_some(Decision::Wake { at: now + HOLD_LOOK }));
         // What a place at an endpoint earns: criticality against the time that the method usually takes.
         let earns = |m: usize| self.terms.methods[m].criticality / self.usual.of(m).unwrap_or(1.0).max(1e-3);
-        let worth = |req: &usize| self.reqs[*req].as_ref().map_or(0.0, |r| earns(r.method));
+        let of = |r: &Req| if r.within { f64::MAX } else { earns(r.method) };
+        let worth = |req: &usize| self.reqs[*req].as_ref().map_or(0.0, of);
         let place = self.held.partition_point(|held| worth(held) >= worth(&req));
         self.held.insert(place, req);
         // Danger: a queue longer than what is sent in a wait only delays its nacks.
@@ -693,7 +740,8 @@
     /// The weighted draw among the endpoints that may take the req now. Where all are well above the mean,
     /// any will do; the draw still follows the weights.
     fn pick(&mut self, now: Moment, req: usize) -> Option<usize> {
-        if self.asks == 0 && self.crowded(now, self.reqs[req].as_ref()?.method) {
+        let r = self.reqs[req].as_ref()?;
+        if self.asks == 0 && !r.within && self.crowded(now, r.method) {
             return None;
         }
         let (open, above) = self.open_endpoints(now, self.reqs[req].as_ref()?);
@@ -810,7 +858,8 @@
                 // further write-out must fit the place that the endpoint's trust leaves it.
                 let home = (self.home_weight(e) / mean_home).min(HOME_ROOM);
                 let room = place * home * MARGIN.0 * mean + trust * (1.0 + share * MARGIN.1);
-                (e.in_flight as f64 >= (bound * share).max(1.0), e.in_flight as f64 + 1.0 > room)
+                let full = e.in_flight as f64 >= (bound * share).max(1.0);
+                (full && !r.within, e.in_flight as f64 + 1.0 > room)
             };
             if spent || full {
                 continue;
@@ -855,7 +904,7 @@
         let mut oldest = vec![0.0_f64; self.endpoints.len()];
         for r in self.reqs.iter().flatten() {
             let usual = self.usual.of(r.method).unwrap_or(f64::MAX);
-            for w in r.write_outs.iter().filter(|w| w.ended.is_none()) {
+            for w in r.write_outs.iter().filter(|w| w.ended.is_none() && !w.read) {
                 oldest[w.endpoint] = oldest[w.endpoint].max(now.since(w.sent).secs() / (usual * r.size));
             }
         }
