--- a/src/choice.rs
+++ b/src/choice.rs
@@ -32,6 +32,7 @@
 const SMOOTHING: f64 = 0.1; // least part of a new latency: about the last ten count
 const SMOOTHING_OVER: Span = Span::from_millis(2500); // of one heard from seldom: those of this time count
 const MARGIN: (f64, f64) = (1.25, 0.5); // in flight beyond the mean times this, plus that, is well above it
+const FITS: (f64, f64) = (0.8, 1.2); // of the budget left, that a heavy req may take there, and with no other
 const TRIED_WEIGHT: f64 = 0.01; // of an endpoint that the req has been to: only if there is hardly another
 // Distrust, in halvings of traffic.
 const DISTRUST_STEP: f64 = 1.0; // for a failure
@@ -247,8 +248,11 @@
 
         // A req's size is its expected work against what its method's reqs have in the mean.
         let size = work.map_or(1.0, |work| {
-            let mean = smoothed(self.habits[method].work, work.secs(), USUAL_PART);
-            self.habits[method].work = Some(mean);
+            let habit = &mut self.habits[method];
+            habit.hints += 1.0;
+            // Danger: smoothed from the first on, one light req at the start would have all others look heavy.
+            let mean = smoothed(habit.work, work.secs(), USUAL_PART.max(1.0 / habit.hints));
+            habit.work = Some(mean);
             (work.secs() / mean.max(1e-9)).clamp(SIZES.0, SIZES.1)
         });
         self.reqs.resize_with(self.reqs.len().max(req + 1), || None);
@@ -647,8 +651,11 @@
         r.asked.clear();
         let m = &self.terms.methods[r.method];
         let (wait, arrived, deadline) = (m.latency_budget * HOLD_SHARE, r.arrived, r.deadline);
-        // Where all places that a method is bound to are down, waiting a little brings none of them back.
-        let in_vain = m.is_placed() && !self.ready().any(|(_, e)| m.open_to(&e.entry));
+        // Where no place that it is bound to is up, or serves such a heavy one in time, waiting brings none.
+        let (size, method, left) = (r.size, r.method, m.latency_budget.less(now.since(arrived)).secs());
+        let in_time = |e: &Endpoint| size <= 1.0 || size * self.expected(now, e, method) <= FITS.1 * left;
+        let bound = m.is_placed();
+        let in_vain = bound && !self.ready().any(|(_, e)| m.open_to(&e.entry) && in_time(e));
         if in_vain || now + HOLD_LOOK >= (arrived + wait).min(deadline) {
             return self.end(req);
         }
@@ -836,6 +843,9 @@
         let all_trust = used.iter().map(|(_, _, t)| t).sum::<f64>();
         let mean_home = used.iter().map(|(_, e, t)| t * self.home_weight(e)).sum::<f64>() / all_trust;
         let (asked, bound) = (!r.asked.is_empty(), self.bound_in_circle());
+        let left = m.latency_budget.less(now.since(r.arrived)).secs();
+        // Danger: a heavy req on a slow endpoint is done too late, and all of its work for nothing.
+        let takes = |e: &Endpoint| if r.size > 1.0 { r.size * self.expected(now, e, r.method) } else { 0.0 };
         used.retain(|(at, e, _)| (!asked || r.asked.contains(at)) && self.may_repeat(now, r, m, e));
         let slope = self.telling.get();
         // Of one that was asked: the latency to expect there, against what its weight promises.
@@ -859,9 +869,9 @@
                 let home = (self.home_weight(e) / mean_home).min(HOME_ROOM);
                 let room = place * home * MARGIN.0 * mean + trust * (1.0 + share * MARGIN.1);
                 let full = e.in_flight as f64 >= (bound * share).max(1.0);
-                (full && !r.within, e.in_flight as f64 + 1.0 > room)
+                (full && !r.within, takes(e) > FITS.0 * left || e.in_flight as f64 + 1.0 > room)
             };
-            if spent || full {
+            if spent || full || takes(e) > FITS.1 * left {
                 continue;
             }
             let weight = weight * self.home_weight(e);
--- a/src/figures.rs
+++ b/src/figures.rs
@@ -140,6 +140,8 @@
     pub tries: Vote,
     /// Work of a req in the mean, in seconds, as far as it is told.
     pub work: Option<f64>,
+    /// How many reqs have told theirs.
+    pub hints: f64,
 }
 
 impl Vote {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -2,10 +2,10 @@
 //!
 //! `terms PATH=VALUE ..`                       terms other than the usual ones below, before any other step
 //! `MS list|delta NAME[:STATE[:ZONE[:CELL[:STARTED_MS|-[:KIND]]]]] ..`   what the list says; `NAME*COUNT` for many
-//! `MS arrival REQ METHOD LEFT_MS [KEY]`, `MS answer REQ WRITE_OUT OUTCOME`, `MS hangup REQ`, `MS wake`,
+//! `MS arrival REQ METHOD LEFT_MS [key=KEY] [work=MS]`, `MS answer REQ WRITE_OUT OUTCOME`, `MS hangup REQ`, `MS wake`,
 //! `MS list-failed`, `MS probed NAME LOAD|none`, `MS told NAME[*COUNT] METHOD PARTS [OUTCOME]` (a peer
 //! was answered, after so many ten-thousandths of the budget; so many times)
-//! `MS flood COUNT METHOD GAP_MS OUTCOME [key=KEY] [NAME=TOOK_MS[:OUTCOME] ..]`  reqs one by one, each write-out
+//! `MS flood COUNT METHOD GAP_MS OUTCOME [key=KEY] [work=MS] [NAME=TOOK_MS[:OUTCOME] ..]`  reqs one by one, each write-out
 //!                                             answered at once or after what its endpoint takes; decisions
 //!                                             are counted
 //! `expect DECISION`                           the next decision, word for word; `any` stands for any word
@@ -158,12 +158,15 @@
         self.choice.list_closes(moment(now));
     }
 
-    fn arrival(&mut self, now: u64, req: &str, method: &str, left: &str, key: Option<&str>) {
+    /// What a req tells of itself: its key, its work in milliseconds.
+    fn arrival(&mut self, now: u64, req: &str, method: &str, left: &str, tells: &[&str]) {
+        let told = |what: &str| tells.iter().find_map(|word| word.strip_prefix(what));
         let method = METHODS.iter().position(|(name, _)| *name == method).expect("a known method");
         let req = self.reqs.index(req);
         let left = Span::from_millis(millis(left));
-        let key = key.map(ids::mark);
-        self.choice.arrival(moment(now), req, Ask { method, left, work: None, key });
+        let (key, work) =
+            (told("key=").map(ids::mark), told("work=").map(|ms| Span::from_millis(millis(ms))));
+        self.choice.arrival(moment(now), req, Ask { method, left, work, key });
     }
 
     fn answer(&mut self, now: u64, req: &str, write_out: usize, word: &str) {
@@ -176,11 +179,11 @@
 
     fn flood(&mut self, mut now: u64, words: &[&str]) {
         let [count, method, gap, outcome, takes @ ..] = words else { panic!("a flood lacks words") };
-        let key = takes.iter().find_map(|take| take.strip_prefix("key="));
+
         self.counts.clear();
         for number in 0..millis(count) {
             let req = format!("flood{number}");
-            self.arrival(now, &req, method, FLOOD_LEFT, key);
+            self.arrival(now, &req, method, FLOOD_LEFT, takes);
             self.pull(now);
             let mut write_outs = 0;
             while let Some(said) = self.pending.pop_front() {
@@ -225,8 +228,7 @@
         match words[1..] {
             ["list", ref entries @ ..] => self.list(now, true, entries),
             ["delta", ref entries @ ..] => self.list(now, false, entries),
-            ["arrival", req, method, left] => self.arrival(now, req, method, left, None),
-            ["arrival", req, method, left, key] => self.arrival(now, req, method, left, Some(key)),
+            ["arrival", req, method, left, ref tells @ ..] => self.arrival(now, req, method, left, tells),
             ["answer", req, write_out, outcome] => self.answer(now, req, millis(write_out) as usize, outcome),
             ["hangup", req] => self.choice.hangup(self.reqs.find(req).expect("an open req")),
             ["wake"] => self.choice.wake(moment(now)),
