--- a/src/choice.rs
+++ b/src/choice.rs
@@ -60,7 +60,7 @@
 const HOME_GAIN: f64 = 150.0; // a price of a twentieth keeps some nine tenths of four zones' traffic at home
 const HOME_ROOM: f64 = 2.0; // most room that this gives an endpoint, in means: home is not crowded for it
 // Bound: aim as part of the budget, least and first in write-outs at an endpoint from all instances together.
-const BOUND_OWN: (f64, f64, f64) = (0.36, 6.0, 8.0); // room for spread; under the least, cores idle
+const BOUND_OWN: (f64, f64, f64) = (0.3, 6.0, 8.0); // room for spread; under the least, cores idle
 const BOUND_TOLD: (f64, f64, f64) = (0.3, 1.5, 3.0); // where load is told it acts on all at once: low
 const BOUND_GAIN: (f64, f64) = (0.8, 0.25); // relative change in a second a whole budget off; most by one
 const BOUND_USED: f64 = 0.7; // grows only while this part is in use: else answers teach nothing,
