--- a/src/choice.rs
+++ b/src/choice.rs
@@ -26,7 +26,7 @@
 // The design's: its start values, but for the margin, where half a write-out decides for a trickle.
 const K: f64 = 2.0; // times accepts, the requests that are let through
 const PROTECTION: f64 = 5.0; // requests that may fail in a window before any is refused
-const KEY_PROTECTION: f64 = 3.0; // and of one key, where others are served: fewer would be chance
+const KEY_PROTECTION: f64 = 1.0; // and of one key, where others are served: one fails by chance
 const BUCKETS: (Span, usize) = (Span::from_millis(250), 40); // their length and number: a window of 10 s
 const SOLVE_EVERY: Span = Span::from_millis(1000); // between two solves of the fractions
 const SMOOTHING: f64 = 0.1; // least part of a new latency: about the last ten count
