An endpoint that turns away or breaks off is given the client's whole time to see

Excluded: load (full at a third of the mean in flight), keys. An endpoint that was full, or failed later than its usual answer, gets the client's own deadline for HASTY; the module ends the req at the budget's end as before, books the write-out as overdue, and withdraws it. Acts only where write-outs may be withdrawn and the budget's end is not the deadline already.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -41,6 +41,7 @@
 const DISTRUST_KEPT: f64 = 0.8; // part of it that any other answer leaves: three halve it
 const DISTRUST_MOST: f64 = 10.0; // a thousandth of the traffic can still tell of recovery
 const DISTRUST_HALF: Span = Span::from_millis(4000); // to half, as old latencies do: a fault is short
+const HASTY: Span = Span::from_millis(10_000); // for which one that turned away or failed may be hasty: a window
 const AVOIDED_TRUST: f64 = 0.25; // of its traffic, at most, has one that counts as avoided: two failures
 // Further write-outs.
 const PURSE_SHARE: f64 = 0.2; // that one arrival pays for: a fifth of the load for long
@@ -118,6 +119,7 @@
     admitted: bool,
     streaming: bool,
     closed: bool,
+    overstays: bool,    // its last write-out may go on past its use, and is withdrawn then
     asked: Vec<usize>,  // endpoints whose load it asks for
     asks_until: Moment, // and until when it waits for that
 }
@@ -139,9 +141,10 @@
     credit: f64,         // sends that a cold endpoint may still get, as of a moment
     credit_at: Moment,
     gone_at: Moment,
-    reading: bool,   // a write-out there is taken for one whose client reads
-    new: bool,       // it has started since the circle was last looked at
-    connected: bool, // it has answered since its connections were last closed here
+    hasty_until: Moment, // it turns away or breaks off more than its load explains, maybe by its clock
+    reading: bool,       // a write-out there is taken for one whose client reads
+    new: bool,           // it has started since the circle was last looked at
+    connected: bool,     // it has answered since its connections were last closed here
 }
 
 type Draw = Vec<(usize, f64)>; // for one draw: endpoints and their weights
@@ -354,6 +357,13 @@
             self.telling.heard(x, (secs / usual - 1.0).min(SLOPE_MOST));
         }
         e.connected |= own && outcome != Outcome::RefusedConnection;
+        // Danger: an endpoint whose clock is ahead turns away or breaks off what it takes to be over. It gets the
+        // client's whole time to see, and the req is withdrawn here. Of any other error it makes no difference;
+        // it hurts at an endpoint that is full, and begins what has been withdrawn.
+        let late_error = outcome == Outcome::Errored && usual.is_some_and(|usual| secs > usual);
+        if own && (outcome == Outcome::Saturated || late_error) {
+            e.hasty_until = now + HASTY;
+        }
         let (down, fade) =
             (matches!(outcome, Outcome::RefusedConnection | Outcome::Severed), faded(e.distrust_at, now));
         (e.distrust_at, e.distrust) = (now, e.distrust.iter().map(|score| score * fade).collect());
@@ -522,6 +532,8 @@
         }
         self.look_at_held = true;
         self.due.extend(self.asking_load.drain(..));
+        let over = |r: &Req| r.overstays && now >= r.useful_until(&self.terms);
+        self.due.extend((0..self.reqs.len()).filter(|at| self.reqs[*at].as_ref().is_some_and(over)));
         if now >= self.tell_at && !self.news.is_empty() {
             let news = std::mem::take(&mut self.news);
             let instances = self.terms.instances as usize;
@@ -550,11 +562,18 @@
         if r.closed {
             return self.settle(req);
         }
-        if r.streaming || r.write_outs.iter().any(|w| w.ended.is_none()) {
+        let over = now >= r.useful_until(&self.terms);
+        let out = r.write_outs.last().filter(|w| w.ended.is_none()).map(|w| w.endpoint);
+        if r.streaming || out.is_some() && !(r.overstays && over) {
             return;
         }
+        if let Some(endpoint) = out {
+            let (mark, method, outcome) = (0, r.method, Outcome::Overdue);
+            self.learn(now, endpoint, Told { mark, method, outcome, part: 1.0, load: None }, Some(true));
+            return self.end(req);
+        }
         // Danger: a batch may come after the deadline; nothing is sent for what is over or worth nothing.
-        if now >= r.useful_until(&self.terms) {
+        if over {
             return self.end(req);
         }
         let (method, key, within) = (r.method, r.key, r.within);
@@ -593,7 +612,15 @@
         let r = self.reqs[req].as_mut().expect("only open reqs are sent");
         r.write_outs.push(WriteOut { endpoint, sent: now, ended: None, read: false, off });
         r.asked.clear();
-        let give_up = self.give_up(now, req);
+        let mut give_up = self.give_up(now, req);
+        let hasty = self.endpoints[endpoint].as_ref().is_some_and(|e| now < e.hasty_until);
+        if let Some(r) = self.reqs[req].as_mut().filter(|_| hasty && self.terms.may_revoke) {
+            let at = r.useful_until(&self.terms);
+            if r.deadline > at {
+                (give_up, r.overstays) = (r.deadline, true);
+                self.out.push_back(Decision::Wake { at });
+            }
+        }
         let e = self.endpoints[endpoint].as_mut().expect("only known endpoints are picked");
         e.in_flight += 1;
         (e.credit, e.credit_at) = credit.map_or((e.credit, e.credit_at), |credit| (credit, now));
