--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,23 +1,24 @@
 //! Every decision of one instance. Make a `Choice` from the decoded terms and a seed, tell it what happens
-//! (`arrival`, `outcome`, `gone_in_part`, `streaming`, `hangup`, `list_*`, `wake`, `retune`), then pull
-//! `next_decision` until none is left. `lib.rs` defines the decisions and their words, `terms.rs` the terms.
-//!
+//! (`arrival`, `outcome`, `hangup`, `list_*`, `wake` and so on), then pull `next_decision` until it is none.
+//! `lib.rs` has the decisions and their words, `terms.rs` the terms, `known.rs` the rows of what is known.
 //! The ordinary way of a req is the design's: the drop chance from a rolling window on arrival, fractions
 //! from inverse smoothed served latency, weighted draws that pass over an endpoint with much in flight. Loads
-//! that probes report, and what peers tell of their write-outs, only let these and the bound see more.
-//! The four rules are each held in one place: `end` (one final answer, what may be nacked), `may_repeat` (no
-//! effect twice), `open_endpoints` (nothing to what drains, a started one's budget), `list_*` (the list).
+//! that probes report, what peers tell, hints of work and a window by key only let these see more.
+//! The rules are each held in one place: `end` (one final answer, nacks), `may_repeat` (effects),
+//! `open_endpoints` (drains, a started one's budget), `trusted` (placement), `list_*` (the list).
 //! Mechanisms beside the design, six at most:
-//! 1. Distrust: a score per endpoint and method that failures raise and time fades; traffic follows it.
+//! 1. Distrust: a score per endpoint and method that failures raise and time fades. What is no endpoint's
+//!    fault raises none: a key that fails everywhere, a client that reads, a clock that is ahead.
 //! 2. Further write-outs: only as effects permit, from a purse that arrivals fill; early for a lost answer.
 //! 3. Circle: with too little traffic to hear from all, it keeps to some, and exchanges one at times.
 //! 4. Bound: the most that an endpoint may hold in the mean, from latency against its budget.
-//! 5. Hold: beyond the bound a req waits a little, the most worth first, and is nacked when it would be long.
+//! 5. Hold: beyond the bound a req waits a little, the most worth first, work within work before all.
 //! 6. Late returns: a client that comes back past its budget is told so at once.
 
 use std::collections::{HashMap, VecDeque};
 
-use crate::figures::{Chance, Habit, Rate, Rolling, Slope, Usual, smoothed};
+use crate::figures::{Chance, Habit, Rate, Rolling, Slope, Usual, halved, smoothed};
+use crate::known::{Endpoint, Req, WriteOut};
 use crate::news::Told;
 use crate::terms::{Effect, Group, Method, Terms};
 use crate::units::{Moment, Span};
@@ -25,8 +26,7 @@
 
 // The design's: its start values, but for the margin, where half a write-out decides for a trickle.
 const K: f64 = 2.0; // times accepts, the requests that are let through
-const PROTECTION: f64 = 5.0; // requests that may fail in a window before any is refused
-const KEY_PROTECTION: f64 = 1.0; // and of one key, where others are served: one fails by chance
+const PROTECTION: (f64, f64) = (5.0, 1.0); // requests that may fail in a window first, and of one key alone
 const BUCKETS: (Span, usize) = (Span::from_millis(250), 40); // their length and number: a window of 10 s
 const SOLVE_EVERY: Span = Span::from_millis(1000); // between two solves of the fractions
 const SMOOTHING: f64 = 0.1; // least part of a new latency: about the last ten count
@@ -41,24 +41,21 @@
 const DISTRUST_KEPT: f64 = 0.8; // part of it that any other answer leaves: three halve it
 const DISTRUST_MOST: f64 = 10.0; // a thousandth of the traffic can still tell of recovery
 const DISTRUST_HALF: Span = Span::from_millis(4000); // to half, as old latencies do: a fault is short
-const HASTY: Span = Span::from_millis(10_000); // for which one that turned away or failed may be hasty: a window
+const HASTY: Span = Span::from_millis(10_000); // for which one that turned away may be hasty: a window
 const AVOIDED_TRUST: f64 = 0.25; // of its traffic, at most, has one that counts as avoided: two failures
 // Further write-outs.
 const PURSE_SHARE: f64 = 0.2; // that one arrival pays for: a fifth of the load for long
 const PURSE_MOST: f64 = 10.0; // saved up: enough to carry reqs past one endpoint's fall
 const PATIENCE: f64 = 5.0; // times the usual that one may take while another may follow: few take as long
 const PATIENCE_PARTS: (f64, f64) = (0.2, 1.0); // least and most, of the budget: past it another earns little
-// Buffers for answers that clients read, where they are few.
-const READ_AFTER: f64 = 3.0; // times the usual for its size: few write-outs are out as long for the endpoint
-const READ_SHARE: f64 = 0.5; // of the buffers, for those who read slowly
+const READ: (f64, f64) = (3.0, 0.5); // times the usual for its size, beyond all but few; part of reply slots
 // Circle.
 const CIRCLE_SENDS: f64 = 2.0; // to each endpoint in a solve interval: as many as keep its latency known
 const CIRCLE_LEAST: f64 = 4.0; // endpoints, as a few may fall at once
 const CIRCLES: f64 = 8.0; // that an endpoint is in, in the mean: with fewer, chance loads them too unevenly
 const EXCHANGE_EVERY: Span = Span::from_millis(10000); // times one to two: rare against a connection's cost
-// Home, where crossing zones is priced: weight against others, by what the price is beyond the first figure.
-const HOME_PRICE: f64 = 0.01; // up to it all crossings together cost less than chance does
-const HOME_GAIN: f64 = 150.0; // a price of a twentieth keeps some nine tenths of four zones' traffic at home
+const HOME_PRICE: f64 = 0.01; // of crossing zones: up to it, all crossings together cost less than chance
+const HOME_GAIN: f64 = 150.0; // weight of home by the price beyond: at a twentieth nine tenths stay at home
 const HOME_ROOM: f64 = 2.0; // most room that this gives an endpoint, in means: home is not crowded for it
 // Bound: aim as part of the budget, least and first in write-outs at an endpoint from all instances together.
 const BOUND_OWN: (f64, f64, f64) = (0.3, 6.0, 8.0); // room for spread; under the least, cores idle
@@ -95,58 +92,6 @@
 const TELL_PEERS: usize = 8; // that each goes to: several times the own rate is heard within a second
 const SIZES: (f64, f64) = (0.4, 8.0); // of a req by its expected work: beyond, the wait for others tells more
 
-/// For one write-out.
-struct WriteOut {
-    endpoint: usize,
-    sent: Moment,
-    ended: Option<Outcome>,
-    read: bool,       // it is taken for answered: its client seems to be reading
-    off: Option<f64>, // how far the load reported there was off the usual one, in parts of it
-}
-
-/// For one req.
-#[derive(Default)]
-struct Req {
-    most: usize, // write-outs that it may have
-    method: usize,
-    key: Option<u32>,
-    within: bool, // others wait for it with places that they hold
-    age: Span,    // for how long at least the client has been asking before
-    size: f64,    // its work against what is usual for its method, as far as that is told
-    arrived: Moment,
-    deadline: Moment,
-    write_outs: Vec<WriteOut>,
-    admitted: bool,
-    streaming: bool,
-    closed: bool,
-    overstays: bool,    // its last write-out may go on past its use, and is withdrawn then
-    asked: Vec<usize>,  // endpoints whose load it asks for
-    asks_until: Moment, // and until when it waits for that
-}
-
-/// For one endpoint.
-#[derive(Default)]
-struct Endpoint {
-    entry: Entry, // as last listed
-    listed: bool,
-    latency: Option<f64>, // smoothed served latency, as a multiple of what its methods usually take here
-    heard_at: Moment,
-    fraction: f64,
-    distrust: Vec<f64>, // by method
-    distrust_at: Moment,
-    in_flight: usize,
-    others: Option<f64>, // reqs in hand as last reported, less those from here
-    others_at: Moment,   // when that came
-    probed: bool,        // it is being asked for
-    credit: f64,         // sends that a cold endpoint may still get, as of a moment
-    credit_at: Moment,
-    gone_at: Moment,
-    hasty_until: Moment, // it turns away or breaks off more than its load explains, maybe by its clock
-    reading: bool,       // a write-out there is taken for one whose client reads
-    new: bool,           // it has started since the circle was last looked at
-    connected: bool,     // it has answered since its connections were last closed here
-}
-
 type Draw = Vec<(usize, f64)>; // for one draw: endpoints and their weights
 
 /// For the instance. `default` has no terms: it is what `new` starts from.
@@ -160,7 +105,6 @@
     circle_most: f64,   // most that it may keep to, as connections refused have shown
     exchange_at: Moment,
     due: VecDeque<usize>,
-
     keyed: bool,                 // reqs come with keys here
     keys: HashMap<u32, Rolling>, // requests and accepts since one failed, of the keys that have failed lately
     asks: usize,                 // from how many endpoints a req asks for reports of load
@@ -233,6 +177,7 @@
             self.habits.resize(terms.methods.len(), Habit::default());
             self.habits[*to] = Habit::default();
             self.usual.follow(*to, *from);
+            self.windows.truncate(1);
             for e in self.endpoints.iter_mut().flatten() {
                 e.distrust.resize(terms.methods.len(), 0.0);
                 e.distrust[*to] = from.map_or(0.0, |from| e.distrust[from]);
@@ -243,25 +188,18 @@
 
     pub fn arrival(&mut self, now: Moment, req: usize, ask: Ask) {
         let Ask { method, left, work, key } = ask;
-        // Danger: where all else has a key, what has none is a call that comes back to the tier that waits for
-        // it. Refused, it undoes what waits; behind new work, it waits for places that its own callers hold. It
-        // holds against any work within work that shows so; it hurts where clients leave out keys at will.
+        // Danger: where all else has a key, what has none comes back to the tier that waits for it. Refused,
+        // it undoes what waits; behind new work, it waits for places that its callers hold. It is against any
+        // work within work that shows so; it hurts where clients leave out keys at will.
         self.keyed |= key.is_some();
         let within = self.keyed && key.is_none();
 
-        // A req's size is its expected work against what its method's reqs have in the mean.
-        let size = work.map_or(1.0, |work| {
-            let habit = &mut self.habits[method];
-            habit.hints += 1.0;
-            // Danger: smoothed from the first on, one light req at the start would have all others look heavy.
-            let mean = smoothed(habit.work, work.secs(), USUAL_PART.max(1.0 / habit.hints));
-            habit.work = Some(mean);
-            (work.secs() / mean.max(1e-9)).clamp(SIZES.0, SIZES.1)
-        });
+        let size =
+            work.map_or(1.0, |work| self.habits[method].size(work, USUAL_PART).clamp(SIZES.0, SIZES.1));
         self.reqs.resize_with(self.reqs.len().max(req + 1), || None);
         // Danger: a client that returns late would take a place for an answer that is worth nothing any more.
-        // Tries have one length, found by a vote; one with less left is cut by its client's whole deadline.
-        // Danger: where the time left is in doubt, its shortness tells nothing, and what seems over is not.
+        // Tries have one length, found by a vote; one with less left is cut by its client's whole deadline,
+        // but where the time left is in doubt: there its shortness tells nothing, and what seems over is not.
         let doubt = self.terms.left_doubt;
         let cut = doubt == Span::ZERO && self.habits[method].tries.shorter(left);
         let age = if cut { self.terms.methods[method].deadline.less(left) } else { Span::ZERO };
@@ -285,27 +223,24 @@
         let Some(w) = r.write_outs.get_mut(write_out).filter(|w| w.ended.is_none()) else { return };
         w.ended = Some(outcome);
         r.closed |= closed;
-        let (endpoint, method, off, key) = (w.endpoint, r.method, w.off, r.key);
-        let read = w.read;
+        let (endpoint, method, off, key, read) = (w.endpoint, r.method, w.off, r.key, w.read);
         let part =
             now.since(w.sent).secs() / r.size / self.terms.methods[method].latency_budget.secs().max(1e-6);
         let in_vain = outcome == Outcome::Overdue && now >= r.useful_until(&self.terms);
         self.due.push_back(req);
         self.look_at_held = true;
         let e = self.endpoints[endpoint].as_mut().expect("an endpoint with a write-out is kept");
-        e.in_flight -= usize::from(!read);
-        e.reading &= !read;
+        e.leave(read);
         let mark = e.entry.mark;
         self.close_idle(endpoint);
         if self.terms.reply_slots.is_some() {
             self.readers(now);
         }
         let excused = read && outcome == Outcome::Overdue;
-        let tells =
-            !excused && !matches!(outcome, Outcome::Recalled | Outcome::NeverSent | Outcome::Rejected);
+        let tells = !matches!(outcome, Outcome::Recalled | Outcome::NeverSent | Outcome::Rejected);
         // What never ran there has not got as far as to what its key stands for.
         let accepted = Some(outcome == Outcome::Satisfied && part <= 1.0).filter(|_| !outcome.never_ran());
-        if tells && (!self.fails_by_key(now, key, accepted) || outcome.never_ran()) {
+        if tells && !excused && (!self.fails_by_key(now, key, accepted) || outcome.never_ran()) {
             let told = Told { mark, method, outcome, part, load: off };
             self.learn(now, endpoint, told, Some(in_vain));
             if self.terms.may_tell {
@@ -319,18 +254,19 @@
     }
 
     /// Where few answers can be held for clients, one long out may have been answered, and its client reads
-    /// slowly: one at each endpoint is taken for that. Danger: it would hold a place there and have the endpoint
-    /// distrusted for no fault of it, and slow readers would take all buffers from the others. It holds against
+    /// slowly: one at each endpoint is taken for that. Danger: it would hold a place there and have it
+    /// distrusted for no fault of it, and slow readers would take all buffers from the others. It is against
     /// whatever keeps answers behind endpoints, and hurts where one of a few endpoints hangs.
     fn readers(&mut self, now: Moment) {
-        let mut longest = (Span::ZERO, 0);
-        let mut reading = 0;
+        let (mut longest, mut reading) = ((Span::ZERO, 0), 0);
         for (at, r) in self.reqs.iter_mut().enumerate().filter_map(|(at, r)| Some((at, r.as_mut()?))) {
-            let Some(w) = r.write_outs.last_mut().filter(|w| w.ended.is_none()) else { continue };
+            let out = r.write_outs.last_mut().filter(|w| w.ended.is_none() && !r.streaming);
+            let Some(w) = out else { continue };
             let Some(e) = self.endpoints[w.endpoint].as_mut() else { continue };
-            let (age, usual) = (now.since(w.sent), self.usual.of(r.method).unwrap_or(f64::MAX) * r.size);
-            let usual = usual * e.latency.unwrap_or(1.0).max(1.0);
-            if !w.read && !e.reading && age.secs() > READ_AFTER * usual {
+            let usual =
+                self.usual.of(r.method).unwrap_or(f64::MAX) * r.size * e.latency.unwrap_or(1.0).max(1.0);
+            let age = now.since(w.sent);
+            if !w.read && !e.reading && age.secs() > READ.0 * usual {
                 (w.read, e.reading) = (true, true);
                 e.in_flight -= 1;
             }
@@ -339,7 +275,7 @@
                 longest = longest.max((age, at));
             }
         }
-        if reading as f64 > self.terms.reply_slots.unwrap_or(0) as f64 * READ_SHARE {
+        if reading as f64 > self.terms.reply_slots.unwrap_or(0) as f64 * READ.1 {
             self.end(longest.1);
         }
     }
@@ -347,7 +283,7 @@
     /// What a write-out's end teaches, from a peer or from here, where it may have been waited for in vain.
     fn learn(&mut self, now: Moment, endpoint: usize, told: Told, own: Option<bool>) {
         let Told { method, outcome, part, load, .. } = told;
-        let budget = self.terms.methods[method].latency_budget;
+        let Some(budget) = self.terms.methods.get(method).map(|m| m.latency_budget) else { return };
         let (secs, own, in_vain) = ((budget.secs() * part).max(1e-6), own.is_some(), own == Some(true));
         let Some(Some(e)) = self.endpoints.get_mut(endpoint) else { return };
         self.answers.count();
@@ -357,15 +293,20 @@
             self.telling.heard(x, (secs / usual - 1.0).min(SLOPE_MOST));
         }
         e.connected |= own && outcome != Outcome::RefusedConnection;
-        // Danger: an endpoint whose clock is ahead turns away or breaks off what it takes to be over. It gets the
-        // client's whole time to see, and the req is withdrawn here. Of any other error it makes no difference;
-        // it hurts at an endpoint that is full, and begins what has been withdrawn.
+        if own && e.doubted && outcome == Outcome::RefusedConnection {
+            (e.entry.standing, e.gone_at, self.solved) = (Standing::Gone, now, None);
+        }
+        // Danger: an endpoint whose clock is ahead turns away or breaks off what it takes to be over. It gets
+        // the client's whole time to see, and the req is withdrawn here. After another error that makes no
+        // difference; it hurts at an endpoint that is full, and begins what has been withdrawn.
         let late_error = outcome == Outcome::Errored && usual.is_some_and(|usual| secs > usual);
         if own && (outcome == Outcome::Saturated || late_error) {
             e.hasty_until = now + HASTY;
         }
-        let (down, fade) =
-            (matches!(outcome, Outcome::RefusedConnection | Outcome::Severed), faded(e.distrust_at, now));
+        let (down, fade) = (
+            matches!(outcome, Outcome::RefusedConnection | Outcome::Severed),
+            halved(e.distrust_at, now, DISTRUST_HALF),
+        );
         (e.distrust_at, e.distrust) = (now, e.distrust.iter().map(|score| score * fade).collect());
         let failed = if satisfied {
             let usual = self.usual.heard(kind, method, secs, SMOOTHING);
@@ -375,8 +316,8 @@
             e.latency = Some(smoothed(e.latency, secs / usual, part));
             0.0
         } else {
-            // Danger: an endpoint whose connections have run out refuses new sidecars for good.
-            // Who came first is to make room too: its exchanges are refused as well, so its circle shrinks.
+            // Danger: one whose connections have run out refuses new sidecars for good. Who came first is to
+            // make room too: its exchanges are refused as well, so its circle shrinks.
             let refused = own && outcome == Outcome::RefusedConnection && !e.connected;
             if refused && self.circle.contains(&endpoint) {
                 self.circle.retain(|kept| *kept != endpoint);
@@ -403,8 +344,7 @@
             Outcome::Saturated => self.bound_aim - 1.0,
             _ => 0.0,
         };
-        // Danger: by its own few reqs no instance can tell how much is out. By what all have told, it is the
-        // time that write-outs took, in a second, over the endpoints.
+        // Danger: by its own few reqs none can tell how much is out. By all, it is the time in a second.
         if self.terms.may_tell && self.asks == 0 {
             let times = if own { 1.0 } else { ((self.terms.instances - 1.0) / TELL_PEERS as f64).max(1.0) };
             self.fade_crowd(now);
@@ -441,12 +381,10 @@
 
     /// How write-outs to listed endpoints ended, as a peer tells, or (`ours`) this instance's other process.
     pub fn told(&mut self, now: Moment, news: impl Iterator<Item = Told>, ours: bool) {
-        let methods = self.terms.methods.len();
-        for told in news.filter(|told| told.method < methods) {
+        for told in news {
             let listed = |at: &&usize| self.endpoints[**at].as_ref().is_some_and(Endpoint::is_ready);
-            if let Some(endpoint) = self.marks.get(&told.mark).filter(listed) {
-                self.learn(now, *endpoint, told, ours.then_some(false));
-            }
+            let Some(endpoint) = self.marks.get(&told.mark).filter(listed) else { continue };
+            self.learn(now, *endpoint, told, ours.then_some(false));
         }
     }
 
@@ -461,8 +399,8 @@
     pub fn in_truth(&mut self, now: Moment, req: usize, endpoint: Option<usize>) {
         let Some(Some(r)) = self.reqs.get_mut(req) else { return };
         (r.admitted, r.asked) = (true, Vec::new());
-        if let Some(wrong) = r.write_outs.pop_if(|w| w.ended.is_none()) {
-            self.endpoints[wrong.endpoint].iter_mut().for_each(|e| e.in_flight -= 1);
+        if let Some(WriteOut { endpoint, read, .. }) = r.write_outs.pop_if(|w| w.ended.is_none()) {
+            self.endpoints[endpoint].iter_mut().for_each(|e| e.leave(read));
         }
         if let Some(endpoint) = endpoint.filter(|at| self.endpoints[*at].is_some()) {
             r.write_outs.push(WriteOut { endpoint, sent: now, ended: None, read: false, off: None });
@@ -499,7 +437,13 @@
             // Danger: many instances that each send at once would push it over, however little each sends.
             (e.credit, e.credit_at) = (self.chance.part(), now);
         }
-        (e.entry, e.listed, e.gone_at) = (entry, true, now);
+        e.drained = entry.standing == Standing::Draining || e.drained && entry.started == e.entry.started;
+        (e.listed, e.gone_at) = (true, now);
+        if entry.standing == Standing::Gone {
+            e.lose(now, self.terms.drains_alone);
+        } else {
+            (e.entry, e.doubted) = (entry, false);
+        }
         self.marks.insert(entry.mark, endpoint);
         self.solved = None;
     }
@@ -508,9 +452,8 @@
         let asked = std::mem::take(&mut self.asking);
         self.ask_at = self.ask_at.filter(|_| !asked);
         let missing = |e: &&mut Endpoint| !e.listed && e.entry.standing != Standing::Gone;
-        for e in self.endpoints.iter_mut().flatten().filter(missing) {
-            (e.entry.standing, e.gone_at) = (Standing::Gone, now);
-        }
+        let missing = self.endpoints.iter_mut().flatten().filter(missing);
+        missing.for_each(|e| e.lose(now, self.terms.drains_alone));
         self.fleet = self.ready().count() as f64;
         self.solved = None;
         self.look_at_held = true;
@@ -567,24 +510,21 @@
         if r.streaming || out.is_some() && !(r.overstays && over) {
             return;
         }
+        let (method, key, within) = (r.method, r.key, r.within);
         if let Some(endpoint) = out {
-            let (mark, method, outcome) = (0, r.method, Outcome::Overdue);
-            self.learn(now, endpoint, Told { mark, method, outcome, part: 1.0, load: None }, Some(true));
-            return self.end(req);
+            let told = Told { mark: 0, method, outcome: Outcome::Overdue, part: 1.0, load: None };
+            self.learn(now, endpoint, told, Some(true));
         }
         // Danger: a batch may come after the deadline; nothing is sent for what is over or worth nothing.
         if over {
             return self.end(req);
         }
-        let (method, key, within) = (r.method, r.key, r.within);
+        let r = self.reqs[req].as_mut().expect("looked up above");
         if !std::mem::replace(&mut r.admitted, true) && !within {
             self.purse = (self.purse + PURSE_SHARE).min(PURSE_MOST);
-            let (requests, accepts) = self.window(now, method).sums(now);
-            if self.chance.part() < (requests - PROTECTION - K * accepts) / (requests + 1.0) {
-                return self.end(req);
-            }
-            let drop = self.drop_by_key(now, key);
-            if drop > 0.0 && self.chance.part() < drop {
+            let drop = self.window(now, method).drop_chance(now, K, PROTECTION.0);
+            let by_key = self.drop_by_key(now, key);
+            if self.chance.part() < drop || by_key > 0.0 && self.chance.part() < by_key {
                 return self.end(req);
             }
         }
@@ -599,7 +539,15 @@
         if self.asks(now, req) {
             return;
         }
-        match self.pick(now, req) {
+        let picked = if self.asks == 0 && !within && self.crowded(now, method) {
+            None
+        } else {
+            // Where all are well above the mean, any will do; the draw still follows the weights.
+            let r = self.reqs[req].as_ref().expect("looked up above");
+            let (open, above) = self.open_endpoints(now, r);
+            self.chance.drawn(&open).or_else(|| self.chance.drawn(&above))
+        };
+        match picked {
             Some(endpoint) => self.send(now, req, endpoint, further),
             None => self.hold(now, req),
         }
@@ -612,16 +560,14 @@
         let r = self.reqs[req].as_mut().expect("only open reqs are sent");
         r.write_outs.push(WriteOut { endpoint, sent: now, ended: None, read: false, off });
         r.asked.clear();
-        let mut give_up = self.give_up(now, req);
-        let hasty = self.endpoints[endpoint].as_ref().is_some_and(|e| now < e.hasty_until);
-        if let Some(r) = self.reqs[req].as_mut().filter(|_| hasty && self.terms.may_revoke) {
-            let at = r.useful_until(&self.terms);
-            if r.deadline > at {
-                (give_up, r.overstays) = (r.deadline, true);
-                self.out.push_back(Decision::Wake { at });
-            }
-        }
+        let (mut give_up, hasty) = (self.give_up(now, req), self.terms.may_revoke);
+        let r = self.reqs[req].as_mut().expect("looked up above");
         let e = self.endpoints[endpoint].as_mut().expect("only known endpoints are picked");
+        let at = r.useful_until(&self.terms);
+        if hasty && now < e.hasty_until && at < r.deadline {
+            (give_up, r.overstays) = (r.deadline, true);
+            self.out.push_back(Decision::Wake { at });
+        }
         e.in_flight += 1;
         (e.credit, e.credit_at) = credit.map_or((e.credit, e.credit_at), |credit| (credit, now));
         self.sends.count();
@@ -647,10 +593,8 @@
     /// against a lock, a hot record, a poisoned key; it hurts a key whose few reqs met a failing endpoint.
     fn drop_by_key(&mut self, now: Moment, key: Option<u32>) -> f64 {
         let Some(window) = key.and_then(|key| self.keys.get_mut(&key)) else { return 0.0 };
-        let (requests, accepts) = window.sums(now);
-        let (all, accepted) = self.windows.first_mut().map_or((0.0, 0.0), |window| window.sums(now));
-        let share = (accepted + 1.0) / (all + 1.0);
-        (requests - KEY_PROTECTION - K * accepts / share) / (requests + 1.0)
+        let (all, accepts) = self.windows.first_mut().map_or((0.0, 0.0), |window| window.sums(now));
+        window.drop_chance(now, K * (all + 1.0) / (accepts + 1.0), PROTECTION.1)
     }
 
     /// Whether the reqs of this key fail by themselves, so that this one's end tells nothing of the endpoint.
@@ -678,11 +622,8 @@
         r.asked.clear();
         let m = &self.terms.methods[r.method];
         let (wait, arrived, deadline) = (m.latency_budget * HOLD_SHARE, r.arrived, r.deadline);
-        // Where no place that it is bound to is up, or serves such a heavy one in time, waiting brings none.
-        let (size, method, left) = (r.size, r.method, m.latency_budget.less(now.since(arrived)).secs());
-        let in_time = |e: &Endpoint| size <= 1.0 || size * self.expected(now, e, method) <= FITS.1 * left;
-        let bound = m.is_placed();
-        let in_vain = bound && !self.ready().any(|(_, e)| m.open_to(&e.entry) && in_time(e));
+        // Where all places that a method is bound to are down, waiting a little brings none of them back.
+        let in_vain = m.is_placed() && !self.ready().any(|(_, e)| m.open_to(&e.entry));
         if in_vain || now + HOLD_LOOK >= (arrived + wait).min(deadline) {
             return self.end(req);
         }
@@ -703,7 +644,7 @@
     /// What a req of usual size is likely to take there, in seconds.
     fn expected(&self, now: Moment, e: &Endpoint, method: usize) -> f64 {
         let usual = self.usual.at(e.entry.kind, method).or(self.usual.of(method)).unwrap_or(0.0);
-        let latency = e.latency.unwrap_or(1.0).powf(faded(e.heard_at, now));
+        let latency = e.latency.unwrap_or(1.0).powf(halved(e.heard_at, now, DISTRUST_HALF));
         usual * (1.0 + self.telling.get() * self.load_off(e).unwrap_or(0.0)) * latency
     }
 
@@ -721,11 +662,8 @@
         let safe = m.effect == Effect::Retryable || m.effect == Effect::Deduplicated && m.group == Group::All;
         let wait = m.latency_budget * (COME_BACK * (1.0 + self.chance.part()));
         let come_back = self.terms.longest_come_back.map(|most| wait.min(most));
-        self.out.push_back(if safe || never_ran {
-            Decision::Nack { req, come_back }
-        } else {
-            Decision::Fail { req }
-        });
+        let (nack, fail) = (Decision::Nack { req, come_back }, Decision::Fail { req });
+        self.out.push_back(if safe || never_ran { nack } else { fail });
         self.settle(req);
     }
 
@@ -742,8 +680,7 @@
         self.out.push_back(Decision::ForgetReq { req });
     }
 
-    /// Whether the req waits for reports of load, where endpoints give them to probes: from a few, drawn as
-    /// the write-out itself would be.
+    /// Whether the req waits for reports of load: it asks a few endpoints for them, drawn as for a write-out.
     fn asks(&mut self, now: Moment, req: usize) -> bool {
         let r = self.reqs[req].as_ref().expect("only open reqs ask");
         if self.asks > 0 && r.asked.is_empty() {
@@ -771,17 +708,6 @@
         waits
     }
 
-    /// The weighted draw among the endpoints that may take the req now. Where all are well above the mean,
-    /// any will do; the draw still follows the weights.
-    fn pick(&mut self, now: Moment, req: usize) -> Option<usize> {
-        let r = self.reqs[req].as_ref()?;
-        if self.asks == 0 && !r.within && self.crowded(now, r.method) {
-            return None;
-        }
-        let (open, above) = self.open_endpoints(now, self.reqs[req].as_ref()?);
-        self.chance.drawn(&open).or_else(|| self.chance.drawn(&above))
-    }
-
     fn ready(&self) -> impl Iterator<Item = (usize, &Endpoint)> {
         let known = self.endpoints.iter().enumerate().filter_map(|(at, e)| Some((at, e.as_ref()?)));
         known.filter(|(_, e)| e.is_ready())
@@ -845,8 +771,9 @@
         }
         let (_, count, mean) = self.trusted(now, method, false);
         let bound = self.bound_in_circle();
+        let at_once = mean >= bound + (bound / count).sqrt();
         if self.terms.methods[method].is_placed() {
-            return mean >= bound + (bound / count).sqrt();
+            return at_once;
         }
         let gap = now.since(std::mem::replace(&mut self.crowd_at, now)).secs();
         // Danger: one that has far more to send than its part would be slow to see that its bound is in use.
@@ -855,20 +782,19 @@
         self.crowd += gap / (gap + over).max(1e-9) * (mean - self.crowd);
         // Danger: many instances that each keep a whole write-out at every endpoint crowd it together, so the
         // bound holds for the mean, not only for each endpoint. A burst must not pass it by much meanwhile.
-        self.crowd >= bound || mean >= bound + (bound / count).sqrt()
+        self.crowd >= bound || at_once
     }
 
-    /// The endpoints that may take the req now, with their weights in the draw: those that are not well above
-    /// the mean in flight, and those that are. Once the req has asked for loads, it is those that it asked,
-    /// by the latency that their loads let expect.
+    /// The endpoints that may take the req now, with their weights in the draw: those not well above the mean
+    /// in flight, and those above. Once it has asked for loads, those asked, by the latency to expect.
     fn open_endpoints(&self, now: Moment, r: &Req) -> (Draw, Draw) {
         let (mut open, mut above) = (Vec::new(), Vec::new());
         let m = &self.terms.methods[r.method];
         // A repeat may have to go to an endpoint outside the circle, as its group is there.
         let all = m.effect == Effect::Deduplicated && m.group != Group::All && !r.never_ran();
         let (mut used, _, mean) = self.trusted(now, r.method, all);
-        let all_trust = used.iter().map(|(_, _, t)| t).sum::<f64>();
-        let mean_home = used.iter().map(|(_, e, t)| t * self.home_weight(e)).sum::<f64>() / all_trust;
+        let home = used.iter().map(|(_, e, t)| (t * self.home_weight(e), t));
+        let (home, trusts) = home.fold((0.0, 0.0), |sums, (home, t)| (sums.0 + home, sums.1 + t));
         let (asked, bound) = (!r.asked.is_empty(), self.bound_in_circle());
         let left = m.latency_budget.less(now.since(r.arrived)).secs();
         // Danger: a heavy req on a slow endpoint is done too late, and all of its work for nothing.
@@ -881,8 +807,8 @@
             let place = e.cold_share(now, &self.terms) * trust;
             (place, e.fraction * self.usual.suits(e.entry.kind, r.method) * place)
         };
-        let mean_of = |sum: f64| sum / (used.len() as f64).max(1.0);
-        let usual = mean_of(used.iter().filter(|_| asked).map(|(_, e, t)| expects(e, weight(e, *t).1)).sum());
+        let usual: f64 = used.iter().filter(|_| asked).map(|(_, e, t)| expects(e, weight(e, *t).1)).sum();
+        let usual = usual / (used.len() as f64).max(1.0);
         for (endpoint, e, trust) in used {
             let (share, (place, weight)) = (e.cold_share(now, &self.terms), weight(e, trust));
             // Danger: a burst onto a started endpoint can spend its budget before the window has passed.
@@ -893,7 +819,7 @@
             } else {
                 // Danger: in a rush only endpoints that are down stay below the mean, and would get all. So a
                 // further write-out must fit the place that the endpoint's trust leaves it.
-                let home = (self.home_weight(e) / mean_home).min(HOME_ROOM);
+                let home = (self.home_weight(e) * trusts / home).min(HOME_ROOM);
                 let room = place * home * MARGIN.0 * mean + trust * (1.0 + share * MARGIN.1);
                 let full = e.in_flight as f64 >= (bound * share).max(1.0);
                 (full && !r.within, takes(e) > FITS.0 * left || e.in_flight as f64 + 1.0 > room)
@@ -912,15 +838,10 @@
     fn may_repeat(&self, now: Moment, r: &Req, m: &Method, e: &Endpoint) -> bool {
         let may_have_run = || r.write_outs.iter().filter(|w| !w.ended.is_some_and(Outcome::never_ran));
         let Some(first) = may_have_run().next() else { return true };
-        // Danger: outside the group, or after its memory has passed, the repeat is a second effect.
-        // The memory runs from the first write-out that may have run.
+        // Danger: outside the group, or past its memory from the first that may have run, it runs twice.
         let remembered = now.since(first.sent) + self.terms.tick * REPEAT_TICKS < m.window;
-        let alike = |w: &WriteOut| match (m.group, &self.endpoints[w.endpoint]) {
-            (Group::All, _) => true,
-            (Group::Zone, Some(earlier)) => earlier.entry.zone == e.entry.zone,
-            (Group::Cell, Some(earlier)) => earlier.entry.cell == e.entry.cell,
-            (_, None) => false,
-        };
+        let earlier = |w: &WriteOut| self.endpoints[w.endpoint].as_ref().map(|e| &e.entry);
+        let alike = |w: &WriteOut| earlier(w).is_some_and(|earlier| m.group.joins(earlier, &e.entry));
         match m.effect {
             Effect::Retryable => true,
             Effect::NonRetryable => false,
@@ -936,8 +857,7 @@
             return;
         }
         self.solved = Some(now);
-        // Danger: an endpoint that stops answering would keep its old good latency, so what is still out
-        // counts with its age.
+        // Danger: one that stops answering would keep its good latency, so what is out counts with its age.
         let mut oldest = vec![0.0_f64; self.endpoints.len()];
         for r in self.reqs.iter().flatten() {
             let usual = self.usual.of(r.method).unwrap_or(f64::MAX);
@@ -946,15 +866,13 @@
             }
         }
         self.keys.retain(|_, window| window.sums(now).0 > 0.0);
-        let mut heard = (0.0, 0.0);
-        for (e, age) in self.endpoints.iter_mut().zip(&oldest) {
-            let Some(e) = e.as_mut().filter(|e| e.is_ready()) else { continue };
-            if let Some(latency) = e.latency {
-                e.fraction = 1.0 / latency.max(*age).max(1e-3);
-                heard = (heard.0 + e.fraction, heard.1 + 1.0);
-            }
+        for (e, age) in self.endpoints.iter_mut().zip(&oldest).filter_map(|(e, age)| Some((e.as_mut()?, age)))
+        {
+            e.fraction = e.latency.map_or(e.fraction, |latency| 1.0 / latency.max(*age).max(1e-3));
         }
-        let mean = if heard.1 > 0.0 { heard.0 / heard.1 } else { 1.0 };
+        let heard = self.ready().filter(|(_, e)| e.latency.is_some());
+        let (sum, count) = heard.fold((0.0, 0.0), |(sum, count), (_, e)| (sum + e.fraction, count + 1.0));
+        let mean = if count > 0.0 { sum / count } else { 1.0 };
         for (at, slot) in self.endpoints.iter_mut().enumerate() {
             let Some(e) = slot else { continue };
             e.fraction = e.latency.map_or(mean, |_| e.fraction);
@@ -998,8 +916,8 @@
         // Danger: chance may leave a circle without any of the places that a method is bound to.
         let placed = self.terms.methods.iter().filter(|m| m.is_placed()).map(|m| (Some(m), CIRCLE_LEAST));
         for (method, wanted) in [(None, wanted)].into_iter().chain(placed) {
-            let entry = |at: &usize| self.endpoints[*at].as_ref().map(|e| &e.entry);
-            let open = |at: &usize| method.is_none_or(|m| entry(at).is_some_and(|entry| m.open_to(entry)));
+            let at = |at: &usize| self.endpoints[*at].as_ref();
+            let open = |e: &usize| method.is_none_or(|m| at(e).is_some_and(|e| m.open_to(&e.entry)));
             let mut trusted = self.circle.iter().filter(|at| open(at)).map(trust).sum::<f64>();
             let mut places: Draw = outside.extract_if(.., |(at, _)| open(at)).collect();
             while let Some(joins) = self.chance.drawn(&places).filter(|_| trusted < wanted) {
@@ -1013,10 +931,9 @@
 
     /// Leaves out the one of the circle that serves worst.
     fn give_up_one(&mut self, now: Moment) {
-        let kept = |place: usize| self.endpoints[self.circle[place]].as_ref();
-        let good = |place: usize| kept(place).map_or(0.0, |e| e.fraction * e.trust(now, None));
-        let worst = (0..self.circle.len()).min_by(|a, b| good(*a).total_cmp(&good(*b)));
-        if let Some(worst) = worst {
+        let good = |e: &Endpoint| e.fraction * e.trust(now, None);
+        let good = |place: &usize| self.endpoints[self.circle[*place]].as_ref().map_or(0.0, good);
+        if let Some(worst) = (0..self.circle.len()).min_by(|a, b| good(a).total_cmp(&good(b))) {
             let leaves = self.circle.swap_remove(worst);
             self.close_idle(leaves);
         }
@@ -1037,16 +954,7 @@
     }
 }
 
-/// What is left by now of what was learned at a moment.
-fn faded(since: Moment, now: Moment) -> f64 {
-    0.5_f64.powf(now.since(since).secs() / DISTRUST_HALF.secs())
-}
-
 impl Req {
-    fn never_ran(&self) -> bool {
-        self.write_outs.iter().all(|w| w.ended.is_some_and(Outcome::never_ran))
-    }
-
     /// Up to when an answer is worth something, with room to give the final answer before it is late.
     fn useful_until(&self, terms: &Terms) -> Moment {
         let m = &terms.methods[self.method];
@@ -1056,22 +964,27 @@
 }
 
 impl Endpoint {
-    fn is_ready(&self) -> bool {
-        self.entry.standing == Standing::Ready
+    /// The list calls it gone, or has lost it. Danger: where only drains bind, that may be untrue of one that
+    /// serves on. It is distrusted like one that is down, until it answers or refuses a connection.
+    fn lose(&mut self, now: Moment, drains_alone: bool) {
+        if !drains_alone || self.drained || !self.is_ready() {
+            (self.entry.standing, self.gone_at) = (Standing::Gone, now);
+        } else if !std::mem::replace(&mut self.doubted, true) {
+            self.distrust_at = now;
+            self.distrust.fill(DISTRUST_DOWN);
+        }
     }
 
     /// By method, or by that which fares worst.
     fn trust(&self, now: Moment, method: Option<usize>) -> f64 {
         let worst = || self.distrust.iter().copied().fold(0.0, f64::max);
-        0.5_f64.powf(method.map_or_else(worst, |method| self.distrust[method]) * faded(self.distrust_at, now))
+        0.5_f64.powf(
+            method.map_or_else(worst, |method| self.distrust[method])
+                * halved(self.distrust_at, now, DISTRUST_HALF),
+        )
     }
 
-    /// The part of its full capacity that an endpoint has at least, by the stated rise.
     fn cold_share(&self, now: Moment, terms: &Terms) -> f64 {
-        // Danger: one that has started later than it is stamped is colder than its stamp says.
-        let up = self.entry.started.map(|at| now.since(at).less(terms.start_doubt));
-        let up = up.filter(|up| *up < terms.cold_for);
-        let rise = |up: Span| (1.0 - terms.cold_start) * (up.secs() / terms.cold_for.secs().max(1e-9));
-        up.map_or(1.0, |up| terms.cold_start + rise(up))
+        self.entry.started.map_or(1.0, |at| terms.warm_part(now.since(at)))
     }
 }
--- a/src/figures.rs
+++ b/src/figures.rs
@@ -18,6 +18,11 @@
     old.map_or(sample, |old| old + part * (sample - old))
 }
 
+/// What is left by now of what was learned at a moment, where half of it goes in each `half`.
+pub fn halved(since: Moment, now: Moment, half: Span) -> f64 {
+    0.5_f64.powf(now.since(since).secs() / half.secs())
+}
+
 /// How much one figure changes with another, over the latest pairs, from nought to one.
 ///
 /// ```
@@ -113,6 +118,12 @@
         *newest = (newest.0 + first, newest.1 + second);
     }
 
+    /// The design's: requests beyond those that are let through for the accepts, over all; under nought for none.
+    pub fn drop_chance(&mut self, now: Moment, k: f64, protection: f64) -> f64 {
+        let (requests, accepts) = self.sums(now);
+        (requests - protection - k * accepts) / (requests + 1.0)
+    }
+
     pub fn sums(&mut self, now: Moment) -> (f64, f64) {
         self.roll(now);
         self.counts.iter().fold((0.0, 0.0), |sums, count| (sums.0 + count.0, sums.1 + count.1))
@@ -144,6 +155,17 @@
     pub hints: f64,
 }
 
+impl Habit {
+    /// The size of a req by its expected work, against the mean: that of all at first, of which each new one moves
+    /// `part` at least. Danger: smoothed from the first on, one light req would have all others look heavy.
+    pub fn size(&mut self, work: Span, part: f64) -> f64 {
+        self.hints += 1.0;
+        let mean = smoothed(self.work, work.secs(), part.max(1.0 / self.hints));
+        self.work = Some(mean);
+        work.secs() / mean.max(1e-9)
+    }
+}
+
 impl Vote {
     /// Counts a sample; whether it is surely shorter than most.
     pub fn shorter(&mut self, sample: Span) -> bool {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod choice;
 pub mod figures;
 pub mod ids;
+mod known;
 pub mod news;
 pub mod terms;
 pub mod units;
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -22,6 +22,17 @@
     Cell,
 }
 
+impl Group {
+    /// Whether two endpoints are of one such group.
+    pub fn joins(self, one: &Entry, other: &Entry) -> bool {
+        match self {
+            Group::All => true,
+            Group::Zone => one.zone == other.zone,
+            Group::Cell => one.cell == other.cell,
+        }
+    }
+}
+
 #[derive(Clone, Debug, PartialEq)]
 pub struct Method {
     pub name: String,
@@ -200,6 +211,14 @@
         value.trim().parse().ok().filter(|load: &f64| load.is_finite())
     }
 
+    /// The part of its full capacity that an endpoint has at least, so long after it is said to have started. Danger:
+    /// one that has started later than that is colder.
+    pub fn warm_part(&self, up: Span) -> f64 {
+        let up = Some(up.less(self.start_doubt)).filter(|up| *up < self.cold_for);
+        let rise = |up: Span| (1.0 - self.cold_start) * (up.secs() / self.cold_for.secs().max(1e-9));
+        up.map_or(1.0, |up| self.cold_start + rise(up))
+    }
+
     /// The place of the method that clients mean by a name now.
     pub fn place(&self, name: &str) -> Option<usize> {
         (0..self.methods.len()).find(|at| self.offered[*at] && self.methods[*at].name == name)
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -217,7 +217,7 @@
             ["count", name, least, most] => {
                 let count = self.counts.get(name).copied().unwrap_or(0) as u64;
                 let within = (millis(least)..=millis(most)).contains(&count);
-                return if within { Ok(()) } else { Err(format!("counted {count}")) };
+                return if within { Ok(()) } else { Err(format!("counted {count} {:?}", self.counts)) };
             }
             _ => {}
         }
@@ -277,3 +277,40 @@
     }
     assert!(wrong.is_empty(), "{}", wrong.join("\n"));
 }
+
+/// All decisions in a row of reqs with mixed endings, over a list that changes, under the usual terms and these.
+fn decisions(overrides: &str) -> Vec<String> {
+    let mut play = Play::new(overrides);
+    let mut said = Vec::new();
+    play.list(0, true, &["a", "b:ready:z1", "c:ready:z1:c1:-:k1", "d:ready:z0:c1"]);
+    for number in 0..600 {
+        let now = 10 + 7 * number;
+        if number == 300 {
+            play.list(now, false, &["a:draining", "b:gone", &format!("e:ready:z0:c0:{now}")]);
+        }
+        let method = METHODS[number as usize % METHODS.len()].0;
+        play.arrival(now, &format!("r{number}"), method, FLOOD_LEFT, &[]);
+        play.pull(now);
+        let ended = ["satisfied", "errored", "satisfied", "saturated", "overdue", "satisfied", "refused"];
+        for step in 0.. {
+            let sent = play.pending.iter().any(|said| said.starts_with("send"));
+            said.extend(play.pending.drain(..));
+            if !sent {
+                break;
+            }
+            play.answer(now + 1, &format!("r{number}"), step, ended[(number as usize + step) % ended.len()]);
+            play.pull(now + 1);
+        }
+    }
+    said
+}
+
+/// Danger: a deployment that states none of the later settings would be decided for otherwise than before.
+#[test]
+fn settings_that_are_left_out_decide_as_their_neutral_values() {
+    let neutral = "rules.deadlineDriftNs=0 rules.stampDoubtNs=0 rules.drainBindsAlone=false deductions.crossZone=0 zone=z0";
+    assert_eq!(decisions(""), decisions(neutral));
+    for other in ["methods.0.confinedTo=z1", "methods.0.skusOpen=k1", "rules.drainBindsAlone=true"] {
+        assert_ne!(decisions(""), decisions(other), "{other}");
+    }
+}
