Slow readers hold a seventh of the reply slots at the most

READ's second figure from 0.5 to 0.15: who reads slowly has little to earn, as reading takes longer than a budget. Where no reply slots are stated nothing changes.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -48,7 +48,7 @@
 const PURSE_MOST: f64 = 10.0; // saved up: enough to carry reqs past one endpoint's fall
 const PATIENCE: f64 = 5.0; // times the usual that one may take while another may follow: few take as long
 const PATIENCE_PARTS: (f64, f64) = (0.2, 1.0); // least and most, of the budget: past it another earns little
-const READ: (f64, f64) = (3.0, 0.5); // times the usual for its size, beyond all but few; part of reply slots
+const READ: (f64, f64) = (3.0, 0.15); // times the usual for its size, beyond all but few; part of reply slots
 // Circle.
 const CIRCLE_SENDS: f64 = 2.0; // to each endpoint in a solve interval: as many as keep its latency known
 const CIRCLE_LEAST: f64 = 4.0; // endpoints, as a few may fall at once
