--- a/src/choice.rs
+++ b/src/choice.rs
@@ -26,13 +26,13 @@
 
 // The design's: its start values, but for the margin, where half a write-out decides for a trickle.
 const K: f64 = 2.0; // times accepts, the requests that are let through
-const PROTECTION: (f64, f64) = (5.0, 1.0); // requests that may fail in a window first, and of one key alone
+const PROTECTION: (f64, f64) = (5.0, 1.0); // requests that may fail first, and of one key: one by chance
 const BUCKETS: (Span, usize) = (Span::from_millis(250), 40); // their length and number: a window of 10 s
 const SOLVE_EVERY: Span = Span::from_millis(1000); // between two solves of the fractions
 const SMOOTHING: f64 = 0.1; // least part of a new latency: about the last ten count
 const SMOOTHING_OVER: Span = Span::from_millis(2500); // of one heard from seldom: those of this time count
 const MARGIN: (f64, f64) = (1.25, 0.5); // in flight beyond the mean times this, plus that, is well above it
-const FITS: (f64, f64) = (0.8, 1.2); // of the budget left, that a heavy req may take there, and with no other
+const FITS: (f64, f64) = (0.8, 1.2); // of the budget left: longer there it is passed over, and closed to the req
 const TRIED_WEIGHT: f64 = 0.01; // of an endpoint that the req has been to: only if there is hardly another
 // Distrust, in halvings of traffic.
 const DISTRUST_STEP: f64 = 1.0; // for a failure
@@ -41,7 +41,7 @@
 const DISTRUST_KEPT: f64 = 0.8; // part of it that any other answer leaves: three halve it
 const DISTRUST_MOST: f64 = 10.0; // a thousandth of the traffic can still tell of recovery
 const DISTRUST_HALF: Span = Span::from_millis(4000); // to half, as old latencies do: a fault is short
-const HASTY: Span = Span::from_millis(10_000); // for which one that turned away may be hasty: a window
+const HASTY: Span = Span::from_millis(10_000); // that one full or late to fail gets the whole time: a window
 const AVOIDED_TRUST: f64 = 0.25; // of its traffic, at most, has one that counts as avoided: two failures
 // Further write-outs.
 const PURSE_SHARE: f64 = 0.2; // that one arrival pays for: a fifth of the load for long
@@ -55,7 +55,7 @@
 const CIRCLES: f64 = 8.0; // that an endpoint is in, in the mean: with fewer, chance loads them too unevenly
 const EXCHANGE_EVERY: Span = Span::from_millis(10000); // times one to two: rare against a connection's cost
 const HOME_PRICE: f64 = 0.01; // of crossing zones: up to it, all crossings together cost less than chance
-const HOME_GAIN: f64 = 150.0; // weight of home by the price beyond: at a twentieth nine tenths stay at home
+const HOME_GAIN: f64 = 150.0; // weight of home by the price beyond: seven times another's at a twentieth
 const HOME_ROOM: f64 = 2.0; // most room that this gives an endpoint, in means: home is not crowded for it
 // Bound: aim as part of the budget, least and first in write-outs at an endpoint from all instances together.
 const BOUND_OWN: (f64, f64, f64) = (0.3, 6.0, 8.0); // room for spread; under the least, cores idle
@@ -560,11 +560,11 @@
         let r = self.reqs[req].as_mut().expect("only open reqs are sent");
         r.write_outs.push(WriteOut { endpoint, sent: now, ended: None, read: false, off });
         r.asked.clear();
-        let (mut give_up, hasty) = (self.give_up(now, req), self.terms.may_revoke);
+        let mut give_up = self.give_up(now, req);
         let r = self.reqs[req].as_mut().expect("looked up above");
         let e = self.endpoints[endpoint].as_mut().expect("only known endpoints are picked");
         let at = r.useful_until(&self.terms);
-        if hasty && now < e.hasty_until && at < r.deadline {
+        if self.terms.may_revoke && now < e.hasty_until && at < r.deadline {
             (give_up, r.overstays) = (r.deadline, true);
             self.out.push_back(Decision::Wake { at });
         }
