--- a/src/choice.rs
+++ b/src/choice.rs
@@ -32,7 +32,7 @@
 const SMOOTHING: f64 = 0.1; // least part of a new latency: about the last ten count
 const SMOOTHING_OVER: Span = Span::from_millis(2500); // of one heard from seldom: those of this time count
 const MARGIN: (f64, f64) = (1.25, 0.5); // in flight beyond the mean times this, plus that, is well above it
-const FITS: (f64, f64) = (0.8, 1.2); // of the budget left: longer there it is passed over, and closed to the req
+const FITS: (f64, f64) = (0.8, 1.2); // of the budget left: beyond, an endpoint is passed over; then closed
 const TRIED_WEIGHT: f64 = 0.01; // of an endpoint that the req has been to: only if there is hardly another
 // Distrust, in halvings of traffic.
 const DISTRUST_STEP: f64 = 1.0; // for a failure
