Budgets of calls to the list and of write-outs to what is cold

Cause: two of the flows that the fleet shares were each sidecar's own: calls to the list's service, and the credit for endpoints that have just started. Change: list-calls bounds each call of the watch, one that may not be made waits like one after a first failure; cold-write-outs bounds write-outs to endpoints under their full capacity by the module's own terms. Several flows are spent together or not at all. Measured: eight sidecars whose list goes away call it 14 times in two seconds at the most, and more without the budget; four send 24 a second at the most to what has just started, and more without.

--- a/crates/daemon/tests/budgets.rs
+++ b/crates/daemon/tests/budgets.rs
@@ -11,7 +11,7 @@
 use appledyke_lab::rig::fleet::{Daemons, PATIENCE, Shape};
 use appledyke_lab::rig::links::Standing;
 use appledyke_lab::rig::processes::beside;
-use appledyke_lab::rig::sidecars::{Clients, Endpoint, How, Sidecars, most_within};
+use appledyke_lab::rig::sidecars::{Clients, Endpoint, How, Sidecars, entry, most_within};
 use serde_json::json;
 
 const BASE: &str = include_str!("../../../examples/sidecar.json");
@@ -258,3 +258,68 @@
     both.daemons.wait("it has more", |_| most(&both) > 1).unwrap();
     clients.stop();
 }
+
+#[test]
+fn calls_to_the_list_that_is_away_never_stand_above_the_whole() {
+    let window = Duration::from_millis(2000);
+    // Eight sidecars that ask again after 0.2 to 0.4 s, and later.
+    let most = |name: &str, budgets: &[Budget]| {
+        let mut both = Both::begin(name, 8, json!({}));
+        both.put(budgets);
+        let known = || {
+            both.sidecars.names().iter().all(|name| {
+                let allowed = both.sidecars.figure(name, "sidecar_fleet_allowed{of=\"list-calls\"}");
+                budgets.is_empty() || allowed.is_some_and(|allowed| allowed > 0)
+            })
+        };
+        both.daemons.wait("all know of the budget", |_| known()).unwrap();
+        // What they called before they knew is past.
+        std::thread::sleep(window);
+        let from = Instant::now();
+        both.sidecars.list.is_away(true);
+        std::thread::sleep(2 * window);
+        both.sidecars.list.is_away(false);
+        let calls = || both.sidecars.list.calls().into_iter().filter(|at| *at >= from).collect::<Vec<_>>();
+        let before = calls().len();
+        both.daemons.wait("some have called it again", |_| calls().len() >= before + 4).unwrap();
+        most_within(calls(), window - UNDER_WAY).0
+    };
+    let of = Thing::ListCalls;
+    let budget = Budget { of, whole: 14, window_ms: 2000, least: 1, alone: 1, members: 10 };
+    let (with, without) = (most("list", &[budget]), most("list-free", &[]));
+    assert!(with <= 14 && without > 14, "{with} with the budget, {without} without");
+}
+
+#[test]
+fn write_outs_to_what_has_just_started_have_one_credit_for_the_fleet() {
+    let most = |name: &str, budgets: &[Budget]| {
+        let alone = match budgets {
+            [] => json!({}),
+            _ => json!({"cold-write-outs": {"part": 1, "windowMs": 1000}}),
+        };
+        let mut both = Both::begin(name, 4, alone);
+        both.put(budgets);
+        let clients = both.load(&["s0", "s1", "s2", "s3"]);
+        let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap();
+        let mut started = entry(1, both.sidecars.endpoints[1].at, "up");
+        started["since_ms"] = (now.as_millis() as u64).into();
+        both.sidecars.list.tell(&[started]);
+        // What was on its way when the list said so is not counted.
+        std::thread::sleep(Duration::from_millis(300));
+        let from = Instant::now();
+        let granted = |both: &Both| matches!(both.daemons.ask(&Ask::Budgets, PATIENCE), Ok(Reply::Budgets(rows)) if rows.iter().all(|row| row.holders == 4));
+        both.daemons.wait("its parts are granted", |_| granted(&both)).unwrap();
+        std::thread::sleep(2 * WINDOW);
+        let reqs = |at: usize| {
+            both.sidecars.endpoints[at].times().into_iter().filter(|at| *at >= from).collect::<Vec<_>>()
+        };
+        let (cold, other) = (most_within(reqs(1), WINDOW - UNDER_WAY).0, most_within(reqs(0), WINDOW).0);
+        clients.stop();
+        assert!(other > 60, "the others serve on: {other}");
+        cold
+    };
+    let of = Thing::ColdWriteOuts;
+    let budget = Budget { of, whole: 24, window_ms: 1000, least: 1, alone: 1, members: 6 };
+    let (with, without) = (most("cold", &[budget]), most("cold-free", &[]));
+    assert!((1..=24).contains(&with) && without > 24, "{with} with the budget, {without} without");
+}
--- a/crates/fleet/src/budgets.rs
+++ b/crates/fleet/src/budgets.rs
@@ -29,10 +29,21 @@
     Connections,
     /// Write-outs that are out at one endpoint.
     InFlight,
+    /// Calls to the list's service, in a window.
+    ListCalls,
+    /// Write-outs to endpoints that are cold as they have just started, all of them together, in a window.
+    ColdWriteOuts,
 }
 
 impl Thing {
-    pub const ALL: [Thing; 4] = [Thing::WriteOuts, Thing::Repeats, Thing::Connections, Thing::InFlight];
+    pub const ALL: [Thing; 6] = [
+        Thing::WriteOuts,
+        Thing::Repeats,
+        Thing::Connections,
+        Thing::InFlight,
+        Thing::ListCalls,
+        Thing::ColdWriteOuts,
+    ];
 
     /// Whether it is held until it is given back; else it is spent in time.
     pub fn is_stock(self) -> bool {
@@ -45,6 +56,8 @@
             Thing::Repeats => "repeats",
             Thing::Connections => "connections",
             Thing::InFlight => "in-flight",
+            Thing::ListCalls => "list-calls",
+            Thing::ColdWriteOuts => "cold-write-outs",
         }
     }
 }
--- a/crates/fleet/src/limits.rs
+++ b/crates/fleet/src/limits.rs
@@ -120,6 +120,19 @@
         may
     }
 
+    /// Whether one of each of these flows may be spent now: all are spent, or none. A refusal counts as a wish only for
+    /// what is asked for one thing first, but for the last.
+    pub fn spend_all(&mut self, now: Moment, flows: &[Thing], first: bool) -> bool {
+        for (at, of) in flows.iter().enumerate() {
+            if !self.spend(now, *of, first || at > 0) {
+                // Danger: what is spent and not sent would be idle for a window.
+                flows[..at].iter().for_each(|of| self.unspend(*of));
+                return false;
+            }
+        }
+        true
+    }
+
     /// One that was to be spent was not, after all.
     pub fn unspend(&mut self, of: Thing) {
         if let Some(limit) = self.0.get_mut(&of) {
--- a/crates/lab/src/rig/play.rs
+++ b/crates/lab/src/rig/play.rs
@@ -742,8 +742,12 @@
                     most_within(times, window).0 as u64
                 }
                 Thing::Connections => endpoints.iter().map(Endpoint::most_open).max().unwrap_or(0),
-                // No stand-in can tell a repeat, or what is out, from what it sees.
-                Thing::Repeats | Thing::InFlight => return None,
+                Thing::ListCalls => {
+                    let window = Duration::from_millis(budget.window_ms).saturating_sub(UNDER_WAY);
+                    most_within(self.sidecars.list.calls(), window).0 as u64
+                }
+                // No stand-in can tell a repeat, or what is out, from what it sees; and none here starts anew.
+                Thing::Repeats | Thing::InFlight | Thing::ColdWriteOuts => return None,
             };
             Some(Used { of: budget.of, most, whole: budget.whole })
         };
--- a/crates/lab/src/rig/sidecars.rs
+++ b/crates/lab/src/rig/sidecars.rs
@@ -163,6 +163,7 @@
     pub at: SocketAddr,
     inner: Arc<Mutex<(u64, Value, Vec<TcpStream>)>>,
     away: Arc<AtomicBool>,
+    calls: Arc<Mutex<Vec<Instant>>>,
 }
 
 fn chunk(line: &str) -> Vec<u8> {
@@ -177,9 +178,11 @@
         let at = listener.local_addr()?;
         let inner = Arc::new(Mutex::new((1, entries, Vec::new())));
         let away = Arc::new(AtomicBool::new(false));
-        let (own, gone) = (inner.clone(), away.clone());
+        let calls = Arc::new(Mutex::new(Vec::new()));
+        let (own, gone, counted) = (inner.clone(), away.clone(), calls.clone());
         thread::spawn(move || {
             for mut stream in listener.incoming().flatten() {
+                locked(&counted).push(Instant::now());
                 if gone.load(Ordering::Relaxed) || head(&mut BufReader::new(&stream)).is_none() {
                     continue;
                 }
@@ -200,7 +203,12 @@
                 thread::sleep(BEAT);
             }
         });
-        Ok(ListService { at, inner, away })
+        Ok(ListService { at, inner, away, calls })
+    }
+
+    /// When it was called, by this machine's clock.
+    pub fn calls(&self) -> Vec<Instant> {
+        locked(&self.calls).clone()
     }
 
     /// Ends all watches, and answers nobody, until it is back.
--- a/crates/sidecar/src/fleet.rs
+++ b/crates/sidecar/src/fleet.rs
@@ -188,6 +188,24 @@
     Out { refused: Option<String> },
 }
 
+/// A write-out that is to be: again for the same req, to an endpoint that is cold, where this process has so many connections
+/// and so many write-outs out, or has an idle one.
+pub struct Wish {
+    pub again: bool,
+    pub cold: bool,
+    pub connections: usize,
+    pub out: usize,
+    pub idle: bool,
+}
+
+impl Wish {
+    fn flows(&self) -> Vec<Thing> {
+        let wanted =
+            [(true, Thing::WriteOuts), (self.again, Thing::Repeats), (self.cold, Thing::ColdWriteOuts)];
+        wanted.into_iter().filter(|(wanted, _)| *wanted).map(|(_, of)| of).collect()
+    }
+}
+
 struct Link {
     connection: Connection,
     frames: Frames,
@@ -263,21 +281,21 @@
         }
     }
 
-    /// Whether the fleet's budgets allow a write-out to an endpoint where this process has so many connections, and so many
-    /// write-outs out. The moment is that of the sending. Danger: a turn's own may lie before a stop that outlasted the lease.
-    pub fn may_send(&mut self, now: Moment, again: bool, connections: usize, out: usize, idle: bool) -> bool {
+    /// Whether the fleet's budgets allow this write-out. The moment is that of the sending. Danger: a turn's own may lie before
+    /// a stop that outlasted the lease.
+    pub fn may_send(&mut self, now: Moment, wish: &Wish) -> bool {
         let limits = &mut self.member.limits;
         if limits.is_empty() {
             return true;
         }
-        let held = limits.hold(now, Thing::InFlight, out as u64)
-            && (idle || limits.hold(now, Thing::Connections, connections as u64));
-        let spent = held && limits.spend(now, Thing::WriteOuts, !again);
-        if spent && again && !limits.spend(now, Thing::Repeats, true) {
-            limits.unspend(Thing::WriteOuts);
-            return false;
-        }
-        spent
+        let held = limits.hold(now, Thing::InFlight, wish.out as u64)
+            && (wish.idle || limits.hold(now, Thing::Connections, wish.connections as u64));
+        held && limits.spend_all(now, &wish.flows(), !wish.again)
+    }
+
+    /// Whether the fleet's budgets allow a call to the list's service now.
+    pub fn may_call_list(&mut self, now: Moment) -> bool {
+        self.member.limits.spend(now, Thing::ListCalls, true)
     }
 
     /// Most connections that it may have at an endpoint now.
--- a/crates/sidecar/src/net/list.rs
+++ b/crates/sidecar/src/net/list.rs
@@ -130,21 +130,31 @@
         }
     }
 
-    /// A watch is wanted from now on. Returns whether that failed at once.
-    pub fn watch(&mut self, turn: &mut Turn) -> bool {
+    /// A watch is wanted from now on, and opened at once if it may be. Returns whether that failed at once.
+    pub fn watch(&mut self, may: impl FnOnce() -> bool, turn: &mut Turn) -> bool {
         // One that waits for its turn after a failure is not hurried: the service may be down.
-        if std::mem::replace(&mut self.wanted, true) { false } else { self.open(turn) }
+        if std::mem::replace(&mut self.wanted, true) { false } else { self.open_if(may, turn) }
+    }
+
+    /// Opens a watch if it may be opened now; else it waits as after a first failure, which it is not.
+    fn open_if(&mut self, may: impl FnOnce() -> bool, turn: &mut Turn) -> bool {
+        if may() {
+            return self.open(turn);
+        }
+        let wait = RETRY_FIRST * (0.5 + self.chance.rand_float() / 2.0);
+        turn.deadlines.shift(Due::List, &mut self.deadline, Some(turn.now + wait));
+        false
     }
 
     /// The list is to be asked at this address from now on. Returns whether a call to it failed at once.
-    pub fn move_to(&mut self, at: SocketAddr, turn: &mut Turn) -> bool {
+    pub fn move_to(&mut self, at: SocketAddr, may: impl FnOnce() -> bool, turn: &mut Turn) -> bool {
         if std::mem::replace(&mut self.at, at) == at {
             return false;
         }
         // Danger: another service counts versions of its own, and would tell only what came after ours.
         (self.version, self.failures) = (0, 0);
         self.close(turn);
-        self.wanted && self.open(turn)
+        self.wanted && self.open_if(may, turn)
     }
 
     fn close(&mut self, turn: &mut Turn) {
@@ -189,11 +199,11 @@
 
     /// The deadline has passed: of a watch that is silent, or of the wait for the next. Returns whether a
     /// call has failed by that.
-    pub fn overdue(&mut self, turn: &mut Turn) -> bool {
+    pub fn overdue(&mut self, may: impl FnOnce() -> bool, turn: &mut Turn) -> bool {
         self.deadline = None;
         match self.open {
             Some(_) => self.fail("nothing heard", turn),
-            None => self.open(turn),
+            None => self.open_if(may, turn),
         }
     }
 
--- a/crates/sidecar/src/net/servers.rs
+++ b/crates/sidecar/src/net/servers.rs
@@ -172,6 +172,11 @@
         }
     }
 
+    /// When an endpoint's process started, if not long ago.
+    pub fn started(&self, endpoint: usize) -> Option<Moment> {
+        self.places.get(endpoint)?.started
+    }
+
     /// Connections to an endpoint, and how many of them carry a write-out.
     pub fn held(&self, endpoint: usize) -> (usize, usize) {
         let links = self.links.iter().filter(|(_, link)| link.endpoint == endpoint);
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -20,7 +20,7 @@
 use signal_hook_mio::v1_0::Signals;
 
 use crate::figures::{End, Figures, Now};
-use crate::fleet::{Agreed, Fleet, News};
+use crate::fleet::{Agreed, Fleet, News, Wish};
 use crate::handover::{self, Latest};
 use crate::launch::{Fixed, Launch, Winner};
 use crate::net::body::{Body, Piece};
@@ -121,6 +121,11 @@
     Entry { standing: if drains { EndpointStanding::Draining } else { entry.standing }, ..entry }
 }
 
+/// Whether the fleet's budgets allow a call to the list's service, asked when one is to be made.
+fn may_call_list(fleet: &mut Option<Fleet>, clock: &Clock) -> impl FnOnce() -> bool {
+    || fleet.as_mut().is_none_or(|fleet| fleet.may_call_list(clock.now()))
+}
+
 /// Since when it leaves, and by when all must be answered.
 #[derive(Clone, Copy)]
 struct Leaving {
@@ -309,7 +314,8 @@
                 self.ended(key, ended);
             }
             Due::List => {
-                let failed = self.list.overdue(turn);
+                let may = may_call_list(&mut self.fleet, &self.clock);
+                let failed = self.list.overdue(may, turn);
                 self.list_failed(failed);
             }
             Due::Accept => self.accept(),
@@ -379,7 +385,8 @@
     }
 
     fn subscribe(&mut self) {
-        if self.list.watch(&mut self.turn) {
+        let may = may_call_list(&mut self.fleet, &self.clock);
+        if self.list.watch(may, &mut self.turn) {
             self.choice.list_failed(self.turn.now);
         }
     }
--- a/crates/sidecar/src/sidecar/process.rs
+++ b/crates/sidecar/src/sidecar/process.rs
@@ -64,7 +64,8 @@
 
     /// What may change while reqs are under way is taken over.
     fn take_over(&mut self, launch: Launch) {
-        if self.list.move_to(launch.discovery, &mut self.turn) {
+        let may = may_call_list(&mut self.fleet, &self.clock);
+        if self.list.move_to(launch.discovery, may, &mut self.turn) {
             self.choice.list_failed(self.turn.now);
         }
         self.servers.retune(launch.connection_idle, launch.connect_timeout);
--- a/crates/sidecar/src/sidecar/reqs.rs
+++ b/crates/sidecar/src/sidecar/reqs.rs
@@ -275,7 +275,10 @@
         let Some(fleet) = self.fleet.as_mut().filter(|fleet| fleet.is_limited()) else { return true };
         let (now, (connections, out)) = (self.clock.now(), self.servers.held(endpoint));
         self.servers.most_at_one = fleet.connections_most(now);
-        fleet.may_send(now, again, connections, out, self.servers.has_idle(endpoint))
+        let started = self.servers.started(endpoint);
+        let cold = started.is_some_and(|at| self.choice.terms().warm_part(now.since(at)) < 1.0);
+        let idle = self.servers.has_idle(endpoint);
+        fleet.may_send(now, &Wish { again, cold, connections, out, idle })
     }
 
     pub(super) fn write_out(
