--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod rig;
 pub mod scenario;
 pub mod service;
+pub mod shares;
 pub mod simulate;
 pub mod station;
 pub mod sweep;
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -70,6 +70,9 @@
     pub broken: BTreeMap<String, u64>,
     pub told: Vec<String>,
     pub events: u64,
+    /// Of each budget, by what it is of: its whole, the most in a window, and the share used after the warm-up.
+    #[serde(default)]
+    pub uses: BTreeMap<String, (u64, u64, f64)>,
 }
 
 pub struct Tally {
@@ -87,6 +90,7 @@
     broken: BTreeMap<String, u64>,
     told: Vec<String>,
     pub events: u64,
+    pub uses: BTreeMap<String, (u64, u64, f64)>,
 }
 
 impl Tally {
@@ -105,6 +109,7 @@
             broken: BTreeMap::new(),
             told: Vec::new(),
             events: 0,
+            uses: BTreeMap::new(),
         }
     }
 
@@ -177,7 +182,7 @@
     }
 
     pub fn ended(&mut self, now: Moment, tier: usize, outcome: Outcome) {
-        let vain = !matches!(outcome, Outcome::Satisfied | Outcome::Recalled);
+        let vain = !matches!(outcome, Outcome::Satisfied | Outcome::Recalled | Outcome::NeverSent);
         self.window(now).vain[tier] += u64::from(vain);
     }
 
@@ -216,6 +221,7 @@
             broken: self.broken.clone(),
             told: self.told.clone(),
             events: self.events,
+            uses: self.uses.clone(),
         }
     }
 }
@@ -291,6 +297,9 @@
             }
             text.push('\n');
         }
+        for (of, (whole, most, used)) in &self.uses {
+            let _ = writeln!(text, "{of}: {most} of {whole} at the most, {used:.3} used");
+        }
         match self.broken.is_empty() {
             true => text += "rules kept\n",
             false => {
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -5,6 +5,7 @@
 use appledyke::ids::Places;
 use appledyke::terms::Terms;
 use appledyke::units::{Moment, Span};
+use appledyke_fleet::budgets::{self, Budget};
 use oorandom::Rand64;
 use serde::Deserialize;
 
@@ -35,10 +36,43 @@
     /// What sidecars hear of one another by daemons.
     #[serde(default)]
     pub fleet: FleetTerms,
+    /// Budgets that the first tier's sidecars share.
+    #[serde(default)]
+    pub budgets: Budgets,
     #[serde(default)]
     pub fault: Vec<Fault>,
 }
 
+/// How budgets are shared among the first tier's sidecars.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum By {
+    /// Each has the whole through the number that its file states.
+    #[default]
+    Cut,
+    /// Divided by daemons, by what each wants.
+    Parts,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Budgets {
+    pub by: By,
+    /// How many sidecars each file states.
+    pub instances: u64,
+    pub beat_ms: u64,
+    /// From a proposal to its entry's effect.
+    pub commit_ms: f64,
+    pub row: Vec<Budget>,
+}
+
+impl Default for Budgets {
+    fn default() -> Budgets {
+        // A commit's millisecond is what real daemons take on one machine.
+        Budgets { by: By::Cut, instances: 1, beat_ms: 500, commit_ms: 1.0, row: Vec::new() }
+    }
+}
+
 /// What members of a fleet hear of how others' write-outs ended.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -82,6 +116,12 @@
     /// Part of the tries whose client goes before its time is up.
     #[serde(default)]
     pub impatient: f64,
+    /// Times more clients that the last first-tier sidecar has than the first, the others between them.
+    #[serde(default = "one_whole")]
+    pub uneven: f64,
+    /// After which fronts send nobody to a sidecar that is away; never if not said.
+    #[serde(default)]
+    pub notices_ms: Option<u64>,
     /// Moments of arrival in place of Poisson's, as of the start: a trace.
     #[serde(default)]
     pub trace_ms: Vec<u64>,
@@ -326,6 +366,14 @@
         within("zones".into(), self.zones as f64, 1.0, 64.0)?;
         within("load.per_second".into(), self.load.per_second, 0.0, 1e6)?;
         within("load.impatient".into(), self.load.impatient, 0.0, 1.0)?;
+        within("load.uneven".into(), self.load.uneven, 0.001, 1000.0)?;
+        within("budgets.instances".into(), self.budgets.instances as f64, 1.0, 1e6)?;
+        within("budgets.beat_ms".into(), self.budgets.beat_ms as f64, 1.0, 60_000.0)?;
+        within("budgets.commit_ms".into(), self.budgets.commit_ms, 0.0, 60_000.0)?;
+        budgets::check(&self.budgets.row)?;
+        if let Some(stock) = self.budgets.row.iter().find(|row| row.of.is_stock()) {
+            return Err(format!("budgets.row: {}: only what is spent in time is played here", stock.of));
+        }
         within("load.tenants".into(), self.load.tenants as f64, 1.0, 1000.0)?;
         within("load.retries".into(), f64::from(self.load.retries), 0.0, 20.0)?;
         if self.load.trace_ms.windows(2).any(|pair| pair[1] < pair[0]) {
@@ -390,6 +438,11 @@
     pub fn grown(&self, times: usize) -> Result<Scenario, String> {
         let mut grown = self.clone();
         grown.load.per_second *= times as f64;
+        grown.budgets.instances = grown.budgets.instances.saturating_mul(times as u64);
+        for row in &mut grown.budgets.row {
+            row.whole = row.whole.saturating_mul(times as u64);
+            row.members = row.members.saturating_mul(times as u64);
+        }
         for tier in &mut grown.tier {
             tier.sidecars = tier.sidecars.saturating_mul(times);
             tier.endpoints = tier.endpoints.saturating_mul(times);
--- /dev/null
+++ b/crates/lab/src/shares.rs
@@ -0,0 +1,141 @@
+//! Budgets in virtual time: the fleet's own limits and division, one daemon that never fails, and a count of what all together
+//! have spent. What daemons do when they fail is the rig's to show (`rig`).
+
+use std::collections::{BTreeMap, VecDeque};
+
+use appledyke::units::{Moment, Span};
+use appledyke_fleet::budgets::{Budget, Budgets, Change, Holder, Thing};
+use appledyke_fleet::divide::Divider;
+use appledyke_fleet::limits::{Grant, Limits};
+
+use crate::scenario::{By, Scenario, at_ms};
+
+/// What all have spent of a budget.
+struct Spent {
+    budget: Budget,
+    window: VecDeque<Moment>,
+    most: u64,
+    /// After the warm-up.
+    all: u64,
+}
+
+/// What a report is answered with, and when it was asked.
+pub struct Answer {
+    pub node: usize,
+    pub life: u32,
+    asked: Moment,
+    grants: Vec<Grant>,
+}
+
+pub struct Shares {
+    by: By,
+    alone: BTreeMap<Thing, (u64, u64)>,
+    limits: Vec<Limits>,
+    agreed: Budgets,
+    divider: Divider,
+    index: u64,
+    pub answers: Vec<Answer>,
+    pub changes: Vec<Change>,
+    spent: Vec<Spent>,
+    warm: Moment,
+    over: Moment,
+}
+
+impl Shares {
+    /// None where the scenario has no budgets.
+    pub fn new(scenario: &Scenario) -> Option<Shares> {
+        let terms = &scenario.budgets;
+        if terms.row.is_empty() {
+            return None;
+        }
+        let part = |row: &Budget| match terms.by {
+            By::Cut => (row.whole / terms.instances, row.window_ms),
+            By::Parts => (row.alone, row.window_ms),
+        };
+        let mut agreed = Budgets::default();
+        agreed.state(&terms.row);
+        let spent = |row: &Budget| Spent { budget: *row, window: VecDeque::new(), most: 0, all: 0 };
+        let alone: BTreeMap<_, _> = terms.row.iter().map(|row| (row.of, part(row))).collect();
+        Some(Shares {
+            by: terms.by,
+            limits: vec![Limits::new(&alone); scenario.tier[0].sidecars],
+            alone,
+            agreed,
+            divider: Divider::new(Moment::default(), 0),
+            index: 0,
+            answers: Vec::new(),
+            changes: Vec::new(),
+            spent: terms.row.iter().map(spent).collect(),
+            warm: at_ms(scenario.warm_up_ms),
+            over: at_ms(scenario.length_ms),
+        })
+    }
+
+    pub fn divides(&self) -> bool {
+        self.by == By::Parts
+    }
+
+    /// A sidecar starts, and knows of no grant.
+    pub fn starts(&mut self, node: usize) {
+        if let Some(limits) = self.limits.get_mut(node) {
+            *limits = Limits::new(&self.alone);
+        }
+    }
+
+    /// A sidecar's report reaches the daemon; its answer is kept until it arrives.
+    pub fn report(&mut self, now: Moment, node: usize, life: u32) -> usize {
+        let uses = self.limits[node].uses(now);
+        let holder = Holder { name: format!("s{node}"), incarnation: u64::from(life) };
+        self.divider.report(now, &holder, &uses, false);
+        let grants = self.divider.grants(&holder, &self.agreed, self.index);
+        self.answers.push(Answer { node, life, asked: now, grants });
+        self.answers.len() - 1
+    }
+
+    pub fn answered(&mut self, at: usize) {
+        let answer = &mut self.answers[at];
+        self.limits[answer.node].granted(answer.asked, &std::mem::take(&mut answer.grants));
+    }
+
+    /// What is to be an entry, by its place among all changes.
+    pub fn divide(&mut self, now: Moment) -> Vec<usize> {
+        let before = self.changes.len();
+        self.changes.extend(self.divider.proposals(now, &self.agreed));
+        (before..self.changes.len()).collect()
+    }
+
+    pub fn applies(&mut self, at: usize) {
+        self.index += 1;
+        self.agreed.apply(self.index, &self.changes[at]);
+    }
+
+    /// Whether a sidecar may write out now; it is counted if so.
+    pub fn may_send(&mut self, now: Moment, node: usize, again: bool, cold: bool) -> bool {
+        let Some(limits) = self.limits.get_mut(node) else { return true };
+        let wanted = [(true, Thing::WriteOuts), (again, Thing::Repeats), (cold, Thing::ColdWriteOuts)];
+        let flows: Vec<Thing> = wanted.into_iter().filter(|(wanted, _)| *wanted).map(|(_, of)| of).collect();
+        if !limits.spend_all(now, &flows, !again) {
+            return false;
+        }
+        for spent in self.spent.iter_mut().filter(|spent| flows.contains(&spent.budget.of)) {
+            let window = Span::from_millis(spent.budget.window_ms);
+            while spent.window.front().is_some_and(|at| now.since(*at) >= window) {
+                spent.window.pop_front();
+            }
+            spent.window.push_back(now);
+            spent.most = spent.most.max(spent.window.len() as u64);
+            spent.all += u64::from(now >= self.warm && now < self.over);
+        }
+        true
+    }
+
+    /// Of each budget: its whole, the most in a window, and the share that was used after the warm-up.
+    pub fn uses(&self) -> BTreeMap<String, (u64, u64, f64)> {
+        let row = |spent: &Spent| {
+            let Budget { of, whole, window_ms, .. } = spent.budget;
+            let windows = self.over.since(self.warm).secs() / Span::from_millis(window_ms).secs();
+            (of.to_string(), (whole, spent.most, spent.all as f64 / (whole as f64 * windows).max(1.0)))
+        };
+        self.spent.iter().map(row).collect()
+    }
+}
--- a/crates/lab/src/simulate.rs
+++ b/crates/lab/src/simulate.rs
@@ -17,12 +17,15 @@
 use crate::report::Tally;
 use crate::scenario::{Effect, Hears, Scenario, at_ms, millis};
 use crate::service::{self, Fate};
+use crate::shares::Shares;
 use crate::station::{Admission, Station};
 
 /// Between two looks at the state of all endpoints.
 const LOOK_EVERY: Span = Span::from_millis(1000);
 /// After which a call to a list that is absent has failed.
 const LIST_TIMEOUT: Span = Span::from_millis(2000);
+/// Between two divisions of budgets that a daemon looks for.
+const DIVIDES_EVERY: Span = Span::from_millis(50);
 /// How long an endpoint that errs at once takes for it, in milliseconds.
 const QUICK_ERROR_MS: f64 = 1.0;
 
@@ -95,6 +98,18 @@
         life: u32,
     },
     Look,
+    /// A sidecar reports its use of budgets, is answered, and a division takes effect.
+    Reports {
+        node: usize,
+        life: u32,
+    },
+    Granted {
+        at: usize,
+    },
+    Divides,
+    Divided {
+        at: usize,
+    },
 }
 
 /// `Outcome` in an order, as events want one.
@@ -105,6 +120,7 @@
     Saturated,
     Refused,
     Severed,
+    NeverSent,
 }
 
 impl Told {
@@ -115,6 +131,7 @@
             Told::Saturated => Outcome::Saturated,
             Told::Refused => Outcome::RefusedConnection,
             Told::Severed => Outcome::Severed,
+            Told::NeverSent => Outcome::NeverSent,
         }
     }
 }
@@ -215,6 +232,8 @@
     /// Idle connections, by endpoint and process.
     idle: BTreeMap<(usize, u32), usize>,
     subscribed: bool,
+    /// Since when it is away.
+    away: Option<Moment>,
 }
 
 /// Something that a list tells: one endpoint's process and its standing.
@@ -251,6 +270,7 @@
     evidence: Evidence,
     sequences: Vec<u64>,
     cursors: Vec<Cursor>,
+    shares: Option<Shares>,
 }
 
 /// Plays a scenario with a policy and a seed.
@@ -314,6 +334,7 @@
             evidence: Evidence::default(),
             sequences: Vec::new(),
             cursors: Vec::new(),
+            shares: Shares::new(scenario),
         };
         world.sequences = vec![0; world.nodes.len()];
         world.cursors = vec![Cursor::default(); world.nodes.len()];
@@ -333,6 +354,9 @@
             world.schedule(Moment::from_nanos(0), Event::Arrives);
         }
         world.schedule(Moment::from_nanos(0), Event::Look);
+        if world.shares.as_ref().is_some_and(Shares::divides) {
+            world.schedule(Moment::from_nanos(0), Event::Divides);
+        }
         world
     }
 
@@ -366,6 +390,7 @@
         }
         self.referee.ends(end);
         self.tally.judged(&self.referee);
+        self.tally.uses = self.shares.as_ref().map(Shares::uses).unwrap_or_default();
     }
 
     fn happens(&mut self, event: Event) {
@@ -402,6 +427,16 @@
             Event::Returns { node } => self.start(node),
             Event::Hears { node, life } => self.hears(node, life),
             Event::Look => self.look(),
+            Event::Reports { node, life } => self.reports(node, life),
+            Event::Granted { at } => {
+                let Some(shares) = &mut self.shares else { return };
+                let (node, life) = (shares.answers[at].node, shares.answers[at].life);
+                if self.nodes[node].life == life {
+                    shares.answered(at);
+                }
+            }
+            Event::Divides => self.divides(),
+            Event::Divided { at } => self.shares.iter_mut().for_each(|shares| shares.applies(at)),
         }
     }
 
@@ -457,7 +492,7 @@
             self.tally.retried(self.now);
         }
         let sidecars = 0..self.scenario.tier[0].sidecars;
-        let heat: Vec<f64> = sidecars.map(|node| self.faults.heat(node, self.now)).collect();
+        let heat: Vec<f64> = sidecars.map(|node| self.weight(node)).collect();
         let mut left = self.chance.rand_float() * heat.iter().sum::<f64>();
         let drawn = heat.iter().position(|weight| {
             left -= weight;
@@ -482,6 +517,17 @@
         }
     }
 
+    /// The weight of a first-tier sidecar among those that clients go to.
+    fn weight(&self, node: usize) -> f64 {
+        let load = &self.scenario.load;
+        let noticed = load.notices_ms.zip(self.nodes[node].away);
+        if noticed.is_some_and(|(ms, away)| self.now.since(away) >= Span::from_millis(ms)) {
+            return 0.0;
+        }
+        let place = node as f64 / (self.scenario.tier[0].sidecars as f64 - 1.0).max(1.0);
+        self.faults.heat(node, self.now) * (1.0 + (load.uneven - 1.0) * place)
+    }
+
     fn arrival(&mut self, node: usize, from: From, method: usize, effect: u64, deadline: Moment) -> usize {
         let now = self.now;
         let n = &mut self.nodes[node];
@@ -551,6 +597,16 @@
         let terms = self.scenario.terms(tier);
         let seed = self.chance.rand_u64();
         self.nodes[node].policy = Some(self.which.make(self.now, terms, seed));
+        self.nodes[node].away = None;
+        if let Some(shares) = self.shares.as_mut().filter(|_| tier == 0) {
+            shares.starts(node);
+            if shares.divides() {
+                // They do not all report in the same moment.
+                let first = Span::from_millis(self.scenario.budgets.beat_ms) * self.chance.rand_float();
+                let life = self.nodes[node].life;
+                self.soon(first, Event::Reports { node, life });
+            }
+        }
         let known = self.whole(tier);
         self.hear(node, true, &known);
         self.nodes[node].subscribed = !self.scenario.list.asked;
@@ -575,6 +631,29 @@
         self.soon(Span::from_millis(fleet.beat_ms), Event::Hears { node, life });
     }
 
+    /// A sidecar reports its use of budgets. Its answer is granted from the moment of its asking.
+    fn reports(&mut self, node: usize, life: u32) {
+        if self.nodes[node].life != life || self.now >= at_ms(self.scenario.length_ms) {
+            return;
+        }
+        let (now, hop) = (self.now, self.hop());
+        let Some(shares) = &mut self.shares else { return };
+        let at = shares.report(now, node, life);
+        self.soon(hop * 2.0, Event::Granted { at });
+        let beat = Span::from_millis(self.scenario.budgets.beat_ms);
+        self.soon(beat, Event::Reports { node, life });
+    }
+
+    fn divides(&mut self) {
+        let Some(shares) = &mut self.shares else { return };
+        for at in shares.divide(self.now) {
+            self.soon(millis(self.scenario.budgets.commit_ms), Event::Divided { at });
+        }
+        if self.now < at_ms(self.scenario.length_ms) {
+            self.soon(DIVIDES_EVERY, Event::Divides);
+        }
+    }
+
     fn pass_on(&mut self, node: usize, passed: &[Passed]) {
         let told = passed.iter().filter_map(|Passed { seen, .. }| {
             let (method, part) = (seen.method as usize, f64::from(seen.part));
@@ -643,9 +722,11 @@
 
     /// A sidecar dies with all that it held; its clients see their connections break.
     fn kill(&mut self, node: usize) {
+        let now = self.now;
         let n = &mut self.nodes[node];
         n.life += 1;
         n.policy = None;
+        n.away = Some(now);
         n.names = Names::default();
         n.known.clear();
         n.free.clear();
@@ -763,6 +844,15 @@
             lost: false,
             holds_connection: false,
         });
+        if let Some(shares) = self.shares.as_mut().filter(|_| n.tier == 0) {
+            let started = self.endpoints[endpoint].started;
+            let cold =
+                started.is_some_and(|at| self.now.since(at) < Span::from_millis(self.scenario.rules.cold_ms));
+            if !shares.may_send(self.now, node, write_out > 0, cold) {
+                return self.schedule(self.now, Event::Back { job, outcome: Told::NeverSent });
+            }
+        }
+        let n = &mut self.nodes[node];
         self.tally.sent(self.now, n.tier);
         let e = &self.endpoints[endpoint];
         let whom = (e.tier, e.number);
@@ -1120,6 +1210,7 @@
             free: Vec::new(),
             idle: BTreeMap::new(),
             subscribed: false,
+            away: None,
         }
     }
 }
