Parts follow what is wanted smoothed both ways; a doubling counts at once

Cause: what was wanted was taken at its peaks (a rise at once, a fall over beats), so a sidecar whose clients come by chance held a part that was mostly idle. Change: smoothed by 0.2 a beat both ways; what doubles counts at once, so a hot sidecar waits no longer than before.

--- a/crates/fleet/src/divide.rs
+++ b/crates/fleet/src/divide.rs
@@ -20,8 +20,10 @@
 const RESERVE_LEAST_PARTS: u64 = 2;
 /// A part is changed only by more than this part of it: parts do not swing while demand stands still.
 const DAMPING: f64 = 0.15;
-/// Smoothing of what is wanted, for one that wants less: a rise counts at once, a fall over several beats.
-const FALL: f64 = 0.3;
+/// Smoothing of what is wanted, over several beats: reqs come by chance, and a part that follows their peaks is mostly idle.
+const SMOOTHING: f64 = 0.2;
+/// Times what was wanted before from which on a rise counts at once: a hot sidecar, and no chance.
+const LEAP: f64 = 2.0;
 
 #[derive(Clone, Debug)]
 struct Heard {
@@ -70,7 +72,8 @@
         for (of, told) in uses {
             let before = heard.uses.get(of).map_or(0.0, |(_, wants)| *wants);
             let wants = told.wants as f64;
-            let wants = if wants >= before { wants } else { before + FALL * (wants - before) };
+            let leaps = wants >= before * LEAP;
+            let wants = if leaps { wants } else { before + SMOOTHING * (wants - before) };
             heard.uses.insert(*of, (*told, wants));
             let acts = heard.acts.entry(*of).or_insert((told.acts, now));
             if acts.0 != told.acts {
