A newcomer has its least part though all others stand within what is damped

Cause: parts move only by more than 15%. With 300 holders within that of their targets and the reserve gone after 26 newcomers, room was nought and nobody was to be lowered, so four of thirty waited for ever; and what came free went to the first newcomers' whole wishes before the others' least (divide.rs, division). Change: least parts that are lacking come before anybody's more; while they or the reserve lack room, those above their targets are lowered, the furthest first, whatever is damped. Rig: holders, many members on a thread that act by the fleet's own limits and whose beliefs can be added up; measure holders. Measured: thirty that come at once to 300 on real daemons have their least within six seconds, and what all believe to hold is never above the whole; a sum taken by clocks that stand still shows that the check can fail.

--- a/crates/daemon/tests/budgets.rs
+++ b/crates/daemon/tests/budgets.rs
@@ -9,6 +9,7 @@
 use appledyke_fleet::state::What;
 use appledyke_fleet::talk::{Ask, BudgetRow, Reply};
 use appledyke_lab::rig::fleet::{Daemons, PATIENCE, Shape};
+use appledyke_lab::rig::holders::Holders;
 use appledyke_lab::rig::links::Standing;
 use appledyke_lab::rig::processes::beside;
 use appledyke_lab::rig::sidecars::{Clients, Endpoint, How, Sidecars, entry, most_within};
@@ -323,3 +324,43 @@
     let (with, without) = (most("cold", &[budget]), most("cold-free", &[]));
     assert!((1..=24).contains(&with) && without > 24, "{with} with the budget, {without} without");
 }
+
+#[test]
+fn thirty_that_come_at_once_to_three_hundred_have_their_least_and_the_sum_stays_below() {
+    let of = Thing::WriteOuts;
+    let mut both = Both::begin("crowd", 0, json!({}));
+    let whole = 3000;
+    both.put(&[Budget { of, whole, window_ms: 1000, least: 2, alone: 1, members: 400 }]);
+    let leader = both.daemons.wait_for_leader().unwrap();
+    let at = both.daemons.own_address(leader).unwrap();
+    let mut holders = Holders::new(at, Duration::from_millis(500), &[of]);
+    holders.come(300, 20);
+    let most = std::cell::Cell::new(0);
+    let believed = || {
+        most.set(most.get().max(holders.believed(of, false)));
+        most.get()
+    };
+    // What they believe to hold, each by its own clock, at every look.
+    both.daemons.wait("nearly all is held", |_| believed() * 10 >= whole * 8).unwrap();
+    holders.come(30, 20);
+    let most = std::cell::Cell::new(most.get());
+    let start = Instant::now();
+    both.daemons
+        .wait("each that came has its least part", |_| {
+            most.set(most.get().max(holders.believed(of, false)));
+            (300..330).all(|who| holders.holds(who, of) >= 3)
+        })
+        .unwrap();
+    let took = start.elapsed();
+    assert!(took < Duration::from_secs(6), "{took:?}");
+    assert!(most.get() <= whole, "{} of {whole}", most.get());
+    // The sum shows it where clocks stand still: a third says nothing more, and its parts go to the others.
+    holders.freeze(0..110);
+    both.daemons
+        .wait("others have their parts", |_| {
+            most.set(most.get().max(holders.believed(of, false)));
+            holders.believed(of, true) > whole
+        })
+        .unwrap();
+    assert!(most.get() <= whole, "{} of {whole}", most.get());
+}
--- a/crates/fleet/src/divide.rs
+++ b/crates/fleet/src/divide.rs
@@ -193,6 +193,8 @@
         let targets = budget.map(|budget| targets(budget, &wants)).unwrap_or_default();
         let mut lowered = Vec::new();
         let mut raised = Vec::new();
+        // Who stands above its target by too little to be lowered for that alone; and what newcomers lack of their least.
+        let (mut above, mut lacking) = (Vec::new(), 0);
         // Danger: a leader that is new has heard nobody, and takes nothing back before a lease of its own has passed.
         let knows_all = now.since(self.since) > LEASE;
         for (holder, part) in budgets.parts(of) {
@@ -217,31 +219,62 @@
                 });
             room = room.saturating_sub(unknown.sum());
         }
+        let least = budget.map_or(1, |budget| budget.least);
+        let counted = |holder: &Holder| budgets.part(of, holder).map_or(0, |part| part.counted);
+        let first = |holder: &Holder, target: u64| least.min(target).saturating_sub(counted(holder));
+        // What is lacking of least parts comes before anybody's more.
+        let mut firsts: u64 =
+            wants.iter().zip(&targets).map(|((holder, _), target)| first(holder, *target)).sum();
         for ((holder, _), target) in wants.iter().zip(&targets) {
             let before = granted(holder);
-            let (least, apart) = (budget.map_or(1, |budget| budget.least), before.abs_diff(*target));
+            let apart = before.abs_diff(*target);
             // Danger: a part that follows each little change of demand swings, and what is on its way is idle.
             let small = (apart as f64) <= DAMPING * before as f64 && before >= least;
             if apart == 0 || small {
+                if *target < before {
+                    above.push(((*holder).clone(), *target, apart));
+                }
                 continue;
             }
             if *target < before {
                 lowered.push(((*holder).clone(), *target));
             } else {
-                let counted = budgets.part(of, holder).map_or(0, |part| part.counted);
-                let more = target.saturating_sub(counted).min(room);
+                let (counted, first) = (counted(holder), first(holder, *target));
+                firsts -= first;
+                let more =
+                    target.saturating_sub(counted).min(first.min(room).max(room.saturating_sub(firsts)));
                 let reached = counted.min(*target) + more;
+                lacking += least.min(*target).saturating_sub(reached);
                 if reached > before {
                     room -= more;
                     raised.push(((*holder).clone(), reached));
                 }
             }
         }
+        // Danger: all stand a little above their targets, none by enough to be lowered, and a newcomer waits for ever.
+        let leaves: u64 = budgets.parts(of).map(|(_, part)| part.counted - part.granted).sum();
+        let (kept, comes) = (budget.map_or(0, reserve), room + leaves);
+        let wanted = lacking + if comes < kept / 2 { kept } else { 0 };
+        let mut wanted = wanted.saturating_sub(comes);
+        above.sort_by(|one, other| other.2.cmp(&one.2).then_with(|| one.0.cmp(&other.0)));
+        for (holder, target, apart) in above {
+            if wanted == 0 {
+                break;
+            }
+            wanted = wanted.saturating_sub(apart);
+            lowered.push((holder, target));
+        }
         lowered.extend(raised);
         lowered
     }
 }
 
+/// What is kept for newcomers.
+fn reserve(budget: &Budget) -> u64 {
+    let all = budget.divisible();
+    ((all as f64 * RESERVE) as u64).max(RESERVE_LEAST_PARTS * budget.least).min(all / 10)
+}
+
 /// What each is to have: least parts first, then up to what is wanted, the smallest wishes whole; what is left is spread by
 /// what is wanted. Whole numbers whose sum is not above what there is.
 fn targets(budget: &Budget, wants: &[(&Holder, f64)]) -> Vec<u64> {
@@ -249,9 +282,7 @@
     if count == 0 {
         return Vec::new();
     }
-    let all = budget.divisible();
-    let reserve = ((all as f64 * RESERVE) as u64).max(RESERVE_LEAST_PARTS * budget.least).min(all / 10);
-    let divided = all - reserve;
+    let divided = budget.divisible() - reserve(budget);
     if budget.least * count > divided {
         // More of them than there are least parts: the first by name have one, the others what they may use alone.
         let have = (divided / budget.least) as usize;
@@ -372,6 +403,21 @@
         }
     }
 
+    #[test]
+    fn newcomers_have_their_least_though_all_others_stand_within_what_is_damped() {
+        let mut world = World::new(Budget { least: 2, ..flow(3000, 400) });
+        let wants: Vec<_> = (0..330).map(|number| (holder(number), 20)).collect();
+        world.run(5000, &wants[..300]);
+        world.run(4000, &wants);
+        let short = wants.iter().filter(|(holder, _)| world.granted(holder) < 2).count();
+        assert_eq!(short, 0);
+        // They come up to the others' level, and then nothing moves any more.
+        world.run(10_000, &wants);
+        let before = world.entries;
+        world.run(10_000, &wants);
+        assert_eq!(world.entries, before, "parts swing while demand stands still");
+    }
+
     #[test]
     fn who_is_lost_keeps_its_part_idle_for_a_lease_and_a_window_and_no_longer() {
         let mut world = World::new(flow(100, 4));
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -140,12 +140,15 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "measure")]
 struct Measure {
-    /// commits, elections, recovery, members, returns or budgets
+    /// commits, elections, recovery, members, holders, returns or budgets
     #[argh(positional)]
     what: String,
     /// how many: puts, rounds, entries or members
     #[argh(option, default = "100")]
     count: usize,
+    /// budgets, for holders: one to six
+    #[argh(option, default = "1")]
+    budgets: usize,
     /// entries between two snapshots, for recovery
     #[argh(option, default = "512")]
     compact_every: u64,
@@ -279,11 +282,14 @@
         "elections" => vec![bench.elections(asked.count)],
         "recovery" => vec![bench.recovery(asked.count, asked.compact_every)],
         "members" => vec![bench.members(asked.count, beat, lasts)],
+        "holders" => {
+            bench.holders(asked.count, asked.budgets.clamp(1, 6), lasts)?.into_iter().map(Ok).collect()
+        }
         "budgets" => vec![bench.budgets(false, lasts), bench.budgets(true, lasts)],
         "returns" => vec![bench.returns(false, lasts), bench.returns(true, lasts)],
         other => {
             return Err(format!(
-                "measure: expected commits, elections, recovery, members, returns or budgets, not '{other}'"
+                "measure: expected commits, elections, recovery, members, holders, returns or budgets, not '{other}'"
             ));
         }
     };
--- a/crates/lab/src/rig.rs
+++ b/crates/lab/src/rig.rs
@@ -3,6 +3,7 @@
 
 pub mod fleet;
 pub mod folders;
+pub mod holders;
 pub mod judge;
 pub mod links;
 pub mod measure;
--- a/crates/lab/src/rig/fleet.rs
+++ b/crates/lab/src/rig/fleet.rs
@@ -216,6 +216,16 @@
         self.processes.get_mut(&place).expect("a process that was started")
     }
 
+    /// Where a daemon that runs listens itself, past the rig's links: two threads for each connection would be measured too.
+    ///
+    /// # Errors
+    /// That it has not said so.
+    pub fn own_address(&mut self, place: u16) -> Result<SocketAddr, String> {
+        let said = self.process(place).line(0, PATIENCE, |line| line.contains("listens on "))?.0;
+        let at = said.split("listens on ").nth(1).and_then(|at| at.split(' ').next()?.parse().ok());
+        at.ok_or("no address".to_string())
+    }
+
     pub fn running(&self, place: u16) -> bool {
         self.processes.contains_key(&place)
     }
--- /dev/null
+++ b/crates/lab/src/rig/holders.rs
@@ -0,0 +1,226 @@
+//! Members of a fleet that only hold parts of budgets, by the fleet's own limits: many on a thread, each over a connection of
+//! its own to one daemon. What they believe to hold can be added up at a moment.
+
+use std::collections::VecDeque;
+use std::io::{Read as _, Write as _};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use appledyke::units::Moment;
+use appledyke_fleet::budgets::Thing;
+use appledyke_fleet::limits::Limits;
+use appledyke_fleet::state::Standing;
+use appledyke_fleet::talk::{Frame, Frames, Report, Told, Who};
+
+use super::fleet::FLEET;
+
+const THREADS: usize = 8;
+const ANSWER_IN: Duration = Duration::from_secs(5);
+/// Reports whose answers may still come.
+const ASKED_MOST: usize = 16;
+
+#[derive(Default)]
+struct One {
+    limits: Limits,
+    asked: VecDeque<(u64, Moment)>,
+    reports: u64,
+    /// It reports no more, and its clock stands still: the flaw that the sum must show.
+    frozen: Option<Moment>,
+    wants: u64,
+}
+
+struct Shared {
+    start: Instant,
+    over: AtomicBool,
+    all: Mutex<Vec<One>>,
+    answers: AtomicU64,
+    bytes: AtomicU64,
+    of: Vec<Thing>,
+}
+
+impl Shared {
+    fn now(&self) -> Moment {
+        Moment::from_nanos(self.start.elapsed().as_nanos() as u64)
+    }
+
+    fn all(&self) -> MutexGuard<'_, Vec<One>> {
+        self.all.lock().expect("no holder panics with the lock")
+    }
+
+    /// What a holder reports now; nothing where it is frozen.
+    fn report(&self, who: usize) -> Option<Report> {
+        let (mut all, now) = (self.all(), self.now());
+        let one = &mut all[who];
+        if one.frozen.is_some() {
+            return None;
+        }
+        one.reports += 1;
+        one.asked.push_back((one.reports, now));
+        if one.asked.len() > ASKED_MOST {
+            one.asked.pop_front();
+        }
+        let wants = one.wants;
+        let told = one.limits.uses(now).into_iter().map(|(of, mut told)| {
+            told.wants = wants;
+            (of, told)
+        });
+        let mut uses: Vec<_> = told.collect();
+        for of in self.of.iter().filter(|of| !uses.iter().any(|(told, _)| told == *of)).collect::<Vec<_>>() {
+            uses.push((*of, appledyke_fleet::limits::Use { wants, ..Default::default() }));
+        }
+        Some(Report {
+            name: format!("h{who}"),
+            incarnation: 1,
+            process: 1,
+            standing: Standing::Serving,
+            number: one.reports,
+            uses,
+            ..Report::default()
+        })
+    }
+
+    fn told(&self, who: usize, told: &Told) {
+        self.answers.fetch_add(1, Ordering::Relaxed);
+        let mut all = self.all();
+        let one = &mut all[who];
+        let asked = one.asked.iter().find(|(number, _)| *number == told.number).map(|(_, at)| *at);
+        if let (Some(asked), Some(grants)) = (asked, &told.grants) {
+            one.limits.granted(asked, grants);
+        }
+    }
+}
+
+pub struct Holders {
+    shared: Arc<Shared>,
+    at: SocketAddr,
+    beat: Duration,
+    threads: Vec<thread::JoinHandle<()>>,
+}
+
+struct Open {
+    who: usize,
+    stream: TcpStream,
+    frames: Frames,
+}
+
+impl Open {
+    fn new(at: SocketAddr, who: usize) -> std::io::Result<Open> {
+        let mut stream = TcpStream::connect(at)?;
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(ANSWER_IN))?;
+        let mut out = Vec::new();
+        Frame::hello(FLEET, Who::Member { name: format!("h{who}") }).write(&mut out);
+        stream.write_all(&out)?;
+        Ok(Open { who, stream, frames: Frames::default() })
+    }
+
+    /// One report and its answer.
+    fn beat(&mut self, shared: &Shared, piece: &mut [u8]) -> std::io::Result<()> {
+        let Some(report) = shared.report(self.who) else { return Ok(()) };
+        let mut out = Vec::new();
+        Frame::Report(report).write(&mut out);
+        self.stream.write_all(&out)?;
+        let mut moved = out.len();
+        loop {
+            match self.frames.pop().map_err(std::io::Error::other)? {
+                Some(Frame::Told(told)) => {
+                    shared.told(self.who, &told);
+                    shared.bytes.fetch_add(moved as u64, Ordering::Relaxed);
+                    return Ok(());
+                }
+                Some(_) => {}
+                None => match self.stream.read(piece)? {
+                    0 => return Err(std::io::ErrorKind::UnexpectedEof.into()),
+                    read => {
+                        moved += read;
+                        self.frames.push(&piece[..read]);
+                    }
+                },
+            }
+        }
+    }
+}
+
+impl Holders {
+    /// None yet, for a daemon that listens there.
+    pub fn new(at: SocketAddr, beat: Duration, of: &[Thing]) -> Holders {
+        let shared = Shared {
+            start: Instant::now(),
+            over: AtomicBool::new(false),
+            all: Mutex::new(Vec::new()),
+            answers: AtomicU64::new(0),
+            bytes: AtomicU64::new(0),
+            of: of.to_vec(),
+        };
+        Holders { shared: Arc::new(shared), at, beat, threads: Vec::new() }
+    }
+
+    /// So many more come at once, each wanting so much.
+    pub fn come(&mut self, count: usize, wants: u64) {
+        let first = {
+            let mut all = self.shared.all();
+            let first = all.len();
+            all.extend((0..count).map(|_| One { wants, ..One::default() }));
+            first
+        };
+        for thread in 0..THREADS.min(count) {
+            let (shared, at, beat) = (self.shared.clone(), self.at, self.beat);
+            self.threads.push(thread::spawn(move || {
+                let who = (first + thread..first + count).step_by(THREADS);
+                let mut open: Vec<Open> = who.filter_map(|who| Open::new(at, who).ok()).collect();
+                let (pause, mut piece) = (beat / open.len().max(1) as u32, vec![0; 64 * 1024]);
+                while !shared.over.load(Ordering::Relaxed) && !open.is_empty() {
+                    open.retain_mut(|one| {
+                        let start = Instant::now();
+                        let works =
+                            shared.over.load(Ordering::Relaxed) || one.beat(&shared, &mut piece).is_ok();
+                        thread::sleep(pause.saturating_sub(start.elapsed()));
+                        works
+                    });
+                }
+            }));
+        }
+    }
+
+    pub fn wants(&self, who: usize, wants: u64) {
+        self.shared.all()[who].wants = wants;
+    }
+
+    /// These report no more, and their clocks stand still.
+    pub fn freeze(&self, who: std::ops::Range<usize>) {
+        let now = self.shared.now();
+        self.shared.all()[who].iter_mut().for_each(|one| one.frozen = Some(now));
+    }
+
+    /// What one believes that it may use now.
+    pub fn holds(&self, who: usize, of: Thing) -> u64 {
+        let (all, now) = (self.shared.all(), self.shared.now());
+        all[who].limits.allowed(now, of).unwrap_or(0)
+    }
+
+    /// What all believe together that they may use now; frozen ones by their own clocks if `flawed`.
+    pub fn believed(&self, of: Thing, flawed: bool) -> u64 {
+        let (all, now) = (self.shared.all(), self.shared.now());
+        let at = |one: &One| one.frozen.filter(|_| flawed).unwrap_or(now);
+        all.iter().map(|one| one.limits.allowed(at(one), of).unwrap_or(0)).sum()
+    }
+
+    pub fn count(&self) -> usize {
+        self.shared.all().len()
+    }
+
+    /// Answers that have come, and bytes both ways.
+    pub fn traffic(&self) -> (u64, u64) {
+        (self.shared.answers.load(Ordering::Relaxed), self.shared.bytes.load(Ordering::Relaxed))
+    }
+}
+
+impl Drop for Holders {
+    fn drop(&mut self) {
+        self.shared.over.store(true, Ordering::Relaxed);
+        self.threads.drain(..).for_each(|thread| drop(thread.join()));
+    }
+}
--- a/crates/lab/src/rig/measure.rs
+++ b/crates/lab/src/rig/measure.rs
@@ -12,6 +12,7 @@
 use serde_json::{Value, json};
 
 use super::fleet::{Daemons, FLEET, PATIENCE, Shape, ask};
+use super::holders::Holders;
 use super::sidecars::{Clients, Endpoint, How, Sidecars, most_within, req};
 
 /// Clock ticks a second in the system's account of a process's time.
@@ -134,13 +135,7 @@
             Shape { election_ms: 1000, beat_ms: 100, lease_ms: 5000, compact_every: 512, ..Shape::default() };
         let mut daemons = self.fleet("members", shape)?;
         let leader = daemons.wait_for_leader()?;
-        let at = daemons.process(leader).line(0, PATIENCE, |line| line.contains("listens on "))?.0;
-        // Past the rig's link: two threads for each connection would be measured too.
-        let at: SocketAddr = at
-            .split("listens on ")
-            .nth(1)
-            .and_then(|at| at.split(' ').next()?.parse().ok())
-            .ok_or("no address")?;
+        let at = daemons.own_address(leader)?;
         let (over, answers, bytes) = (AtomicBool::new(false), AtomicU64::new(0), AtomicU64::new(0));
         std::thread::scope(|scope| {
             for thread in 0..THREADS {
@@ -223,6 +218,70 @@
         })
     }
 
+    /// A leader's processor time, entries and bytes a second with so many holders of so many budgets: while what they want
+    /// stands still, and while a tenth of them wants otherwise each second; and how long one that gets hot waits.
+    ///
+    /// # Errors
+    /// What did not run.
+    pub fn holders(&self, members: usize, budgets: usize, lasts: Duration) -> Result<Vec<Value>, String> {
+        const WANTS: u64 = 10;
+        let beat = Duration::from_millis(500);
+        let shape =
+            Shape { election_ms: 1000, beat_ms: 100, lease_ms: 5000, compact_every: 512, ..Shape::default() };
+        let mut daemons = self.fleet("holders", shape)?;
+        let of: Vec<Thing> = Thing::ALL.into_iter().take(budgets).collect();
+        let count = members as u64;
+        let budget = |of: &Thing| {
+            let window_ms = if of.is_stock() { 0 } else { 1000 };
+            Budget { of: *of, whole: 15 * count, window_ms, least: 2, alone: 1, members: 2 * count }
+        };
+        let rows = of.iter().map(budget).collect();
+        let write = daemons.a_write(What::Put("{}".to_string(), rows, Vec::new()), None);
+        daemons.ask(&Ask::Write(write), PATIENCE)?;
+        let leader = daemons.wait_for_leader()?;
+        let mut holders = Holders::new(daemons.own_address(leader)?, beat, &of);
+        holders.come(members, WANTS);
+        daemons.wait("all have their parts", |_| {
+            (0..members).all(|who| of.iter().all(|of| holders.holds(who, *of) >= WANTS))
+        })?;
+        std::thread::sleep(Duration::from_secs(2));
+        let id = daemons.process(leader).id();
+        let applied = |daemons: &Daemons| daemons.status(leader).map_or(0, |status| status.applied);
+        let mut figures = Vec::new();
+        for moves in [false, true] {
+            let (cpu, traffic, entries, start) =
+                (used(id), holders.traffic(), applied(&daemons), Instant::now());
+            let mut round = 0;
+            while start.elapsed() < lasts {
+                for who in (0..members).filter(|who| moves && (who + round) % 10 == 0) {
+                    holders.wants(who, if round % 2 == 0 { 3 * WANTS } else { WANTS });
+                }
+                round += 1;
+                std::thread::sleep(Duration::from_secs(1).min(lasts));
+            }
+            let secs = start.elapsed().as_secs_f64();
+            let now = holders.traffic();
+            figures.push(json!({
+                "what": "holders", "members": members, "budgets": budgets, "moves": moves,
+                "processor_share": (used(id) - cpu) / secs,
+                "entries_a_second": (applied(&daemons) - entries) as f64 / secs,
+                "reports_a_second": (now.0 - traffic.0) as f64 / secs,
+                "bytes_a_second": (now.1 - traffic.1) as f64 / secs,
+            }));
+        }
+        (0..members).for_each(|who| holders.wants(who, WANTS));
+        std::thread::sleep(Duration::from_secs(5));
+        let hot = (3 * WANTS).max(count / 5);
+        holders.wants(0, hot);
+        let start = Instant::now();
+        daemons.wait("the hot one has what it wants", |_| holders.holds(0, of[0]) * 10 >= hot * 9)?;
+        figures.push(json!({
+            "what": "hot", "members": members, "budgets": budgets, "wants": hot,
+            "secs": start.elapsed().as_secs_f64(),
+        }));
+        Ok(figures)
+    }
+
     /// What those that return send in vain within the first seconds, with daemons and without: twelve sidecars before
     /// sixteen endpoints, of which two fail.
     ///
