--- a/crates/daemon/src/ask.rs
+++ b/crates/daemon/src/ask.rs
@@ -98,7 +98,7 @@
                 Ok(Reply::Faulty(what)) if open => return Ok(Reply::Unknown(what)),
                 Ok(reply) => return Ok(reply),
                 Err(what) => {
-                    open |= sent && matches!(ask, Ask::Write(_));
+                    open |= sent && matches!(ask, Ask::Write(_) | Ask::Release(_));
                     why.insert(place, what);
                 }
             }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -6,13 +6,16 @@
 use std::process::ExitCode;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use appledyke_daemon::agent::Agent;
 use appledyke_daemon::ask;
 use appledyke_daemon::configuration::{Configuration, Form};
 use appledyke_daemon::folder::Folder;
 use appledyke_daemon::serve::Daemon;
 use appledyke_fleet::Version;
 use appledyke_fleet::budgets::Budget;
+use appledyke_fleet::health::Figures;
 use appledyke_fleet::outs::Group;
+use appledyke_fleet::releases::{Moves, Order, Plan};
 use appledyke_fleet::state::{Fleet, What, Write, WriteId};
 use appledyke_fleet::talk::{Ask, Reply};
 use argh::FromArgs;
@@ -45,6 +48,8 @@
     Out(TakeEndpoint),
     In(PutEndpoint),
     Outs(ShowOuts),
+    Release(Release),
+    Agent(RunAgent),
     History(History),
     Rollback(Rollback),
     Backup(Backup),
@@ -178,6 +183,147 @@
     /// the endpoint's name in the list
     #[argh(positional)]
     name: String,
+    /// why it is taken whatever is out already
+    #[argh(option)]
+    anyway: Option<String>,
+}
+
+/// move sidecars or endpoints to another version, step by step, with a halt and a way back
+#[derive(FromArgs)]
+#[argh(subcommand, name = "release")]
+struct Release {
+    #[argh(subcommand)]
+    what: ReleaseCommand,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum ReleaseCommand {
+    Check(CheckRelease),
+    Start(StartRelease),
+    Status(ReleaseStatus),
+    Halt(HaltRelease),
+    Resume(ResumeRelease),
+    Back(BackRelease),
+    Settle(SettleRelease),
+    End(EndRelease),
+}
+
+/// check a release's file against the fleet, and do nothing
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check")]
+struct CheckRelease {
+    /// the configuration
+    #[argh(option)]
+    config: PathBuf,
+    /// the release's file
+    #[argh(positional)]
+    file: PathBuf,
+}
+
+/// begin a release
+#[derive(FromArgs)]
+#[argh(subcommand, name = "start")]
+struct StartRelease {
+    /// the configuration
+    #[argh(option)]
+    config: PathBuf,
+    /// the release's file
+    #[argh(positional)]
+    file: PathBuf,
+}
+
+/// how each release stands
+#[derive(FromArgs)]
+#[argh(subcommand, name = "status")]
+struct ReleaseStatus {
+    /// the configuration
+    #[argh(option)]
+    config: PathBuf,
+    /// for tools
+    #[argh(switch)]
+    json: bool,
+}
+
+/// send nobody else out, and let those under way come back
+#[derive(FromArgs)]
+#[argh(subcommand, name = "halt")]
+struct HaltRelease {
+    /// the configuration
+    #[argh(option)]
+    config: PathBuf,
+    /// the release's name
+    #[argh(positional)]
+    name: String,
+    /// why
+    #[argh(option, default = "\"an operator's word\".to_string()")]
+    why: String,
+}
+
+/// go on where it halted
+#[derive(FromArgs)]
+#[argh(subcommand, name = "resume")]
+struct ResumeRelease {
+    /// the configuration
+    #[argh(option)]
+    config: PathBuf,
+    /// the release's name
+    #[argh(positional)]
+    name: String,
+}
+
+/// return what has been moved to its old version, last moved first
+#[derive(FromArgs)]
+#[argh(subcommand, name = "back")]
+struct BackRelease {
+    /// the configuration
+    #[argh(option)]
+    config: PathBuf,
+    /// the release's name
+    #[argh(positional)]
+    name: String,
+}
+
+/// say what became of one whose action nobody knows the end of
+#[derive(FromArgs)]
+#[argh(subcommand, name = "settle")]
+struct SettleRelease {
+    /// the configuration
+    #[argh(option)]
+    config: PathBuf,
+    /// the release's name
+    #[argh(positional)]
+    name: String,
+    /// whom it moves
+    #[argh(positional)]
+    who: String,
+    /// it has the version that it was to have
+    #[argh(switch)]
+    moved: bool,
+}
+
+/// end a release as it stands; refused while any is under way
+#[derive(FromArgs)]
+#[argh(subcommand, name = "end")]
+struct EndRelease {
+    /// the configuration
+    #[argh(option)]
+    config: PathBuf,
+    /// the release's name
+    #[argh(positional)]
+    name: String,
+}
+
+/// run releases' commands beside a sidecar or an endpoint, until ended
+#[derive(FromArgs)]
+#[argh(subcommand, name = "agent")]
+struct RunAgent {
+    /// the configuration
+    #[argh(option)]
+    config: PathBuf,
+    /// beside whom it is, by the name that the release has
+    #[argh(positional)]
+    who: String,
 }
 
 /// put an endpoint back into service
@@ -383,8 +529,125 @@
     Ok((settings, budgets, groups))
 }
 
-fn endpoint(config: &Path, name: String, out: bool) -> Result<u8, String> {
-    match fleet(config, &Ask::Endpoint { name: name.clone(), out }, PATIENCE)? {
+fn plan(file: &Path) -> Result<Plan, String> {
+    let named = |what: String| format!("{}: {what}", file.display());
+    let text = fs::read_to_string(file).map_err(|e| named(e.to_string()))?;
+    let reader = toml::Deserializer::parse(&text).map_err(|e| named(e.message().to_string()))?;
+    let plan: Plan = serde_path_to_error::deserialize(reader)
+        .map_err(|e| named(format!("{}: {}", e.path(), e.inner().message())))?;
+    plan.check().map_err(named)?;
+    if let Some(action) = &plan.action
+        && !Path::new(&action.command[0]).is_file()
+    {
+        return Err(named(format!("action.command: there is no program {}", action.command[0])));
+    }
+    Ok(plan)
+}
+
+fn order(config: &Path, order: Order, done: &str) -> Result<u8, String> {
+    match fleet(config, &Ask::Release(order), PATIENCE)? {
+        Reply::Done => show(false, &(), || done.to_string()),
+        Reply::Unknown(why) => {
+            eprintln!("unknown: {why}; say it again: it takes effect once");
+            Ok(UNKNOWN)
+        }
+        other => unexpected(other),
+    }
+}
+
+fn release(command: ReleaseCommand) -> Result<u8, String> {
+    match command {
+        ReleaseCommand::Check(CheckRelease { config, file }) => {
+            let plan = plan(&file)?;
+            let Reply::Settings(written) = fleet(&config, &Ask::Get(None), PATIENCE)? else {
+                return Err("the fleet has no settings".to_string());
+            };
+            let Reply::Members(members) = fleet(&config, &Ask::Members, PATIENCE)? else {
+                return Err("the fleet does not tell its members".to_string());
+            };
+            let groups = written.map(|written| written.groups).unwrap_or_default();
+            let Some(group) = groups.iter().find(|group| group.name == plan.group) else {
+                return Err(format!("group: the settings have no group {}", plan.group));
+            };
+            let of: Vec<String> = match plan.moves {
+                Moves::Sidecars => {
+                    let rows = members.into_iter().filter(|row| row.groups.contains(&plan.group));
+                    rows.map(|row| row.name).collect()
+                }
+                Moves::Endpoints => group.endpoints.clone(),
+            };
+            if let Some(odd) = plan.order.iter().find(|name| !of.contains(name)) {
+                return Err(format!("order: {odd} is not in {}", plan.group));
+            }
+            let count = if plan.order.is_empty() { of.len() } else { plan.order.len() };
+            let most = group.most(of.len()).min(plan.most_out as usize);
+            if most == 0 {
+                return Err(format!("group: {} lets none of {} go out", plan.group, of.len()));
+            }
+            show(false, &(), || {
+                format!(
+                    "{}: {count} of {} in {} from {} to {}, {most} at once",
+                    plan.name,
+                    of.len(),
+                    plan.group,
+                    plan.from,
+                    plan.to
+                )
+            })
+        }
+        ReleaseCommand::Start(StartRelease { config, file }) => {
+            let plan = plan(&file)?;
+            let done = format!("{} has started; release status says how it stands", plan.name);
+            order(&config, Order::Start(Box::new(plan), Figures::default()), &done)
+        }
+        ReleaseCommand::Status(ReleaseStatus { config, json }) => {
+            match fleet(&config, &Ask::Releases, PATIENCE)? {
+                Reply::Releases(releases, runs) => show(json, &(&releases, &runs), || {
+                    let mut text: String = releases.iter().map(|release| release.line() + "\n").collect();
+                    for release in releases.iter().filter(|release| !release.is_over()) {
+                        for who in &release.order {
+                            let runs = runs.iter().find(|(name, _)| name == who);
+                            text += &format!("  {who}: {}", release.steps[who].line(&release.plan));
+                            runs.into_iter().for_each(|(_, runs)| text += &format!(", runs {runs}"));
+                            text += "\n";
+                        }
+                    }
+                    text
+                }),
+                other => unexpected(other),
+            }
+        }
+        ReleaseCommand::Halt(HaltRelease { config, name, why }) => {
+            let done = format!("{name} has halted");
+            order(&config, Order::Halt { release: name, why, worse: false }, &done)
+        }
+        ReleaseCommand::Resume(ResumeRelease { config, name }) => {
+            let done = format!("{name} goes on");
+            order(&config, Order::Resume(name), &done)
+        }
+        ReleaseCommand::Back(BackRelease { config, name }) => {
+            let done = format!("{name} goes back");
+            order(&config, Order::Back(name), &done)
+        }
+        ReleaseCommand::Settle(SettleRelease { config, name, who, moved }) => {
+            let Reply::Releases(releases, _) = fleet(&config, &Ask::Releases, PATIENCE)? else {
+                return Err("the fleet does not tell its releases".to_string());
+            };
+            let release = releases.iter().find(|release| release.plan.name == name);
+            let going = release.and_then(|release| release.steps.get(&who)?.going);
+            let Some(going) = going else { return Err(format!("{who} is not under way in {name}")) };
+            let done = format!("{who} is not under way any more");
+            order(&config, Order::Settle { release: name, who, since: going.since, moved }, &done)
+        }
+        ReleaseCommand::End(EndRelease { config, name }) => {
+            let done = format!("{name} has ended");
+            order(&config, Order::End(name, "by an operator".to_string()), &done)
+        }
+    }
+}
+
+fn endpoint(config: &Path, name: String, out: bool, anyway: Option<String>) -> Result<u8, String> {
+    match fleet(config, &Ask::Endpoint { name: name.clone(), out, anyway }, PATIENCE)? {
         Reply::Done if out => {
             show(false, &(), || format!("{name} is out of service; outs says once it is empty"))
         }
@@ -598,8 +861,17 @@
             }),
             other => unexpected(other),
         },
-        Command::Out(TakeEndpoint { config, name }) => endpoint(&config, name, true),
-        Command::In(PutEndpoint { config, name }) => endpoint(&config, name, false),
+        Command::Out(TakeEndpoint { config, name, anyway }) => endpoint(&config, name, true, anyway),
+        Command::In(PutEndpoint { config, name }) => endpoint(&config, name, false, None),
+        Command::Release(Release { what }) => release(what),
+        Command::Agent(RunAgent { config, who }) => {
+            let configuration = Configuration::read(&config)?;
+            log(configuration.log);
+            let daemons = configuration.daemons.iter().map(|daemon| (daemon.place, daemon.address)).collect();
+            let (fleet, token) = (configuration.fleet.clone(), random()?);
+            Agent { daemons, fleet, who, token }.run();
+            Ok(0)
+        }
         Command::Outs(ShowOuts { config, json }) => match fleet(&config, &Ask::Outs, PATIENCE)? {
             Reply::Outs(rows) => show(json, &rows, || {
                 let row = |(name, holders): &(String, Vec<String>)| match holders.len() {
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -1,6 +1,6 @@
 //! The loop: poll, take the time once, tick, feed what was heard, carry out what the replica and the fleet's state say.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -16,6 +16,8 @@
 use appledyke_fleet::heard::{self, Heard};
 use appledyke_fleet::limits::Grant;
 use appledyke_fleet::outs;
+use appledyke_fleet::releases::Order;
+use appledyke_fleet::runner::Runner;
 use appledyke_fleet::state::{Command, Fleet, SETTINGS_MOST, Standing, TEXT_MOST, What, Write};
 use appledyke_fleet::talk::{
     Ask, BudgetRow, Frame, Frames, MemberRow, Reply, Report, Status, Told, Who, greeted,
@@ -54,6 +56,8 @@
 const STUCK_ELECTIONS: f64 = 5.0;
 /// Wait before a folder is opened again after its disk failed.
 const REOPEN: Span = Span::from_millis(1000);
+/// By which a list's marks are mixed: an odd number without a pattern (FNV's prime).
+const MARK_TIMES: u64 = 0x100_0000_01b3;
 /// Comparisons of the state that are kept: daemons reach the same entry at different moments.
 const MARKS_MOST: usize = 8;
 
@@ -85,9 +89,28 @@
     fleet: Fleet,
     heard: Option<Heard>,
     divider: Option<Divider>,
+    runner: Option<Runner>,
+    /// The endpoints that members are to look for, as of a version of the settings, and the mark of these.
+    looks: Option<(Version, u64, Vec<String>)>,
     compacted: Index,
 }
 
+impl Life {
+    /// The endpoints that members are to look for: all that groups name.
+    fn looks(&mut self) -> &(Version, u64, Vec<String>) {
+        let version = self.fleet.version();
+        if self.looks.as_ref().is_none_or(|(of, _, _)| *of != version) {
+            let names = self.fleet.groups().iter().flat_map(|group| group.endpoints.iter().cloned());
+            let names: BTreeSet<String> = names.collect();
+            let mark = names.iter().fold(0, |mark, name| {
+                (mark ^ u64::from(ids::mark(name))).wrapping_mul(MARK_TIMES).wrapping_add(1)
+            });
+            self.looks = Some((version, mark, names.into_iter().collect()));
+        }
+        self.looks.as_ref().expect("just set")
+    }
+}
+
 /// Whom a proposal's fate is to be told.
 #[derive(Clone, Copy)]
 enum Whom {
@@ -289,8 +312,16 @@
         let replica = Replica::new(settings, seed, kept);
         tracing::info!(%id, last = replica.last().index, "replica {id} opens with entries up to {}", replica.last().index);
         self.marks.clear();
-        self.life =
-            Some(Life { folder, replica, fleet: Fleet::default(), heard: None, divider: None, compacted: 0 });
+        self.life = Some(Life {
+            folder,
+            replica,
+            fleet: Fleet::default(),
+            heard: None,
+            divider: None,
+            runner: None,
+            looks: None,
+            compacted: 0,
+        });
         self.apart = None;
         Ok(())
     }
@@ -424,6 +455,7 @@
         let generation = life.fleet.version().generation;
         life.heard = (role == Role::Leader).then(|| Heard::new(self.now, terms));
         life.divider = (role == Role::Leader).then(|| Divider::new(self.now, generation));
+        life.runner = (role == Role::Leader).then(Runner::new);
     }
 
     fn leader(&self) -> Option<u16> {
@@ -565,6 +597,11 @@
         for change in divider.proposals(now, life.fleet.budgets()) {
             let _ = life.replica.propose(Command::Divide(change).bytes());
         }
+        let Some(runner) = &mut life.runner else { return };
+        for order in runner.proposals(now, &life.fleet, heard) {
+            tracing::info!("proposes {order:?}");
+            let _ = life.replica.propose(Command::Release(order).bytes());
+        }
     }
 
     fn id(&self) -> Id {
@@ -762,7 +799,8 @@
     fn report(&mut self, key: Key, report: Report) {
         let grants = self.life.as_ref().is_some_and(|life| {
             let divides = !report.uses.is_empty() || life.fleet.budgets().stated().next().is_some();
-            divides && life.replica.role() == Role::Leader
+            let releases = report.sent || life.fleet.releases().any_runs();
+            (divides || releases) && life.replica.role() == Role::Leader
         });
         if grants {
             self.reports.push((key, report));
@@ -796,6 +834,10 @@
             if let Some(divider) = life.divider.as_mut().filter(|_| granting) {
                 told.grants = Some(grants(now, divider, &life.fleet, report));
             }
+            // Danger: a leader that was would send out one whom the fleet has counted as back since.
+            told.sent = granting.then(|| life.fleet.releases().sends(&report.name, report.incarnation));
+            let (_, mark, names) = life.looks();
+            told.looks = (*mark != report.looks).then(|| (*mark, names.clone()));
             let (since, outs) = life.fleet.endpoints_out();
             told.outs = (since > report.outs && !told.apart).then(|| (since, outs.iter().cloned().collect()));
             // Only what is committed is ever applied, so nothing else is told; and only forwards.
@@ -847,12 +889,17 @@
                 }
             }
             Ask::TakeOut { place, anyway } => self.take_out(key, number, place, anyway),
-            Ask::Endpoint { name, out } => {
-                life.replica.propose(Command::Endpoint { name, out }.bytes()).map(|at| {
+            Ask::Endpoint { name, out, anyway } => {
+                if let Some(reason) = &anyway {
+                    tracing::warn!(name, reason, "{name} is taken whatever is out already: {reason}");
+                }
+                let missing = life.heard.as_ref().map(Heard::missing).unwrap_or_default();
+                life.replica.propose(Command::Endpoint { name, out, anyway, missing }.bytes()).map(|at| {
                     self.wait(at, key, Whom::Operator { number });
                     None
                 })
             }
+            Ask::Release(order) => self.release(key, number, order),
             Ask::Forget(name) => life.replica.propose(Command::Forget(name).bytes()).map(|at| {
                 self.wait(at, key, Whom::Operator { number });
                 None
@@ -921,6 +968,28 @@
         Ok(None)
     }
 
+    /// An operator's or an agent's word on a release; who goes next is the leader's own to say.
+    fn release(&mut self, key: Key, number: u64, order: Order) -> Result<Option<Reply>, Refused> {
+        let Some(life) = &mut self.life else { return Err(Refused::NotLeader(None)) };
+        let order = match order {
+            Order::Start(plan, _) => {
+                if let Err(what) = plan.check() {
+                    return Ok(Some(Reply::Faulty(what)));
+                }
+                let (now, fleet) = (self.now, &life.fleet);
+                let before = life.runner.as_ref().map(|r| r.before(now, fleet, &plan.group, plan.moves));
+                Order::Start(plan, before.unwrap_or_default())
+            }
+            Order::Send { .. } | Order::Found { .. } => {
+                return Ok(Some(Reply::Faulty("this is the leader's own to say".to_string())));
+            }
+            other => other,
+        };
+        let at = life.replica.propose(Command::Release(order).bytes())?;
+        self.wait(at, key, Whom::Operator { number });
+        Ok(None)
+    }
+
     fn take_out(
         &mut self,
         key: Key,
@@ -994,6 +1063,13 @@
                 };
                 Reply::Outs(outs.iter().map(|name| (name.clone(), holders(name))).collect())
             }
+            Ask::Releases => {
+                let releases = life.fleet.releases().iter().map(|(_, release)| release.clone()).collect();
+                let runs = life.heard.iter().flat_map(|heard| heard.runs(self.now));
+                let runs = runs.map(|(who, runs)| (who.to_string(), runs.to_string())).collect();
+                Reply::Releases(releases, runs)
+            }
+            Ask::Work(who) => Reply::Work(life.fleet.releases().work(who)),
             Ask::Budgets => {
                 let budgets = life.fleet.budgets();
                 let row = |of: Thing| {
@@ -1015,6 +1091,7 @@
             | Ask::TakeOut { .. }
             | Ask::Ended { .. }
             | Ask::Forget(_)
+            | Ask::Release(_)
             | Ask::Endpoint { .. } => {
                 return;
             }
--- a/crates/daemon/tests/drains.rs
+++ b/crates/daemon/tests/drains.rs
@@ -76,7 +76,12 @@
 }
 
 fn most(number: u32) -> Vec<Group> {
-    vec![Group { name: "zone a".into(), most_out: Some(Amount::Number(number)), least_serving: None }]
+    vec![Group {
+        name: "zone a".into(),
+        most_out: Some(Amount::Number(number)),
+        least_serving: None,
+        endpoints: Vec::new(),
+    }]
 }
 
 fn names(count: usize) -> Vec<String> {
@@ -221,7 +226,12 @@
 
 #[test]
 fn a_group_of_one_with_a_share_never_goes_out_and_faulty_groups_are_refused_by_key() {
-    let half = Group { name: "zone a".into(), most_out: Some(Amount::Share(0.5)), least_serving: None };
+    let half = Group {
+        name: "zone a".into(),
+        most_out: Some(Amount::Share(0.5)),
+        least_serving: None,
+        endpoints: Vec::new(),
+    };
     let both = Both::begin("one", 1, &[half]);
     assert_eq!(both.drain(&["s0".to_string()]), ["400 not now: 0 of 0 out in zone a, which has 1\n"]);
     let config = both.daemons.configuration(1).display().to_string();
@@ -254,7 +264,7 @@
     view(&both);
     assert!(both.sidecars.endpoints.iter().all(|endpoint| endpoint.reqs() > 0));
     both.sidecars.process("s2").stop();
-    assert_eq!(ask(&both, Ask::Endpoint { name: "e0".into(), out: true }), Reply::Done);
+    assert_eq!(ask(&both, Ask::Endpoint { name: "e0".into(), out: true, anyway: None }), Reply::Done);
     let holders = |both: &Both| match ask(both, Ask::Outs) {
         Reply::Outs(rows) if rows.len() == 1 && rows[0].0 == "e0" => rows[0].1.clone(),
         other => panic!("{other:?}"),
@@ -286,7 +296,7 @@
     view(&both);
     assert_eq!((both.sidecars.endpoints[0].reqs(), all), (before, before));
     // Back in service it has reqs again.
-    assert_eq!(ask(&both, Ask::Endpoint { name: "e0".into(), out: false }), Reply::Done);
+    assert_eq!(ask(&both, Ask::Endpoint { name: "e0".into(), out: false, anyway: None }), Reply::Done);
     both.daemons
         .wait("it has reqs again", |_| {
             view(&both);
--- /dev/null
+++ b/crates/fleet/src/health.rs
@@ -0,0 +1,200 @@
+//! Whether what was moved does worse than what was not, from counts of how reqs ended. Too few reqs are not known yet, not well.
+
+use serde::{Deserialize, Serialize};
+
+/// Errors of a share by chance that a difference must be above: one in some three thousand comparisons is by chance alone.
+const ERRORS: f64 = 3.5;
+
+/// How reqs ended, since a process started or between two moments.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Figures {
+    pub served: u64,
+    pub nacked: u64,
+    pub failed: u64,
+    /// Of the served, those that took longer than their latency budget.
+    pub slow: u64,
+}
+
+impl Figures {
+    pub fn all(&self) -> u64 {
+        self.served + self.nacked + self.failed
+    }
+
+    /// What came between an earlier count of the same process and this one.
+    pub fn since(&self, earlier: &Figures) -> Figures {
+        Figures {
+            served: self.served.saturating_sub(earlier.served),
+            nacked: self.nacked.saturating_sub(earlier.nacked),
+            failed: self.failed.saturating_sub(earlier.failed),
+            slow: self.slow.saturating_sub(earlier.slow),
+        }
+    }
+
+    pub fn add(&mut self, other: &Figures) {
+        self.served += other.served;
+        self.nacked += other.nacked;
+        self.failed += other.failed;
+        self.slow += other.slow;
+    }
+}
+
+/// What must hold of those that were moved: by how much their shares may be worse than others'.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase", deny_unknown_fields)]
+pub struct Must {
+    /// Reqs that each side must have had to be judged.
+    pub least_reqs: u64,
+    #[serde(default)]
+    pub served_lower: Option<f64>,
+    #[serde(default)]
+    pub nacked_higher: Option<f64>,
+    #[serde(default)]
+    pub failed_higher: Option<f64>,
+    /// Of the served.
+    #[serde(default)]
+    pub slow_higher: Option<f64>,
+}
+
+type Share = fn(&Figures) -> (u64, u64);
+
+impl Must {
+    fn rows(&self) -> [(&'static str, Option<f64>, Share); 4] {
+        [
+            ("servedLower", self.served_lower, |f| (f.nacked + f.failed, f.all())),
+            ("nackedHigher", self.nacked_higher, |f| (f.nacked, f.all())),
+            ("failedHigher", self.failed_higher, |f| (f.failed, f.all())),
+            ("slowHigher", self.slow_higher, |f| (f.slow, f.served)),
+        ]
+    }
+
+    /// # Errors
+    /// The key that is at fault.
+    pub fn check(&self) -> Result<(), String> {
+        if self.least_reqs == 0 {
+            return Err("must.leastReqs: expected at least 1".to_string());
+        }
+        for (name, most, _) in self.rows() {
+            if most.is_some_and(|most| !(0.0..1.0).contains(&most)) {
+                return Err(format!("must.{name}: expected a share from 0 up to 1"));
+            }
+        }
+        if self.rows().iter().all(|(_, most, _)| most.is_none()) {
+            return Err("must: expected servedLower, nackedHigher, failedHigher or slowHigher".to_string());
+        }
+        Ok(())
+    }
+
+    /// What is worse on one side than on the other, by more than may be and more than chance.
+    fn worse(&self, one: &Figures, other: &Figures) -> Option<String> {
+        self.rows().into_iter().find_map(|(name, most, share)| {
+            let (bad, all) = share(one);
+            let (other_bad, other_all) = share(other);
+            if all == 0 || other_all == 0 {
+                return None;
+            }
+            let (p, q) = (bad as f64 / all as f64, other_bad as f64 / other_all as f64);
+            let both = (bad + other_bad) as f64 / (all + other_all) as f64;
+            let error = (both * (1.0 - both) * (1.0 / all as f64 + 1.0 / other_all as f64)).sqrt();
+            (p - q > most? + ERRORS * error).then(|| {
+                let what = match name {
+                    "servedLower" => "not served",
+                    "nackedHigher" => "nacked",
+                    "failedHigher" => "failed",
+                    _ => "over their budget",
+                };
+                format!("{:.1}% of {all} reqs {what}, against {:.1}% of {other_all}", p * 100.0, q * 100.0)
+            })
+        })
+    }
+
+    pub fn judge(&self, moved: &Figures, others: &Figures, before: &Figures) -> Verdict {
+        if moved.all() < self.least_reqs {
+            return Verdict::NotKnown;
+        }
+        let known = |figures: &Figures| figures.all() >= self.least_reqs;
+        if known(others) {
+            if let Some(what) = self.worse(moved, others) {
+                return Verdict::Worse(format!("{what} of those not moved"));
+            }
+            if known(before)
+                && let Some(what) = self.worse(others, before)
+            {
+                return Verdict::Outage(format!("those not moved do worse than before: {what} then"));
+            }
+            return Verdict::Well;
+        }
+        match known(before) {
+            true => match self.worse(moved, before) {
+                Some(what) => Verdict::Worse(format!("{what} before the release")),
+                None => Verdict::Well,
+            },
+            false => Verdict::NotKnown,
+        }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    Well,
+    /// Too few reqs, on a side that it takes.
+    NotKnown,
+    /// What was moved does worse than what was not.
+    Worse(String),
+    /// All do worse than before, what was moved no more than the rest.
+    Outage(String),
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use oorandom::Rand64;
+
+    fn must() -> Must {
+        Must {
+            least_reqs: 100,
+            served_lower: Some(0.02),
+            nacked_higher: None,
+            failed_higher: None,
+            slow_higher: Some(0.05),
+        }
+    }
+
+    fn figures(served: u64, failed: u64, slow: u64) -> Figures {
+        Figures { served, failed, slow, nacked: 0 }
+    }
+
+    #[test]
+    fn too_few_reqs_are_not_known_and_an_outage_is_not_the_candidates() {
+        let (well, bad) = (figures(990, 10, 5), figures(800, 200, 5));
+        assert_eq!(must().judge(&figures(99, 0, 0), &well, &well), Verdict::NotKnown);
+        assert_eq!(must().judge(&well, &well, &well), Verdict::Well);
+        assert_eq!(must().judge(&well, &figures(9, 0, 0), &figures(9, 0, 0)), Verdict::NotKnown);
+        let Verdict::Worse(why) = must().judge(&bad, &well, &well) else { panic!() };
+        assert_eq!(why, "20.0% of 1000 reqs not served, against 1.0% of 1000 of those not moved");
+        assert!(matches!(must().judge(&bad, &bad, &well), Verdict::Outage(_)));
+        // The last of all have only what was before to be held against.
+        assert!(matches!(must().judge(&bad, &Figures::default(), &well), Verdict::Worse(_)));
+        let slow = figures(1000, 0, 300);
+        let Verdict::Worse(why) = must().judge(&slow, &well, &well) else { panic!() };
+        assert!(why.starts_with("30.0% of 1000 reqs over their budget"), "{why}");
+    }
+
+    #[test]
+    fn chance_alone_makes_nothing_worse() {
+        let mut chance = Rand64::new(7);
+        let mut draw = |reqs: u64, share: f64| {
+            let failed = (0..reqs).filter(|_| chance.rand_float() < share).count() as u64;
+            figures(reqs - failed, failed, 0)
+        };
+        let (mut found, mut blamed) = (0, 0);
+        for _ in 0..3000 {
+            let before = draw(2000, 0.05);
+            blamed += u32::from(must().judge(&draw(200, 0.05), &draw(600, 0.05), &before) != Verdict::Well);
+            found += u32::from(matches!(
+                must().judge(&draw(200, 0.3), &draw(600, 0.05), &before),
+                Verdict::Worse(_)
+            ));
+        }
+        assert!(blamed == 0 && found > 2950, "{blamed} {found}");
+    }
+}
--- a/crates/fleet/src/heard.rs
+++ b/crates/fleet/src/heard.rs
@@ -5,6 +5,7 @@
 use appledyke::units::{Moment, Span};
 
 use crate::budgets::Stamp;
+use crate::health::Figures;
 use crate::state::{Command, Fleet, GROUPS_MOST, Standing, Version};
 use crate::talk::Report;
 
@@ -21,8 +22,8 @@
 }
 
 #[derive(Clone, Debug)]
-struct Last {
-    incarnation: u64,
+pub struct Last {
+    pub incarnation: u64,
     process: u64,
     at: Moment,
     /// When another process of the same name and incarnation was heard last.
@@ -33,6 +34,16 @@
     settled: u64,
     outs: Stamp,
     holds: Vec<String>,
+    /// The version of the program, or what its file calls it; how its reqs have ended, in all and at endpoints that are watched.
+    pub runs: String,
+    pub figures: Figures,
+    pub at_endpoints: Vec<(String, Figures)>,
+    /// Clients and reqs that it has still.
+    open: u64,
+    /// Whether it is drained by a release's word.
+    pub sent: bool,
+    /// Endpoints that it was asked to look for, and that its list does not have as ready.
+    lacks: Vec<String>,
 }
 
 /// What a member is to be told of itself.
@@ -76,8 +87,24 @@
         // Danger: more than are kept would differ from what is agreed for ever.
         let groups = report.groups.iter().take(GROUPS_MOST).cloned().collect();
         let (holds, outs) = (report.holds.clone(), report.outs);
-        let last =
-            Last { incarnation, process, at: now, twin, standing, version, groups, settled, outs, holds };
+        let last = Last {
+            incarnation,
+            process,
+            at: now,
+            twin,
+            standing,
+            version,
+            groups,
+            settled,
+            outs,
+            holds,
+            runs: report.runs.clone(),
+            figures: report.figures,
+            at_endpoints: report.at.clone(),
+            open: report.open,
+            sent: report.sent,
+            lacks: report.lacks.clone(),
+        };
         self.last.insert(report.name.clone(), last);
         Found { twin: twin.is_some(), superseded: false }
     }
@@ -88,6 +115,48 @@
         heard.map(|(name, last)| (name.as_str(), last.version))
     }
 
+    /// What a member that is heard says of itself, if it serves and is agreed on so.
+    pub fn serving(&self, now: Moment, fleet: &Fleet, name: &str) -> Option<&Last> {
+        let member = fleet.members().get(name).filter(|member| member.standing == Standing::Serving)?;
+        let last = self.last.get(name)?;
+        let serves = last.standing == Standing::Serving && last.incarnation == member.incarnation;
+        (serves && now.since(last.at) <= self.terms.lease).then_some(last)
+    }
+
+    /// Whether this process is drained and has no client and no req left.
+    pub fn is_empty(&self, now: Moment, name: &str, incarnation: u64) -> bool {
+        self.last.get(name).is_some_and(|last| {
+            let drained = matches!(last.standing, Standing::Drained | Standing::Leaving | Standing::Gone);
+            last.incarnation == incarnation
+                && drained
+                && last.open == 0
+                && now.since(last.at) <= self.terms.lease
+        })
+    }
+
+    /// What each member has counted: its name, its process, and how reqs ended, in all and at endpoints.
+    #[allow(clippy::type_complexity)]
+    pub fn counts(&self) -> impl Iterator<Item = (&str, u64, &Figures, &[(String, Figures)])> {
+        self.last
+            .iter()
+            .map(|(name, last)| (name.as_str(), last.incarnation, &last.figures, &last.at_endpoints[..]))
+    }
+
+    /// Which version each member that is heard says that it runs.
+    pub fn runs(&self, now: Moment) -> impl Iterator<Item = (&str, &str)> {
+        let heard = self.last.iter().filter(move |(_, last)| now.since(last.at) <= self.terms.lease);
+        heard.map(|(name, last)| (name.as_str(), last.runs.as_str()))
+    }
+
+    /// Endpoints that more than half of the serving members look for and do not have as ready.
+    pub fn missing(&self) -> Vec<String> {
+        let mut counts: BTreeMap<&String, usize> = BTreeMap::new();
+        let serving = self.last.values().filter(|last| last.standing == Standing::Serving);
+        let all = serving.clone().count();
+        serving.flat_map(|last| &last.lacks).for_each(|name| *counts.entry(name).or_default() += 1);
+        counts.into_iter().filter(|(_, count)| *count * 2 > all).map(|(name, _)| name.clone()).collect()
+    }
+
     /// Who holds something at an endpoint that is out of service, or may: whoever has not said since that it holds nothing.
     /// One that is silent may hold until its lease is over and its longest deadline has passed, which `gone` is not under.
     pub fn holders(&self, now: Moment, fleet: &Fleet, endpoint: &str) -> Vec<String> {
@@ -227,7 +296,7 @@
     #[test]
     fn who_is_heard_and_not_agreed_on_yet_may_hold_something() {
         let (mut fleet, mut heard) = (Fleet::default(), Heard::new(at(0), TERMS));
-        fleet.apply(1, &Command::Endpoint { name: "e1".into(), out: true });
+        fleet.apply(1, &Command::Endpoint { name: "e1".into(), out: true, anyway: None, missing: vec![] });
         heard.report(at(10), &report("a", 1, 1, Standing::Joining), &fleet);
         assert_eq!(heard.holders(at(20), &fleet, "e1"), ["a"]);
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,10 +5,13 @@
 pub mod budgets;
 pub mod divide;
 pub mod evidence;
+pub mod health;
 pub mod heard;
 pub mod limits;
 pub mod member;
 pub mod outs;
+pub mod releases;
+pub mod runner;
 pub mod state;
 pub mod talk;
 
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -1,15 +1,18 @@
 //! A sidecar's part in its fleet: which daemon it asks, when it says how it stands, and what of the answers it takes. Reqs
 //! never wait for any of it.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 
 use appledyke::units::{Moment, Span};
+use appledyke::{Outcome, ids};
 use oorandom::Rand64;
 
 use crate::budgets::Stamp;
-use crate::evidence::{KEPT, Known, Passed, Seen};
+use crate::evidence::{self, KEPT, Known, Passed, Seen};
+use crate::health::Figures;
 use crate::limits::Limits;
 use crate::outs::Asker;
+use crate::runner::FRESH;
 use crate::state::{Standing, Version};
 use crate::talk::{Report, Told};
 
@@ -38,6 +41,8 @@
     /// What it may use by its own file.
     pub limits: Limits,
     pub groups: Vec<String>,
+    /// The version of its program, or what its file calls it.
+    pub runs: String,
 }
 
 /// What the host is to do.
@@ -46,13 +51,15 @@
     /// Open a connection to this place.
     Dial(u16),
     Close,
-    Send(Report),
+    Send(Box<Report>),
     /// Check these settings whole; act on them if they are well, and say which with `acts_on`.
     Take(Version, String),
     /// Pass these on to the decisions.
     Hear(Vec<Passed>),
     /// These endpoints, and no others, are out of service whatever the list says.
     Outs(Vec<String>),
+    /// A release sends it out, or lets it come back.
+    Sent(bool),
     /// Say so in the log, for operators: it is told when it changes.
     Twin(bool),
     Superseded(bool),
@@ -101,6 +108,16 @@
     /// As of when it knows which endpoints are out of service, and where it holds something still.
     outs: Stamp,
     pub holds: Vec<String>,
+    /// Whether a release has sent it out.
+    sent: bool,
+    /// What it is to look for, by the marks of their names, and how its write-outs there have ended.
+    looks: u64,
+    looked: BTreeMap<u32, (String, Figures)>,
+    /// Of these, what the list does not have as ready.
+    pub lacks: Vec<String>,
+    /// How its reqs have ended, and what it has open still.
+    pub figures: Figures,
+    pub open: u64,
     twin: bool,
     superseded: bool,
     /// Counted for operators.
@@ -139,6 +156,12 @@
             asker: Asker::default(),
             outs: Stamp::default(),
             holds: Vec::new(),
+            sent: false,
+            looks: 0,
+            looked: BTreeMap::new(),
+            lacks: Vec::new(),
+            figures: Figures::default(),
+            open: 0,
             twin: false,
             superseded: false,
             heard: 0,
@@ -164,6 +187,11 @@
     }
 
     /// Whether a daemon has answered lately.
+    /// The endpoints that it is to look for.
+    pub fn looks_for(&self) -> impl Iterator<Item = &String> {
+        self.looked.values().map(|(name, _)| name)
+    }
+
     pub fn is_heard(&self, now: Moment) -> bool {
         self.heard_at.is_some_and(|at| now.since(at) <= self.setup.beat * PATIENCE_BEATS)
     }
@@ -184,6 +212,12 @@
     /// Keeps how a write-out ended, for the others.
     pub fn book(&mut self, now: Moment, endpoint: u32, method: u32, outcome: u8, part: f32) {
         self.sequence += 1;
+        if let Some((_, figures)) = self.looked.get_mut(&endpoint) {
+            let served = evidence::outcome(outcome) == Some(Outcome::Satisfied);
+            figures.served += u64::from(served);
+            figures.failed += u64::from(!served);
+            figures.slow += u64::from(served && part > 1.0);
+        }
         let seen = Seen { sequence: self.sequence, age_ms: 0, endpoint, method, outcome, part };
         self.booked.push_back((now, seen));
         if self.booked.len() > BOOKED_MOST {
@@ -205,7 +239,7 @@
         vec![Do::Send(self.report(now))]
     }
 
-    fn report(&mut self, now: Moment) -> Report {
+    fn report(&mut self, now: Moment) -> Box<Report> {
         // Danger: one that was stopped has missed more than a beat, and acts on what is old until it has heard.
         self.catches_up |= now.since(self.next_beat) > KEPT;
         self.next_beat = now + self.setup.beat * (0.9 + 0.2 * self.chance.rand_float());
@@ -222,7 +256,7 @@
             self.asked.pop_front();
         }
         self.told = seen.last().map_or(self.answered, |seen| seen.sequence);
-        Report {
+        Box::new(Report {
             name: self.setup.name.clone(),
             incarnation: self.setup.incarnation,
             process: self.setup.process,
@@ -238,7 +272,14 @@
             outs: self.outs,
             holds: self.holds.clone(),
             alone: self.alone,
-        }
+            runs: self.setup.runs.clone(),
+            figures: self.figures,
+            at: self.looked.values().filter(|(_, figures)| figures.all() > 0).cloned().collect(),
+            open: self.open,
+            sent: self.sent,
+            looks: self.looks,
+            lacks: self.lacks.clone(),
+        })
     }
 
     /// The connection that was dialed is up.
@@ -310,6 +351,21 @@
             self.holds.clone_from(&outs);
             done.push(Do::Outs(outs));
         }
+        // Danger: an answer that was held back on its way sends out one whom the fleet has counted as back since.
+        let fresh = asked.is_some_and(|asked| now.since(asked) <= FRESH);
+        if let Some(sent) = told.sent.filter(|sent| fresh && *sent != self.sent) {
+            self.sent = sent;
+            done.push(Do::Sent(sent));
+        }
+        if let Some((looks, names)) = told.looks {
+            self.looks = looks;
+            let before = std::mem::take(&mut self.looked);
+            let row = |name: String| {
+                let mark = ids::mark(&name);
+                (mark, before.get(&mark).cloned().unwrap_or((name, Figures::default())))
+            };
+            self.looked = names.into_iter().map(row).collect();
+        }
         let known = &mut self.known;
         let new = told.passed.into_iter().filter(|passed| {
             let Passed { writer, incarnation, seen } = passed;
@@ -373,6 +429,7 @@
             version: Version::default(),
             limits: Limits::default(),
             groups: Vec::new(),
+            runs: String::new(),
         };
         Member::new(at(0), setup, 4)
     }
@@ -399,6 +456,22 @@
         assert_eq!(member.limits.allowed(at(2 * BEAT + 1043), of), Some(1));
     }
 
+    #[test]
+    fn a_word_that_was_held_back_on_its_way_sends_nobody_out() {
+        let mut member = member();
+        on(&mut member, BEAT);
+        let mut asked = |ms: u64| match &member.due(at(ms))[..] {
+            [Do::Send(report)] => report.number,
+            other => panic!("{other:?}"),
+        };
+        let (early, late) = (asked(2 * BEAT + 60), asked(3 * BEAT + 120));
+        let told = |number| Told { number, sent: Some(true), leads: true, ..Told::default() };
+        let sent = |done: &[Do]| done.iter().any(|what| matches!(what, Do::Sent(true)));
+        let fresh = FRESH.nanos() / 1_000_000;
+        assert!(!sent(&member.told(at(2 * BEAT + 61 + fresh), told(early))));
+        assert!(sent(&member.told(at(2 * BEAT + 62 + fresh), told(late))));
+    }
+
     fn number(number: u64) -> Version {
         Version { generation: 0, number }
     }
--- a/crates/fleet/src/outs.rs
+++ b/crates/fleet/src/outs.rs
@@ -1,7 +1,7 @@
 //! Who is out, and how many may be: permission to go out is an entry of the log, asked for before anything is done, and holds
 //! until who has it is back. Whatever does not serve counts as out, whether it was sent out or failed by itself.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
 use appledyke::units::{Moment, Span};
@@ -31,6 +31,9 @@
     pub most_out: Option<Amount>,
     #[serde(default)]
     pub least_serving: Option<Amount>,
+    /// Endpoints that belong to it, by their names in the list; members say by their own files that they do.
+    #[serde(default)]
+    pub endpoints: Vec<String>,
 }
 
 impl Group {
@@ -41,6 +44,12 @@
         if self.name.is_empty() || self.name.len() > crate::state::TEXT_MOST {
             return Err("groups.name: expected a name".to_string());
         }
+        for (at, name) in self.endpoints.iter().enumerate() {
+            if name.is_empty() || name.len() > crate::state::TEXT_MOST || self.endpoints[..at].contains(name)
+            {
+                return Err(format!("{}: expected names, each once, not '{name}'", key("endpoints")));
+            }
+        }
         if self.most_out.is_none() && self.least_serving.is_none() {
             return Err(format!("{}: expected this, leastServing or both", key("mostOut")));
         }
@@ -116,7 +125,29 @@
 
 /// Whether a member counts as out.
 pub fn is_out(member: &Member) -> bool {
-    member.standing != Standing::Serving || member.out.is_some()
+    member.standing != Standing::Serving || member.out.is_some() || member.sent
+}
+
+/// Whether an endpoint may be taken out of service beside those that are, and those that are missing by themselves.
+///
+/// # Errors
+/// The first group that does not bear it, by the settings' order.
+pub fn endpoint_may_go(
+    groups: &[Group],
+    outs: &BTreeSet<String>,
+    missing: &[String],
+    name: &str,
+) -> Result<(), NotNow> {
+    for group in groups.iter().filter(|group| group.endpoints.iter().any(|own| own == name)) {
+        let out = group.endpoints.iter().filter(|other| *other != name);
+        let out: Vec<String> =
+            out.filter(|other| outs.contains(*other) || missing.contains(other)).cloned().collect();
+        let (size, most) = (group.endpoints.len(), group.most(group.endpoints.len()));
+        if out.len() >= most {
+            return Err(NotNow { group: group.name.clone(), most, size, out });
+        }
+    }
+    Ok(())
 }
 
 /// Whether a member may go out beside those that are.
@@ -200,11 +231,11 @@
     use super::*;
 
     fn member(group: &str, standing: Standing) -> Member {
-        Member { incarnation: 1, standing, groups: vec![group.to_string()], out: None }
+        Member { incarnation: 1, standing, groups: vec![group.to_string()], out: None, sent: false }
     }
 
     fn group(most_out: Option<Amount>, least_serving: Option<Amount>) -> Group {
-        Group { name: "a".into(), most_out, least_serving }
+        Group { name: "a".into(), most_out, least_serving, endpoints: Vec::new() }
     }
 
     #[test]
--- /dev/null
+++ b/crates/fleet/src/runner.rs
@@ -0,0 +1,485 @@
+//! How a leader carries a release on: its own memory, by its own clock. All that it finds becomes entries of the log, and
+//! `releases` keeps the order whatever it finds. Under another leader all waits begin anew.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use appledyke::units::{Moment, Span};
+
+use crate::health::{Figures, Verdict};
+use crate::heard::Heard;
+use crate::limits::CLOCK_DOUBT;
+use crate::outs;
+use crate::releases::{Course, GoesBack, Going, Moves, Order, Release, Side, Stage};
+use crate::state::Fleet;
+
+/// How long a member takes a daemon's word that it is sent out, from before it asked. One that is not to go after all may
+/// drain still for so long.
+pub const FRESH: Span = Span::from_millis(2000);
+/// After which an order that has not shown is proposed again: several commits.
+const AGAIN: Span = Span::from_millis(1000);
+/// How long what members count is kept at the least: what the group did before a release is taken from that.
+const HORIZON: Span = Span::from_millis(60_000);
+/// Looks at what members count within that.
+const LOOKS: f64 = 240.0;
+/// How much longer than its time an action's agent may be silent: an election or two.
+const SILENT_MORE: Span = Span::from_millis(5000);
+
+/// What one has counted, summed over its processes, at some moments.
+#[derive(Clone, Debug, Default)]
+struct Series {
+    /// By who told it: which process of it, and what that had counted.
+    last: BTreeMap<String, (u64, Figures)>,
+    sum: Figures,
+    looks: VecDeque<(Moment, Figures)>,
+}
+
+impl Series {
+    fn hear(&mut self, from: &str, incarnation: u64, figures: &Figures) {
+        let before = self.last.insert(from.to_string(), (incarnation, *figures));
+        let more = match before {
+            Some((same, before)) if same == incarnation => figures.since(&before),
+            // A process that has just started counts from nought.
+            Some(_) => *figures,
+            // Danger: what came before this leader heard of it is not of the time that it judges.
+            None => Figures::default(),
+        };
+        self.sum.add(&more);
+    }
+
+    fn look(&mut self, now: Moment, horizon: Span) {
+        self.looks.push_back((now, self.sum));
+        while self.looks.len() > 2 && now.since(self.looks[1].0) > horizon {
+            self.looks.pop_front();
+        }
+    }
+
+    /// What came since this moment, up to the last look.
+    fn since(&self, from: Moment) -> Figures {
+        let at = self.looks.partition_point(|(at, _)| *at < from);
+        match (self.looks.get(at), self.looks.back()) {
+            (Some((_, first)), Some((_, last))) => last.since(first),
+            _ => Figures::default(),
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct Runner {
+    /// Since when one is in the stage that it is in, by release and name; and since when one is moved.
+    seen: BTreeMap<(String, String), (Option<Going>, Moment)>,
+    halted: BTreeMap<String, Moment>,
+    members: BTreeMap<String, Series>,
+    endpoints: BTreeMap<String, Series>,
+    looked: Option<Moment>,
+    proposed: BTreeMap<(String, String), (Order, Moment)>,
+}
+
+/// What one look at a release came to.
+enum Found {
+    Order(String, Order),
+    Halt(String, bool),
+}
+
+impl Runner {
+    /// The memory of one that leads from now on.
+    pub fn new() -> Runner {
+        Runner {
+            seen: BTreeMap::new(),
+            halted: BTreeMap::new(),
+            members: BTreeMap::new(),
+            endpoints: BTreeMap::new(),
+            looked: None,
+            proposed: BTreeMap::new(),
+        }
+    }
+
+    /// What a group did within the last minute, or as long as this leader has heard it.
+    pub fn before(&self, now: Moment, fleet: &Fleet, group: &str, moves: Moves) -> Figures {
+        let from = Moment::from_nanos(now.nanos().saturating_sub(HORIZON.nanos()));
+        let mut sum = Figures::default();
+        match moves {
+            Moves::Sidecars => {
+                let of = fleet.members().iter().filter(|(_, m)| m.groups.iter().any(|own| own == group));
+                for series in of.filter_map(|(name, _)| self.members.get(name)) {
+                    sum.add(&series.since(from));
+                }
+            }
+            Moves::Endpoints => {
+                let of = fleet.groups().iter().find(|known| known.name == group);
+                for series in
+                    of.into_iter().flat_map(|of| &of.endpoints).filter_map(|e| self.endpoints.get(e))
+                {
+                    sum.add(&series.since(from));
+                }
+            }
+        }
+        sum
+    }
+
+    fn look(&mut self, now: Moment, fleet: &Fleet, heard: &Heard) -> bool {
+        let longest = fleet.releases().iter().filter(|(_, release)| !release.is_over());
+        let longest = longest.map(|(_, r)| Span::from_millis(r.plan.settle_ms + r.plan.watch_most_ms)).max();
+        let horizon = longest.unwrap_or(HORIZON).max(HORIZON);
+        if self.looked.is_some_and(|at| now.since(at) < horizon * (1.0 / LOOKS)) {
+            return false;
+        }
+        self.looked = Some(now);
+        for (name, incarnation, figures, at) in heard.counts() {
+            self.members.entry(name.to_string()).or_default().hear(name, incarnation, figures);
+            for (endpoint, figures) in at {
+                self.endpoints.entry(endpoint.clone()).or_default().hear(name, incarnation, figures);
+            }
+        }
+        self.members.retain(|name, _| fleet.members().contains_key(name));
+        let listed: BTreeSet<&String> = fleet.groups().iter().flat_map(|group| &group.endpoints).collect();
+        self.endpoints.retain(|name, _| listed.contains(name));
+        self.members.values_mut().chain(self.endpoints.values_mut()).for_each(|s| s.look(now, horizon));
+        true
+    }
+
+    /// What is to be proposed now.
+    pub fn proposals(&mut self, now: Moment, fleet: &Fleet, heard: &Heard) -> Vec<Order> {
+        let looked = self.look(now, fleet, heard);
+        let mut orders = Vec::new();
+        let releases = fleet.releases();
+        self.seen.retain(|(name, _), _| releases.get(name).is_some_and(|release| !release.is_over()));
+        self.halted.retain(|name, _| releases.get(name).is_some_and(|r| r.course == Course::Halted));
+        for (name, release) in releases.iter().filter(|(_, release)| !release.is_over()) {
+            for (who, step) in &release.steps {
+                let seen = self.seen.entry((name.clone(), who.clone())).or_insert((step.going, now));
+                if seen.0 != step.going {
+                    *seen = (step.going, now);
+                }
+            }
+            let found = match release.course {
+                Course::Halted => self.halted(now, name, release, fleet, heard),
+                _ => self.runs(now, name, release, fleet, heard, looked),
+            };
+            for found in found {
+                let (who, order) = match found {
+                    Found::Order(who, order) => (who, order),
+                    Found::Halt(why, worse) => {
+                        (String::new(), Order::Halt { release: name.clone(), why, worse })
+                    }
+                };
+                let of = (name.clone(), who);
+                let waits =
+                    self.proposed.get(&of).is_some_and(|(was, at)| *was == order && now.since(*at) < AGAIN);
+                if !waits {
+                    self.proposed.insert(of, (order.clone(), now));
+                    orders.push(order);
+                }
+            }
+        }
+        orders
+    }
+
+    fn since(&self, name: &str, who: &str, now: Moment) -> Span {
+        let seen = self.seen.get(&(name.to_string(), who.to_string()));
+        seen.map_or(Span::ZERO, |(_, at)| now.since(*at))
+    }
+
+    /// A release that halted sends nobody out, and lets those under way come back.
+    fn halted(
+        &mut self,
+        now: Moment,
+        name: &str,
+        release: &Release,
+        fleet: &Fleet,
+        heard: &Heard,
+    ) -> Vec<Found> {
+        let since = *self.halted.entry(name.to_string()).or_insert(now);
+        // Danger: one that was told to go out by an answer on its way still drains after it was counted as back.
+        let settled = now.since(since) >= FRESH * (1.0 + CLOCK_DOUBT);
+        let mut found = Vec::new();
+        for (who, going) in release.going() {
+            let moved = match release.plan.moves {
+                Moves::Sidecars => {
+                    let Some(last) = heard.serving(now, fleet, who).filter(|last| !last.sent) else {
+                        continue;
+                    };
+                    let later = last.incarnation > going.incarnation;
+                    if going.stage == Stage::Acting && !later {
+                        continue;
+                    }
+                    last.runs == release.plan.version(going.to)
+                }
+                // Whether an action on an endpoint took place nobody tells but its agent.
+                Moves::Endpoints if going.stage == Stage::Acting => continue,
+                Moves::Endpoints => going.stage >= Stage::Acted,
+            };
+            if settled {
+                found.push(settle(name, who, going, moved));
+            }
+        }
+        let by_itself = match release.plan.goes_back {
+            GoesBack::Never => false,
+            GoesBack::Always => true,
+            GoesBack::WhenWorse => release.halted.as_ref().is_some_and(|(_, worse)| *worse),
+        };
+        let goes = release.wants_back || by_itself && !release.went_back;
+        if goes && release.going().next().is_none() {
+            found.push(Found::Order(String::new(), Order::Back(name.to_string())));
+        }
+        found
+    }
+
+    fn runs(
+        &self,
+        now: Moment,
+        name: &str,
+        release: &Release,
+        fleet: &Fleet,
+        heard: &Heard,
+        looked: bool,
+    ) -> Vec<Found> {
+        let plan = &release.plan;
+        let mut found = Vec::new();
+        let verdict = if looked { Some(self.verdict(now, name, release)) } else { None };
+        if let Some(Verdict::Worse(why)) = &verdict {
+            return vec![Found::Halt(why.clone(), true)];
+        }
+        if let Some(Verdict::Outage(why)) = &verdict {
+            return vec![Found::Halt(why.clone(), false)];
+        }
+        if release.course == Course::Forward
+            && let Some(why) = exceeded(fleet, heard, release)
+        {
+            return vec![Found::Halt(why, false)];
+        }
+        for (who, going) in release.going() {
+            let took = self.since(name, who, now);
+            let over = |ms: u64| took > Span::from_millis(ms);
+            let further = |to| {
+                let (release, who, since, agent) = (name.to_string(), who.clone(), going.since, going.agent);
+                Found::Order(who.clone(), Order::Further { release, who, since, to, agent })
+            };
+            let back = || match plan.moves {
+                Moves::Endpoints => Ok(going.stage == Stage::Acted),
+                Moves::Sidecars => {
+                    let last = heard.serving(now, fleet, who);
+                    let Some(last) = last.filter(|last| last.incarnation > going.incarnation) else {
+                        return Ok(false);
+                    };
+                    let wanted = plan.version(going.to);
+                    match last.runs == wanted {
+                        true => Ok(true),
+                        false => Err(format!("{who} came back with {}, {wanted} was expected", last.runs)),
+                    }
+                }
+            };
+            match going.stage {
+                Stage::Sent if self.is_empty(now, release, who, going, fleet, heard) => {
+                    found.push(further(Stage::Empty));
+                }
+                Stage::Sent if over(plan.empty_in_ms) => {
+                    return vec![Found::Halt(
+                        format!("{who} is not empty after {} ms", plan.empty_in_ms),
+                        false,
+                    )];
+                }
+                Stage::Empty | Stage::Acted if going.stage == Stage::Acted || plan.action.is_none() => {
+                    match back() {
+                        Ok(true) => found.push(further(Stage::Back)),
+                        Ok(false) if over(plan.back_in_ms) => {
+                            let why = format!("{who} is not back after {} ms", plan.back_in_ms);
+                            return vec![Found::Halt(why, false)];
+                        }
+                        Ok(false) => {}
+                        Err(why) => return vec![Found::Halt(why, false)],
+                    }
+                }
+                Stage::Empty if over(plan.back_in_ms) => {
+                    let why =
+                        format!("no agent beside {who} has begun its action after {} ms", plan.back_in_ms);
+                    return vec![Found::Halt(why, false)];
+                }
+                Stage::Acting => {
+                    let within = plan.action.as_ref().map_or(0, |action| action.within_ms);
+                    if took > Span::from_millis(within) + SILENT_MORE {
+                        let why = format!("what became of the action on {who} is unknown");
+                        return vec![Found::Halt(why, false)];
+                    }
+                }
+                Stage::Back => {
+                    let judged = over(plan.settle_ms + plan.watch_ms);
+                    match &verdict {
+                        Some(Verdict::Well) if judged => found.push(settle(name, who, going, true)),
+                        Some(Verdict::NotKnown) if over(plan.settle_ms + plan.watch_most_ms) => {
+                            let why = format!("too few reqs to judge {who} after {} ms", plan.watch_most_ms);
+                            return vec![Found::Halt(why, false)];
+                        }
+                        _ => {}
+                    }
+                }
+                _ => {}
+            }
+        }
+        let side = if release.course == Course::Forward { Side::New } else { Side::Old };
+        found.extend(self.next(now, name, release, side, fleet, heard));
+        found
+    }
+
+    fn is_empty(
+        &self,
+        now: Moment,
+        release: &Release,
+        who: &str,
+        going: &Going,
+        fleet: &Fleet,
+        heard: &Heard,
+    ) -> bool {
+        match release.plan.moves {
+            Moves::Sidecars => {
+                let known = fleet.members().get(who).map_or(0, |member| member.incarnation);
+                // A later process is there: the one that was sent out has ended, and holds nothing.
+                known > going.incarnation || heard.is_empty(now, who, going.incarnation)
+            }
+            Moves::Endpoints => heard.holders(now, fleet, who).is_empty(),
+        }
+    }
+
+    /// Who goes next; that one has the version already; or that all is done.
+    fn next(
+        &self,
+        now: Moment,
+        name: &str,
+        release: &Release,
+        side: Side,
+        fleet: &Fleet,
+        heard: &Heard,
+    ) -> Option<Found> {
+        let plan = &release.plan;
+        let runs = |who: &str| {
+            let last = heard.serving(now, fleet, who).filter(|_| plan.moves == Moves::Sidecars)?;
+            Some(last.runs.as_str())
+        };
+        let mut wanted: Vec<&String> = release
+            .order
+            .iter()
+            .filter(|who| {
+                let step = &release.steps[*who];
+                match (side, step.moved) {
+                    _ if step.going.is_some() => false,
+                    (Side::New, moved) => moved.is_none_or(|(at, _)| at != Side::New),
+                    (Side::Old, Some((Side::New, _))) => true,
+                    // What a backup does not know of, its member tells.
+                    (Side::Old, _) => runs(who) == Some(&plan.to),
+                }
+            })
+            .collect();
+        if side == Side::Old {
+            wanted.sort_by_key(|who| std::cmp::Reverse(release.steps[*who].moved.map(|(_, at)| at)));
+        }
+        if wanted.is_empty() && release.going().next().is_none() {
+            let how = if side == Side::New { "all are moved" } else { "all are back" };
+            return Some(Found::Order(String::new(), Order::End(name.to_string(), how.to_string())));
+        }
+        let release_name = || name.to_string();
+        for who in wanted {
+            if runs(who) == Some(plan.version(side)) {
+                let order = Order::Found { release: release_name(), who: who.clone(), side };
+                return Some(Found::Order(who.clone(), order));
+            }
+            if release.going().count() >= plan.most_out as usize {
+                return None;
+            }
+            let missing = match plan.moves {
+                Moves::Sidecars => {
+                    // One that is not there is moved once it is.
+                    if heard.serving(now, fleet, who).is_none()
+                        || outs::may_go(fleet.groups(), fleet.members(), who).is_err()
+                    {
+                        continue;
+                    }
+                    Vec::new()
+                }
+                Moves::Endpoints => heard.missing(),
+            };
+            let order = Order::Send { release: release_name(), who: who.clone(), to: side, missing };
+            return Some(Found::Order(who.clone(), order));
+        }
+        None
+    }
+
+    /// How what is moved does, against the others and against what was before.
+    fn verdict(&self, now: Moment, name: &str, release: &Release) -> Verdict {
+        let plan = &release.plan;
+        let side = if release.course == Course::Forward { Side::New } else { Side::Old };
+        let (settle, watch) = (Span::from_millis(plan.settle_ms), Span::from_millis(plan.watch_ms));
+        let series = match plan.moves {
+            Moves::Sidecars => &self.members,
+            Moves::Endpoints => &self.endpoints,
+        };
+        let counted = |who: &str, from: Moment| series.get(who).map_or(Figures::default(), |s| s.since(from));
+        let window = Moment::from_nanos(now.nanos().saturating_sub(watch.nanos()));
+        let (mut moved, mut others) = (Figures::default(), Figures::default());
+        let mut watched = Vec::new();
+        for (who, step) in &release.steps {
+            let seen = self.seen.get(&(name.to_string(), who.clone())).map_or(now, |(_, at)| *at);
+            match (&step.going, step.moved) {
+                (Some(going), _) if going.stage == Stage::Back && going.to == side => {
+                    // All that came since it was warm: the longer it is watched, the more is known.
+                    let own = counted(who, seen + settle);
+                    moved.add(&own);
+                    watched.push(own);
+                }
+                (Some(_), _) => {}
+                (None, Some((at, _))) if at == side => moved.add(&counted(who, window.max(seen))),
+                (None, _) => others.add(&counted(who, window)),
+            }
+        }
+        if side == Side::Old {
+            // Those that are not back yet are what is to be left: nothing to be held against.
+            others = Figures::default();
+        }
+        let all = plan.must.judge(&moved, &others, &release.before);
+        if all != Verdict::Well {
+            return all;
+        }
+        // One of many that does badly does not show in the sum of them.
+        let mut verdict = Verdict::Well;
+        for own in watched {
+            match plan.must.judge(&own, &others, &release.before) {
+                Verdict::Worse(why) => return Verdict::Worse(why),
+                Verdict::NotKnown => verdict = Verdict::NotKnown,
+                _ => {}
+            }
+        }
+        verdict
+    }
+}
+
+impl Default for Runner {
+    fn default() -> Runner {
+        Runner::new()
+    }
+}
+
+fn settle(name: &str, who: &str, going: &Going, moved: bool) -> Found {
+    let (release, since) = (name.to_string(), going.since);
+    Found::Order(who.to_string(), Order::Settle { release, who: who.to_string(), since, moved })
+}
+
+/// Whether more are out than may be, as some failed by themselves.
+fn exceeded(fleet: &Fleet, heard: &Heard, release: &Release) -> Option<String> {
+    let group = fleet.groups().iter().find(|group| group.name == release.plan.group)?;
+    let (size, out): (usize, Vec<String>) = match release.plan.moves {
+        Moves::Sidecars => {
+            let of = fleet.members().iter().filter(|(_, member)| member.groups.contains(&group.name));
+            let out = of.clone().filter(|(_, member)| outs::is_out(member)).map(|(name, _)| name.clone());
+            (of.count(), out.collect())
+        }
+        Moves::Endpoints => {
+            let missing = heard.missing();
+            let (_, outs) = fleet.endpoints_out();
+            let out = group.endpoints.iter().filter(|name| outs.contains(*name) || missing.contains(*name));
+            (group.endpoints.len(), out.cloned().collect())
+        }
+    };
+    let most = group.most(size);
+    (out.len() > most).then(|| {
+        let why = outs::NotNow { group: group.name.clone(), most, size, out };
+        format!("more out than may be: {why}")
+    })
+}
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -9,6 +9,7 @@
 
 use crate::budgets::{Budget, Budgets, Change, Stamp};
 use crate::outs::{self, Group, NotNow};
+use crate::releases::{Around, Declined, Order, Releases};
 
 /// Versions of the settings that are kept for a look back and a way back: some weeks of a busy fleet.
 const HISTORY_MOST: usize = 64;
@@ -130,11 +131,15 @@
     },
     /// This member never comes back: its groups are smaller from here on.
     Forget(String),
-    /// This endpoint is out of service, whatever the list says, or is not any more.
+    /// This endpoint is out of service, whatever the list says, or is not any more. A reason is one for taking it whatever is
+    /// out already; what is missing by itself as far as the leader hears is told with it.
     Endpoint {
         name: String,
         out: bool,
+        anyway: Option<String>,
+        missing: Vec<String>,
     },
+    Release(Order),
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -150,6 +155,7 @@
     /// No such member, or it serves still.
     NotGone,
     NotNow(NotNow),
+    Release(Declined),
 }
 
 impl fmt::Display for Refusal {
@@ -160,6 +166,7 @@
             Refusal::TooMuch => write!(f, "a text is too long, or there are too many members"),
             Refusal::NotGone => write!(f, "no such member, or it is there still"),
             Refusal::NotNow(why) => write!(f, "{why}"),
+            Refusal::Release(why) => write!(f, "{why}"),
             Refusal::Superseded(incarnation) => write!(f, "incarnation {incarnation} has followed this one"),
         }
     }
@@ -194,6 +201,8 @@
     pub groups: Vec<String>,
     /// The ask by which it may be out.
     pub out: Option<u64>,
+    /// A release has sent it out.
+    pub sent: bool,
 }
 
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -207,6 +216,7 @@
     /// Endpoints that are out of service, and the entry that changed them last.
     endpoints: BTreeSet<String>,
     endpoints_at: Index,
+    releases: Releases,
 }
 
 impl Fleet {
@@ -238,6 +248,15 @@
         (Stamp { generation: self.version.generation, index: self.endpoints_at }, &self.endpoints)
     }
 
+    /// The groups that the settings name.
+    pub fn groups(&self) -> &[Group] {
+        self.history.back().map_or(&[], |written| &written.groups)
+    }
+
+    pub fn releases(&self) -> &Releases {
+        &self.releases
+    }
+
     pub fn budgets(&self) -> &Budgets {
         &self.budgets
     }
@@ -281,7 +300,24 @@
                 }
                 Answer::Done
             }
-            Command::Endpoint { name, out } => self.endpoint(index, name, *out),
+            Command::Endpoint { name, out, anyway, missing } => {
+                let may = outs::endpoint_may_go(self.groups(), &self.endpoints, missing, name);
+                match may {
+                    Err(why) if *out && anyway.is_none() && !self.endpoints.contains(name) => {
+                        Answer::Refused(Refusal::NotNow(why))
+                    }
+                    _ => self.endpoint(index, name, *out),
+                }
+            }
+            Command::Release(order) => {
+                let Fleet { history, members, endpoints, endpoints_at, releases, .. } = self;
+                let groups = history.back().map_or(&[][..], |written| &written.groups);
+                let mut around = Around { groups, members, endpoints, endpoints_at };
+                match releases.apply(index, order, &mut around) {
+                    Ok(()) => Answer::Done,
+                    Err(why) => Answer::Refused(Refusal::Release(why)),
+                }
+            }
             Command::Forget(name) => {
                 let there = self
                     .members
@@ -383,8 +419,10 @@
         }
         // A later incarnation takes the place of the earlier one, and is out until it serves.
         let out = self.members.get(name).filter(|m| m.incarnation == incarnation).and_then(|m| m.out);
+        // Danger: one that a release has sent out is so until the release has it back, whatever process it is by then.
+        let sent = self.members.get(name).is_some_and(|m| m.sent);
         let groups = groups.iter().take(GROUPS_MOST).cloned().collect();
-        self.members.insert(name.to_string(), Member { incarnation, standing, groups, out });
+        self.members.insert(name.to_string(), Member { incarnation, standing, groups, out, sent });
         Answer::Done
     }
 
@@ -417,6 +455,7 @@
             self.history.push_back(last);
         }
         self.members.values_mut().for_each(|member| member.standing = Standing::Silent);
+        self.releases.halt_all("restored from a backup: what was done since is not known");
         self
     }
 }
@@ -490,7 +529,7 @@
         assert_eq!(fleet.apply(3, &stands(5, Standing::Gone)), Answer::Refused(Refusal::Superseded(7)));
         assert_eq!(
             fleet.members()["s1"],
-            Member { incarnation: 7, standing: Standing::Joining, groups: vec![], out: None }
+            Member { incarnation: 7, standing: Standing::Joining, groups: vec![], out: None, sent: false }
         );
     }
 
--- a/crates/fleet/src/talk.rs
+++ b/crates/fleet/src/talk.rs
@@ -6,11 +6,13 @@
 
 use crate::budgets::{Budget, Stamp, Thing};
 use crate::evidence::{Passed, Seen};
+use crate::health::Figures;
 use crate::limits::{Grant, Use};
+use crate::releases::{Order, Release, Work};
 use crate::state::{Standing, Version, Write, Written};
 
 /// The version of all frames. Processes of two versions do not talk to one another.
-pub const VERSION: u16 = 1;
+pub const VERSION: u16 = 2;
 /// Bytes of a frame: a snapshot of the largest fleet. Before the greeting, those of a greeting.
 pub const FRAME_MOST: usize = 32 << 20;
 pub const GREETING_MOST: usize = 1024;
@@ -53,6 +55,18 @@
     pub holds: Vec<String>,
     /// No other process serves its address, as a lock says that each holds: an earlier one of this name has ended.
     pub alone: bool,
+    /// The version of its program, or what its file calls it.
+    pub runs: String,
+    /// How its reqs have ended since it started; and its write-outs to the endpoints that it was asked to look for, by name.
+    pub figures: Figures,
+    pub at: Vec<(String, Figures)>,
+    /// Clients that wait, and reqs that are open.
+    pub open: u64,
+    /// It is drained by a release's word.
+    pub sent: bool,
+    /// By which it knows what it is asked to look for; and of these, what its list does not have as ready.
+    pub looks: u64,
+    pub lacks: Vec<String>,
 }
 
 impl Default for Report {
@@ -73,6 +87,13 @@
             outs: Stamp::default(),
             holds: Vec::new(),
             alone: false,
+            runs: String::new(),
+            figures: Figures::default(),
+            at: Vec::new(),
+            open: 0,
+            sent: false,
+            looks: 0,
+            lacks: Vec::new(),
         }
     }
 }
@@ -95,6 +116,10 @@
     pub grants: Option<Vec<Grant>>,
     /// The endpoints that are out of service, where the report did not know of these.
     pub outs: Option<(Stamp, Vec<String>)>,
+    /// Whether a release sends it out: none where this daemon cannot say for sure.
+    pub sent: Option<bool>,
+    /// The endpoints that it is to look for and count at, where it does not know of these.
+    pub looks: Option<(u64, Vec<String>)>,
 }
 
 /// What operators ask.
@@ -115,12 +140,17 @@
     },
     /// This member never comes back.
     Forget(String),
-    /// Take an endpoint out of service, or put it back.
+    /// Take an endpoint out of service, or put it back; with a reason, whatever is out already.
     Endpoint {
         name: String,
         out: bool,
+        anyway: Option<String>,
     },
     Outs,
+    Release(Order),
+    Releases,
+    /// What an agent beside this one is to do.
+    Work(String),
     /// Hand leadership to this place.
     HandOver(u16),
     /// This place votes no more; `anyway` also where few are left, or few of them are heard.
@@ -181,6 +211,9 @@
     Budgets(Vec<BudgetRow>),
     /// Endpoints out of service, and the members that hold something there or may: none, and it is empty.
     Outs(Vec<(String, Vec<String>)>),
+    /// Releases, and which version each member that is heard says that it runs.
+    Releases(Vec<Release>, Vec<(String, String)>),
+    Work(Option<Work>),
     /// A write has this effect, for good.
     Committed(Version),
     /// It has none, and never will.
@@ -355,7 +388,7 @@
         let other = Frame::hello("brno", Who::Operator);
         assert_eq!(greeted(&other, "zilina").unwrap_err(), "this is fleet zilina, not brno");
         let newer = Frame::Hello { version: 9, fleet: "zilina".into(), who: Who::Operator };
-        assert_eq!(greeted(&newer, "zilina").unwrap_err(), "frames here are of version 1, not 9");
+        assert_eq!(greeted(&newer, "zilina").unwrap_err(), "frames here are of version 2, not 9");
         // After the greeting a frame may be long, but has its bound too.
         let mut incoming = Frames::default();
         let mut bytes = Vec::new();
--- a/crates/fleet/tests/permissions.rs
+++ b/crates/fleet/tests/permissions.rs
@@ -14,7 +14,12 @@
 const DEPTH: usize = 11;
 
 fn with_most(most: u32) -> Fleet {
-    let groups = vec![Group { name: "a".into(), most_out: Some(Amount::Number(most)), least_serving: None }];
+    let groups = vec![Group {
+        name: "a".into(),
+        most_out: Some(Amount::Number(most)),
+        least_serving: None,
+        endpoints: vec![],
+    }];
     let what = What::Put("{}".into(), Vec::new(), groups);
     let write = Write { id: WriteId(1, 1), expects: None, by: "t".into(), why: "t".into(), at_ms: 0, what };
     let mut fleet = Fleet::default();
--- a/crates/sidecar/src/fleet.rs
+++ b/crates/sidecar/src/fleet.rs
@@ -17,6 +17,7 @@
 use appledyke_fleet::talk::{Frame, Frames, Who, greeted};
 use serde_json::{Value, json};
 
+use crate::figures::End;
 use crate::net::Turn;
 use crate::net::connection::Connection;
 use crate::net::deadlines::Due;
@@ -43,6 +44,8 @@
     alone: BTreeMap<Thing, (u64, u64)>,
     /// The groups that it belongs to: zone, tier, pool.
     groups: Vec<String>,
+    /// What operators call the version of this process; the program's own if they state none.
+    version: String,
 }
 
 impl Terms {
@@ -56,10 +59,9 @@
             return Ok(None);
         }
         let fields = key.as_object().ok_or_else(|| format!("fleet: expected an object, not {key}"))?;
-        if let Some(odd) = fields
-            .keys()
-            .find(|key| !["name", "daemons", "beatMs", "keep", "alone", "groups"].contains(&key.as_str()))
-        {
+        if let Some(odd) = fields.keys().find(|key| {
+            !["name", "daemons", "beatMs", "keep", "alone", "groups", "version"].contains(&key.as_str())
+        }) {
             return Err(format!("fleet.{odd}: unknown"));
         }
         let name =
@@ -101,6 +103,11 @@
             }
             other => return Err(format!("fleet.groups: expected a list of names, not {other}")),
         };
+        let version = match &key["version"] {
+            Value::Null => env!("CARGO_PKG_VERSION").to_string(),
+            Value::String(version) if !version.is_empty() => version.clone(),
+            other => return Err(format!("fleet.version: expected a text, not {other}")),
+        };
         Ok(Some(Terms {
             name: name.to_string(),
             daemons,
@@ -108,6 +115,7 @@
             keep,
             alone,
             groups,
+            version,
         }))
     }
 
@@ -186,6 +194,8 @@
     Outs(Vec<String>),
     /// It may go out, or not now and why.
     Out { refused: Option<String> },
+    /// A release sends it out, or lets it come back.
+    Sent(bool),
 }
 
 /// A write-out that is to be: again for the same req, to an endpoint that is cold, where this process has so many connections
@@ -237,6 +247,7 @@
             version: agreed.as_ref().map_or_else(Version::default, |agreed| agreed.version),
             limits: Limits::new(&terms.alone),
             groups: terms.groups.clone(),
+            runs: terms.version.clone(),
         };
         let member = Member::new(now, setup, seed);
         let mut fleet = Fleet {
@@ -331,6 +342,29 @@
         self.member.holds = held;
     }
 
+    /// The endpoints that it is to look for.
+    pub fn looks_for(&self) -> impl Iterator<Item = &String> {
+        self.member.looks_for()
+    }
+
+    /// What it has open still, and which of the endpoints that it looks for the list does not have as ready.
+    pub fn stands_with(&mut self, open: usize, lacks: Vec<String>) {
+        (self.member.open, self.member.lacks) = (open as u64, lacks);
+    }
+
+    /// A req has ended, and served took longer than its latency budget or not.
+    pub fn ended(&mut self, end: End, slow: bool) {
+        let figures = &mut self.member.figures;
+        match end {
+            End::Satisfied => {
+                figures.served += 1;
+                figures.slow += u64::from(slow);
+            }
+            End::Nacked => figures.nacked += 1,
+            End::Failed => figures.failed += 1,
+        }
+    }
+
     /// Whether it is limited at all.
     pub fn is_limited(&self) -> bool {
         !self.member.limits.is_empty()
@@ -458,10 +492,11 @@
             match what {
                 Do::Dial(place) => self.dial(place, turn),
                 Do::Close => self.close(turn),
-                Do::Send(report) => self.send(&Frame::Report(report), turn),
+                Do::Send(report) => self.send(&Frame::Report(*report), turn),
                 Do::Take(version, settings) => news.push(News::Settings(version, settings)),
                 Do::Hear(passed) => news.push(News::Ends(passed)),
                 Do::Outs(outs) => news.push(News::Outs(outs)),
+                Do::Sent(sent) => news.push(News::Sent(sent)),
                 Do::Twin(true) => log::error!("fleet: another process runs under this name and incarnation"),
                 Do::Twin(false) => log::info!("fleet: no other process runs under this name any more"),
                 Do::Superseded(true) => {
--- a/crates/sidecar/src/net/clients.rs
+++ b/crates/sidecar/src/net/clients.rs
@@ -229,6 +229,11 @@
         self.listener.as_ref()?.local_addr().ok()
     }
 
+    /// Connections of clients.
+    pub fn count(&self) -> usize {
+        self.slots.len()
+    }
+
     pub fn none_left(&self) -> bool {
         self.listener.is_none() && self.slots.is_empty()
     }
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -58,6 +58,8 @@
 /// For one req, until nothing more can be heard of it.
 struct Req {
     method: usize,
+    /// When it came.
+    since: Moment,
     /// Who waits for the answer; none once it is given or the client has gone.
     client: Option<Key>,
     /// The connections of its write-outs, as long as they are out.
@@ -100,8 +102,9 @@
     started: Moment,
     /// The list's service has been heard since the start.
     list_heard: bool,
-    /// Since when clients are turned away by an operator's word.
+    /// Since when clients are turned away by an operator's word, or by that of a release.
     draining: Option<Moment>,
+    sent_out: bool,
     /// What other processes at this address see of this one, and what it saw of them last.
     presence: Option<Presence>,
     others: Others,
@@ -184,6 +187,7 @@
             started: now,
             list_heard: false,
             draining: None,
+            sent_out: false,
             presence: None,
             others: Others::default(),
             latest: Latest::default(),
--- a/crates/sidecar/src/sidecar/process.rs
+++ b/crates/sidecar/src/sidecar/process.rs
@@ -233,6 +233,7 @@
         if self.leaving.is_some() {
             return "400 leaving, which cannot be taken back";
         }
+        self.sent_out = false;
         if self.draining.take().is_some() {
             log::info!("told to resume");
             self.clients.take_again();
@@ -345,7 +346,7 @@
     fn tell_holds(&mut self) {
         let alone = self.presence.is_some() && self.others.alive() == 0;
         let now = self.clock.now();
-        let Sidecar { fleet, servers, turn, endpoints, outs, .. } = self;
+        let Sidecar { fleet, servers, turn, endpoints, outs, entries, reqs, clients, draining, .. } = self;
         let Some(fleet) = fleet.as_mut() else { return };
         // What is out of service by an operator's word is left for good: the module would keep idle connections there until its
         // next req.
@@ -355,6 +356,14 @@
         let holds =
             |name: &&String| endpoints.find(name).is_some_and(|endpoint| servers.held(endpoint).0 > 0);
         fleet.holds_at(outs.iter().filter(holds).cloned().collect());
+        let ready = |name: &&String| {
+            entries.get(*name).is_some_and(|entry| entry.standing == EndpointStanding::Ready)
+        };
+        let lacks = fleet.looks_for().filter(|name| !ready(name)).cloned().collect();
+        // Danger: what was on its way when the drain began comes still, and would not be seen to have been waited for.
+        let early = draining.is_some_and(|since| turn.now.since(since) < DRAIN_GRACE);
+        let open = reqs.iter().filter(|(_, r)| r.client.is_some()).count() + servers.passing().count();
+        fleet.stands_with(open + clients.count() + usize::from(early), lacks);
         // Danger: a cap that is not taken back would outlive its budget.
         servers.most_at_one = fleet.connections_most(now);
         if !fleet.is_limited() {
@@ -374,6 +383,17 @@
                 News::Ends(passed) => self.hear_ends(&passed),
                 News::Outs(outs) => self.take_outs(outs),
                 News::Out { refused } => self.may_drain(refused.as_deref()),
+                News::Sent(true) if self.draining.is_none() && self.leaving.is_none() => {
+                    log::info!("a release sends this process out");
+                    self.sent_out = true;
+                    self.drain();
+                }
+                // One that an operator has drained stays so.
+                News::Sent(false) if std::mem::take(&mut self.sent_out) && self.leaving.is_none() => {
+                    log::info!("its release lets this process come back");
+                    self.resume();
+                }
+                News::Sent(_) => {}
             }
         }
     }
--- a/crates/sidecar/src/sidecar/reqs.rs
+++ b/crates/sidecar/src/sidecar/reqs.rs
@@ -26,7 +26,7 @@
                 self.choice.hangup(req);
             }
             Said::Arrival { method, left, work, frame } => {
-                let req = Req { method, client: Some(key), write_outs: Vec::new() };
+                let req = Req { method, since: self.turn.now, client: Some(key), write_outs: Vec::new() };
                 let Ok(at) = self.reqs.insert_with(|_| Ok::<_, Infallible>(req));
                 // Danger: once it leaves there may be less time than the client would wait.
                 let left = self.leaving.map_or(left, |leaving| left.min(leaving.until.since(self.turn.now)));
@@ -128,6 +128,15 @@
 
     pub(super) fn count(&mut self, method: usize, end: End) {
         self.figures.ended(&self.choice.terms().methods[method].name, end);
+        self.fleet.iter_mut().for_each(|fleet| fleet.ended(end, false));
+    }
+
+    /// A req that came then is satisfied, or failed with its last word.
+    fn count_since(&mut self, method: usize, end: End, since: Moment) {
+        let method = &self.choice.terms().methods[method];
+        self.figures.ended(&method.name, end);
+        let slow = self.turn.now.since(since) > method.latency_budget;
+        self.fleet.iter_mut().for_each(|fleet| fleet.ended(end, slow));
     }
 
     pub(super) fn req(&mut self, at: usize) -> Option<&mut Req> {
@@ -148,7 +157,8 @@
         if let Some(r) = self.req(req) {
             r.write_outs[write_out] = None;
             let last = matches!(outcome, Outcome::Satisfied | Outcome::Rejected);
-            let (method, client) = (r.method, if last { r.client.take() } else { None });
+            let (method, since) = (r.method, r.since);
+            let client = if last { r.client.take() } else { None };
             closed = r.client.is_none();
             if let (Some(client), Some(frame)) = (client, answer) {
                 let end = if outcome == Outcome::Satisfied { End::Satisfied } else { End::Failed };
@@ -156,7 +166,7 @@
                     Some(body) => passes = self.begin(key, frame, body.clone(), (client, method, end)),
                     None => {
                         self.relay(key, frame, client);
-                        self.count(method, end);
+                        self.count_since(method, end, since);
                     }
                 }
             }
