A permission that was given up is none for another ask

Cause: seen in one of some ten runs of without_a_majority: two asked while there was no majority, both were told no; their entries were committed after the daemons' return, and one that asked anew was let out by its old permission though another had drained anyway meanwhile (state.rs, out: whoever held any permission was answered yes). Excluded: the leader's memory, which had both standings; the asker, which had given up and said so. Change: only the same ask is answered as before; a new one is looked at anew.

--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -390,7 +390,9 @@
             return Answer::Refused(Refusal::NotGone);
         };
         match may {
-            Err(why) if !anyway && member.out.is_none() => Answer::Refused(Refusal::NotNow(why)),
+            // Danger: a permission that its holder gave up, as no answer came, must not send it out when it asks anew; who is
+            // out by one does not ask.
+            Err(why) if !anyway && member.out != Some(ask) => Answer::Refused(Refusal::NotNow(why)),
             _ => {
                 member.out = member.out.max(Some(ask));
                 Answer::Done
@@ -533,6 +535,26 @@
         );
     }
 
+    #[test]
+    fn a_permission_that_was_given_up_is_none_for_another_ask() {
+        let mut fleet = Fleet::default();
+        let most_out = Some(outs::Amount::Number(1));
+        let group = Group { name: "a".into(), most_out, least_serving: None, endpoints: vec![] };
+        fleet.apply(1, &write(1, None, What::Put("{}".into(), vec![], vec![group])));
+        let stands = |name: &str, standing| {
+            let (name, groups) = (name.to_string(), vec!["a".to_string()]);
+            Command::Member { name, incarnation: 1, standing, groups }
+        };
+        fleet.apply(2, &stands("s0", Standing::Serving));
+        fleet.apply(3, &stands("s1", Standing::Serving));
+        let out = |ask| Command::Out { name: "s1".into(), incarnation: 1, ask, anyway: None };
+        assert_eq!((fleet.apply(4, &out(1)), fleet.apply(5, &out(1))), (Answer::Done, Answer::Done));
+        // Its answer was lost, and another went out by an operator's second word.
+        fleet.apply(6, &stands("s0", Standing::Drained));
+        assert!(matches!(fleet.apply(7, &out(2)), Answer::Refused(Refusal::NotNow(_))));
+        assert_eq!(fleet.apply(8, &out(1)), Answer::Done);
+    }
+
     #[test]
     fn copies_agree_by_bytes_and_digest_and_differ_where_one_entry_does() {
         let (mut one, mut other) = (Fleet::default(), Fleet::default());
