Releases shown on real daemons, sidecars and agents

Cause: the pure package's word is none; what fronts, endpoints and actions saw had to be seen. Change: tests of processes with a referee that asks health checks; the rig's operators, who restart each that is empty, its fronts, and candidates that know of no endpoint. Found by them and mended: with nobody left that was not moved, and nothing known of before, the last could never be judged (now against those found well); a candidate held only against what was before was blamed for an outage (now said to be no more than an outage); sides were compared over different times, so an outage that had just begun blamed one of them.

--- /dev/null
+++ b/crates/daemon/tests/releases.rs
@@ -0,0 +1,468 @@
+//! Releases among real daemons, sidecars and agents. The referee asks health checks from outside, counts what reached endpoints
+//! and how often an action was run.
+
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
+
+use appledyke_fleet::health::{Figures, Must};
+use appledyke_fleet::outs::{Amount, Group};
+use appledyke_fleet::releases::{Action, Course, FORMAT, GoesBack, Moves, Order, Plan, Release, Side, Stage};
+use appledyke_fleet::state::{Standing, What};
+use appledyke_fleet::talk::{Ask, MemberRow, Reply};
+use appledyke_lab::rig::fleet::{Daemons, PATIENCE, Shape};
+use appledyke_lab::rig::operators::Operators;
+use appledyke_lab::rig::processes::{Process, Recipe, beside};
+use appledyke_lab::rig::sidecars::{Clients, How, Sidecars, req};
+
+const BASE: &str = include_str!("../../../examples/sidecar.json");
+const BEAT_MS: u64 = 80;
+
+struct Both {
+    daemons: Daemons,
+    sidecars: Sidecars,
+    operators: Operators,
+}
+
+fn plan(name: &str) -> Plan {
+    Plan {
+        format: FORMAT,
+        name: name.into(),
+        moves: Moves::Sidecars,
+        group: "zone a".into(),
+        order: Vec::new(),
+        most_out: 2,
+        from: "1".into(),
+        to: "2".into(),
+        action: None,
+        empty_in_ms: 15_000,
+        back_in_ms: 15_000,
+        settle_ms: 100,
+        watch_ms: 500,
+        watch_most_ms: 15_000,
+        must: Must {
+            least_reqs: 30,
+            served_lower: Some(0.05),
+            nacked_higher: None,
+            failed_higher: None,
+            slow_higher: None,
+        },
+        goes_back: GoesBack::Never,
+    }
+}
+
+fn names(count: usize) -> Vec<String> {
+    (0..count).map(|number| format!("s{number}")).collect()
+}
+
+impl Both {
+    /// So many members of one group, of which two may be out; and two endpoints of another, of which one may.
+    fn begin(name: &str, members: usize) -> Both {
+        let root = std::env::temp_dir().join(format!("appledyke-releases-{}-{name}", std::process::id()));
+        let program = Path::new(env!("CARGO_BIN_EXE_appledyke-daemon"));
+        let mut daemons = Daemons::new(&root, program, BASE, Shape::default()).unwrap();
+        daemons.begin().unwrap();
+        let group = |name: &str, most, endpoints: &[&str]| Group {
+            name: name.into(),
+            most_out: Some(Amount::Number(most)),
+            least_serving: None,
+            endpoints: endpoints.iter().map(ToString::to_string).collect(),
+        };
+        let groups = vec![group("zone a", 2, &[]), group("pool", 1, &["e0", "e1"])];
+        let write = daemons.a_write(What::Put("{}".to_string(), Vec::new(), groups), None);
+        assert!(matches!(daemons.ask(&Ask::Write(write), PATIENCE), Ok(Reply::Committed(_))));
+        let mut sidecars =
+            Sidecars::new(&root.join("sidecars"), &beside("appledyke-sidecar").unwrap(), BASE, 2).unwrap();
+        sidecars.groups(&["zone a"]);
+        sidecars.version("1", false);
+        let at: Vec<_> = daemons.places().map(|place| (place, daemons.at(place))).collect();
+        names(members).iter().for_each(|name| sidecars.start(name, &at, BEAT_MS).unwrap());
+        let both = Both { daemons, sidecars, operators: Operators::default() };
+        both.wait("all serve", |rows| rows.iter().filter(|row| !row.out).count() == members);
+        both
+    }
+
+    fn rows(&self) -> Vec<MemberRow> {
+        match self.daemons.ask(&Ask::Members, PATIENCE) {
+            Ok(Reply::Members(rows)) => rows,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    fn wait(&self, what: &str, check: impl Fn(&[MemberRow]) -> bool) {
+        self.daemons
+            .wait(what, |_| check(&self.rows()))
+            .unwrap_or_else(|said| panic!("{said}\n{:?}", self.rows()));
+    }
+
+    fn say(&self, order: Order) -> Reply {
+        self.daemons.ask(&Ask::Release(order), PATIENCE).unwrap()
+    }
+
+    fn start(&self, plan: &Plan) {
+        assert_eq!(self.say(Order::Start(Box::new(plan.clone()), Figures::default())), Reply::Done);
+    }
+
+    fn release(&self, name: &str) -> Release {
+        self.daemons.wait("a release", |daemons| Operators::release(daemons, name).is_some()).unwrap();
+        Operators::release(&self.daemons, name).expect("a release that was started")
+    }
+
+    /// The operators go on until this holds of the release.
+    fn until(&mut self, name: &str, what: &str, check: impl Fn(&Release) -> bool) -> Release {
+        let start = std::time::Instant::now();
+        loop {
+            let seen = self.operators.turn(&self.daemons, &mut self.sidecars, name, BEAT_MS).unwrap();
+            match seen {
+                Some(release) if check(&release) => return release,
+                Some(release) if start.elapsed() > 2 * PATIENCE => {
+                    panic!("{what}: {}\n{:?}", release.line(), self.rows())
+                }
+                _ => std::thread::sleep(Duration::from_millis(10)),
+            }
+        }
+    }
+}
+
+/// Counts, until it is told to stop, how many of these say no to their health check, or do not answer, at once.
+struct Referee {
+    over: Arc<AtomicBool>,
+    most: Arc<AtomicUsize>,
+    thread: Option<std::thread::JoinHandle<()>>,
+}
+
+impl Referee {
+    fn watch(
+        at: impl Fn(&str) -> Option<std::net::SocketAddr> + Send + 'static,
+        names: Vec<String>,
+    ) -> Referee {
+        let (over, most) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)));
+        let (own, counted) = (over.clone(), most.clone());
+        let thread = std::thread::spawn(move || {
+            while !own.load(Ordering::Relaxed) {
+                let says_no = |name: &&String| at(name).and_then(|at| req(at, "/healthz")) != Some(200);
+                counted.fetch_max(names.iter().filter(says_no).count(), Ordering::Relaxed);
+                std::thread::sleep(Duration::from_millis(5));
+            }
+        });
+        Referee { over, most, thread: Some(thread) }
+    }
+
+    fn most(mut self) -> usize {
+        self.over.store(true, Ordering::Relaxed);
+        self.thread.take().into_iter().for_each(|thread| thread.join().unwrap());
+        self.most.load(Ordering::Relaxed)
+    }
+}
+
+fn front(both: &Both, count: usize) -> Clients {
+    Clients::front(&both.sidecars, &names(count), 2, "/menu/1", Duration::from_millis(4))
+}
+
+fn ended(how: &'static str) -> impl Fn(&Release) -> bool {
+    move |release| release.course == Course::Ended(how.to_string())
+}
+
+#[test]
+fn all_are_moved_once_under_the_most_with_every_req_answered_though_the_leader_is_killed() {
+    let mut both = Both::begin("all", 5);
+    let clients = front(&both, 5);
+    let referee = Referee::watch(both.sidecars.lookup(), names(5));
+    both.start(&plan("r"));
+    both.until("r", "two are moved", |release| release.moved(Side::New).count() >= 2);
+    // In the middle of a step: it goes on under another leader where it stood.
+    let leader = both.daemons.wait_for_leader().unwrap();
+    both.daemons.kill(leader);
+    both.until("r", "it ends", ended("all are moved"));
+    both.daemons.start(leader).unwrap();
+    let most = referee.most();
+    let answers = clients.stop();
+    let lost: u64 = answers.iter().map(|a| a.none + a.failed + a.nacked).sum();
+    assert!(most <= 2, "{most} were out at once");
+    assert_eq!(lost, 0, "{answers:?}");
+    assert!(answers.iter().all(|a| a.served > 20), "{answers:?}");
+    assert!(names(5).iter().all(|who| both.operators.moves(who, "2") == 1));
+}
+
+#[test]
+fn a_flawed_candidate_is_halted_at_its_first_step_and_undone_by_itself() {
+    let mut both = Both::begin("flawed", 5);
+    both.operators.flawed.push("2".into());
+    let clients = front(&both, 5);
+    std::thread::sleep(Duration::from_millis(1500));
+    both.start(&Plan { goes_back: GoesBack::WhenWorse, ..plan("r") });
+    let release = both.until("r", "it goes back", ended("all are back"));
+    let (why, worse) = release.halted.clone().unwrap();
+    assert!(worse && why.contains("not served, against"), "{why}");
+    // No more than one step of it was ever moved, and each that was is back.
+    let moved: usize = names(5).iter().map(|who| both.operators.moves(who, "2")).sum();
+    let back: usize = names(5).iter().map(|who| both.operators.moves(who, "1")).sum();
+    assert!((1..=2).contains(&moved) && back == moved, "{moved} moved, {back} back");
+    drop(clients.stop());
+}
+
+#[test]
+fn an_outage_that_it_did_not_cause_halts_it_and_sends_nobody_back() {
+    let mut both = Both::begin("outage", 6);
+    let clients = front(&both, 6);
+    std::thread::sleep(Duration::from_millis(2500));
+    both.start(&Plan { goes_back: GoesBack::WhenWorse, ..plan("r") });
+    both.until("r", "one is moved", |release| release.moved(Side::New).count() >= 1);
+    both.sidecars.endpoints.iter().for_each(|endpoint| endpoint.answers(How::Fails));
+    let release = both.until("r", "it halts", |release| release.course == Course::Halted);
+    let (why, worse) = release.halted.clone().unwrap();
+    let told = why.starts_with("those not moved do worse than before") || why.contains("nobody is left");
+    assert!(!worse && told, "{why}");
+    // Those under way come back, and nobody else goes; then it goes on by an operator's word.
+    both.sidecars.endpoints.iter().for_each(|endpoint| endpoint.answers(How::Well));
+    let release = both.until("r", "nobody is under way", |release| release.going().next().is_none());
+    assert_eq!(release.course, Course::Halted);
+    both.wait("all are back", |rows| rows.iter().all(|row| !row.out));
+    std::thread::sleep(Duration::from_millis(1000));
+    assert_eq!(both.say(Order::Resume("r".into())), Reply::Done);
+    both.until("r", "it ends", ended("all are moved"));
+    drop(clients.stop());
+}
+
+#[test]
+fn one_killed_while_it_drains_is_moved_all_the_same_and_one_that_falls_silent_halts_it() {
+    let mut both = Both::begin("killed", 4);
+    let clients = front(&both, 4);
+    both.start(&Plan { most_out: 1, empty_in_ms: 60_000, ..plan("r") });
+    let first = both
+        .daemons
+        .wait("one is sent out", |daemons| {
+            Operators::release(daemons, "r").is_some_and(|r| r.going().any(|(_, g)| g.stage == Stage::Sent))
+        })
+        .map(|()| both.release("r").going().next().map(|(who, _)| who.clone()));
+    let first = first.unwrap().unwrap_or("s0".to_string());
+    // Killed outright before it is empty, and back by itself with the old version: its place in the release stands.
+    let at: Vec<_> = both.daemons.places().map(|place| (place, both.daemons.at(place))).collect();
+    both.sidecars.kill(&first);
+    both.sidecars.start(&first, &at, BEAT_MS).unwrap();
+    let release = both.until("r", "it halts, or goes on", |release| {
+        release.course == Course::Halted || release.moved(Side::New).count() >= 1
+    });
+    // Either it came back with the old version, and the release says so, or the operators were quicker.
+    if let (Course::Halted, Some((why, worse))) = (&release.course, &release.halted) {
+        assert!(why.contains("came back with 1, 2 was expected") && !worse, "{why}");
+        both.until("r", "nobody is under way", |release| release.going().next().is_none());
+        assert_eq!(both.say(Order::Resume("r".into())), Reply::Done);
+    }
+    both.until("r", "some are moved", |release| release.moved(Side::New).count() >= 2);
+    // Two that fall silent beside it are more than may be out.
+    let left: Vec<String> = both
+        .release("r")
+        .order
+        .iter()
+        .filter(|who| both.release("r").steps[*who].moved.is_some())
+        .cloned()
+        .collect();
+    left.iter().take(2).for_each(|who| both.sidecars.process(who).stop());
+    let release =
+        both.until("r", "it halts", |release| release.course == Course::Halted || release.is_over());
+    let why = release.halted.clone().map_or(String::new(), |(why, _)| why);
+    assert!(
+        release.course == Course::Halted && why.starts_with("more out than may be"),
+        "{}",
+        release.line()
+    );
+    left.iter().take(2).for_each(|who| both.sidecars.process(who).go_on());
+    both.wait("all are back", |rows| rows.iter().all(|row| !row.out));
+    assert_eq!(both.say(Order::Resume("r".into())), Reply::Done);
+    both.until("r", "it ends", ended("all are moved"));
+    drop(clients.stop());
+}
+
+#[test]
+fn too_few_reqs_are_not_well_and_a_backup_put_back_halts_it() {
+    let mut both = Both::begin("few", 3);
+    // Nobody asks anything: what was moved cannot be judged.
+    both.start(&Plan { most_out: 1, watch_most_ms: 1500, ..plan("r") });
+    let release = both.until("r", "it halts", |release| release.course == Course::Halted);
+    assert!(release.line().contains("too few reqs to judge s0 after 1500 ms"), "{}", release.line());
+    let release = both.until("r", "s0 stays moved", |release| release.going().next().is_none());
+    assert_eq!(release.moved(Side::New).collect::<Vec<_>>(), ["s0"]);
+    // A backup of the middle of a release, put back: it is halted, and says why.
+    let config = both.daemons.configuration(1).display().to_string();
+    let file = both.daemons.root.join("backup").display().to_string();
+    let (status, text) = both.daemons.command(&["backup", "--config", &config, &file]).unwrap();
+    assert_eq!(status, Some(0), "{text}");
+    assert_eq!(both.say(Order::Back("r".into())), Reply::Done);
+    for place in both.daemons.places() {
+        both.daemons.kill(place);
+        std::fs::remove_dir_all(both.daemons.folder(place)).unwrap();
+    }
+    let (status, text) = both.daemons.command(&["restore", "--config", &config, &file]).unwrap();
+    assert_eq!(status, Some(0), "{text}");
+    both.daemons.places().for_each(|place| both.daemons.start(place).unwrap());
+    both.daemons.wait_for_leader().unwrap();
+    let release = both.until("r", "it is there", |_| true);
+    assert!(release.line().contains("halted: restored from a backup"), "{}", release.line());
+    // It goes back by what its members say that they run.
+    both.wait("all serve", |rows| rows.iter().filter(|row| !row.out).count() == 3);
+    let clients = front(&both, 3);
+    assert_eq!(both.say(Order::Back("r".into())), Reply::Done);
+    both.until("r", "it ends", |release| release.is_over() || release.course == Course::Halted);
+    assert_eq!(both.operators.moves("s0", "1"), 1);
+    drop(clients.stop());
+}
+
+/// An agent beside one, as a process.
+fn agent(both: &Both, who: &str) -> Process {
+    let config = both.daemons.configuration(1).display().to_string();
+    let program = Path::new(env!("CARGO_BIN_EXE_appledyke-daemon"));
+    Recipe::new(&format!("agent {who}"), program, &["agent", "--config", &config, who]).start().unwrap()
+}
+
+fn act(both: &Both, script: &str) -> Option<Action> {
+    let log = both.daemons.root.join("acts").display().to_string();
+    let line = format!("echo {{name}} {{version}} >> {log}; {script}");
+    Some(Action { command: vec!["/bin/sh".into(), "-c".into(), line], within_ms: 3000 })
+}
+
+fn acts(both: &Both) -> Vec<String> {
+    let text = std::fs::read_to_string(both.daemons.root.join("acts")).unwrap_or_default();
+    text.lines().map(ToString::to_string).collect()
+}
+
+#[test]
+fn endpoints_are_moved_one_by_one_by_their_agents_and_nothing_is_sent_to_one_that_is_acted_on() {
+    let mut both = Both::begin("endpoints", 3);
+    let clients = front(&both, 3);
+    let order = vec!["e1".to_string(), "e0".to_string()];
+    let action = act(&both, "sleep 0.3");
+    let moved =
+        Plan { moves: Moves::Endpoints, group: "pool".into(), order, most_out: 1, action, ..plan("r") };
+    let agents = [agent(&both, "e0"), agent(&both, "e1")];
+    both.start(&moved);
+    // While it is acted on, no connection is open to it and nothing reaches it.
+    let acting = |who: &'static str| {
+        move |r: &Release| r.going().any(|(g, going)| g == who && going.stage == Stage::Acting)
+    };
+    both.until("r", "e1 is acted on", acting("e1"));
+    assert_eq!(both.sidecars.endpoints[1].open(), 0);
+    // An operator may not take the other one beside it.
+    let beside = Ask::Endpoint { name: "e0".into(), out: true, anyway: None };
+    let said = both.daemons.ask(&beside, PATIENCE).unwrap();
+    assert_eq!(said, Reply::Refused("1 of 1 out in pool, which has 2: e1".into()));
+    let before = both.sidecars.endpoints[1].reqs();
+    both.until("r", "it is back", |release| release.going().all(|(_, going)| going.stage != Stage::Acting));
+    assert!(both.sidecars.endpoints[1].reqs() >= before);
+    both.until("r", "it ends", ended("all are moved"));
+    assert_eq!(acts(&both), ["e1 2", "e0 2"]);
+    let answers = clients.stop();
+    let lost: u64 = answers.iter().map(|a| a.none + a.failed).sum();
+    assert_eq!(lost, 0, "{answers:?}");
+    drop(agents);
+}
+
+#[test]
+fn an_action_that_fails_or_whose_end_nobody_knows_halts_the_release_and_is_not_begun_again() {
+    let mut both = Both::begin("unknown", 3);
+    let clients = front(&both, 3);
+    let moved = |both: &Both, name: &str, script: &str| Plan {
+        moves: Moves::Endpoints,
+        group: "pool".into(),
+        order: vec!["e0".into()],
+        most_out: 1,
+        action: act(both, script),
+        ..plan(name)
+    };
+    let first = agent(&both, "e0");
+    both.start(&moved(&both, "fails", "exit 3"));
+    let release = both.until("fails", "it halts", |release| release.course == Course::Halted);
+    assert!(
+        release.line().contains("the action on e0 failed: /bin/sh: exit status: 3"),
+        "{}",
+        release.line()
+    );
+    both.until("fails", "e0 is back in service", |release| release.going().next().is_none());
+    assert_eq!(both.say(Order::End("fails".into(), "so".into())), Reply::Done);
+    // The agent is killed in the middle: another one beside it does not begin again.
+    let before = acts(&both).len();
+    both.start(&moved(&both, "lost", "sleep 30"));
+    both.until("lost", "it is acted on", |r| r.going().any(|(_, going)| going.stage == Stage::Acting));
+    both.daemons.wait("the command runs", |_| acts(&both).len() > before).unwrap();
+    drop(first);
+    let _second = agent(&both, "e0");
+    let release = both.until("lost", "it halts", |release| release.course == Course::Halted);
+    assert!(release.line().contains("what became of the action on e0 is unknown"), "{}", release.line());
+    assert_eq!(acts(&both).len(), before + 1);
+    // It is out until somebody says what became of it.
+    assert!(
+        matches!(both.say(Order::End("lost".into(), "so".into())), Reply::Refused(why) if why.contains("under way still: e0"))
+    );
+    let config = both.daemons.configuration(1).display().to_string();
+    let (status, text) =
+        both.daemons.command(&["release", "settle", "--config", &config, "lost", "e0", "--moved"]).unwrap();
+    assert_eq!(status, Some(0), "{text}");
+    both.until("lost", "nobody is under way", |release| release.going().next().is_none());
+    let (status, text) = both.daemons.command(&["release", "end", "--config", &config, "lost"]).unwrap();
+    assert_eq!(status, Some(0), "{text}");
+    drop(clients.stop());
+}
+
+#[test]
+fn a_member_that_is_stopped_holds_up_an_endpoint_and_a_file_is_refused_by_key() {
+    let mut both = Both::begin("held", 3);
+    let clients = front(&both, 3);
+    std::thread::sleep(Duration::from_millis(300));
+    both.sidecars.process("s2").stop();
+    both.wait("it is missed", |rows| rows.iter().any(|row| row.standing == Standing::Silent));
+    let action = act(&both, "true");
+    let order = vec!["e0".to_string()];
+    let held = Plan {
+        moves: Moves::Endpoints,
+        group: "pool".into(),
+        order,
+        most_out: 1,
+        action,
+        empty_in_ms: 1500,
+        ..plan("r")
+    };
+    let _agent = agent(&both, "e0");
+    both.start(&held);
+    // What the stopped one holds there it holds: it is not empty, and nothing is done to it.
+    let release = both.until("r", "it halts", |release| release.course == Course::Halted);
+    assert!(release.line().contains("e0 is not empty after 1500 ms"), "{}", release.line());
+    assert_eq!(acts(&both), Vec::<String>::new());
+    both.sidecars.process("s2").go_on();
+    both.until("r", "e0 is back in service", |release| release.going().next().is_none());
+    assert_eq!(both.say(Order::Resume("r".into())), Reply::Done);
+    both.until("r", "it ends", ended("all are moved"));
+    assert_eq!(acts(&both), ["e0 2"]);
+    drop(clients.stop());
+    // What a file may not say.
+    let config = both.daemons.configuration(1).display().to_string();
+    let file = both.daemons.root.join("release.toml");
+    let good = "format = 1\nname = \"q\"\nmoves = \"sidecars\"\ngroup = \"zone a\"\nmostOut = 1\nfrom = \"1\"\nto = \"2\"\n\
+                emptyInMs = 1000\nbackInMs = 1000\nwatchMs = 1000\nwatchMostMs = 5000\n[must]\nleastReqs = 10\nservedLower = 0.05\n";
+    for (from, to, said) in [
+        ("format = 1", "format = 2", "format: expected 1, not 2"),
+        ("mostOut = 1", "mostOut = 0", "mostOut: expected at least 1"),
+        ("mostOut = 1", "mostOut = 3", "mostOut: 3 of 3 would be all; 2 would do"),
+        ("\"zone a\"", "\"zone b\"", "group: the settings have no group zone b"),
+        ("to = \"2\"", "to = \"1\"", "to: expected another version than 1"),
+        ("moves = \"sidecars\"", "moves = \"houses\"", "moves: "),
+        ("mostOut = 1", "mostOut = 1\norder = [\"s9\"]", "order: s9 is not in zone a"),
+        (
+            "[must]",
+            "[action]\ncommand = [\"/no/such/program\"]\nwithinMs = 5\n[must]",
+            "action.command: there is no program",
+        ),
+        ("servedLower = 0.05", "", "must: expected servedLower"),
+        ("leastReqs", "leastReq", "must.leastReq: unknown field"),
+    ] {
+        std::fs::write(&file, good.replacen(from, to, 1)).unwrap();
+        let path = file.display().to_string();
+        let word = if said.contains("would do") { "start" } else { "check" };
+        let (status, text) = both.daemons.command(&["release", word, "--config", &config, &path]).unwrap();
+        assert!(status == Some(1) && text.contains(said), "{said}: {text}");
+    }
+    std::fs::write(&file, good).unwrap();
+    let path = file.display().to_string();
+    let (status, text) = both.daemons.command(&["release", "check", "--config", &config, &path]).unwrap();
+    assert_eq!((status, text.as_str()), (Some(0), "q: 3 of 3 in zone a from 1 to 2, 1 at once\n"));
+}
--- a/crates/fleet/src/runner.rs
+++ b/crates/fleet/src/runner.rs
@@ -411,39 +411,54 @@
             Moves::Sidecars => &self.members,
             Moves::Endpoints => &self.endpoints,
         };
-        let counted = |who: &str, from: Moment| series.get(who).map_or(Figures::default(), |s| s.since(from));
-        let window = Moment::from_nanos(now.nanos().saturating_sub(watch.nanos()));
-        let (mut moved, mut others) = (Figures::default(), Figures::default());
-        let mut watched = Vec::new();
+        // Danger: held against each other over other times, an outage that has just begun shows on one side first.
+        let sum = |names: &[&String], from: Moment| {
+            let mut sum = Figures::default();
+            names.iter().filter_map(|who| series.get(*who)).for_each(|series| sum.add(&series.since(from)));
+            sum
+        };
+        let (mut watched, mut earlier, mut others) = (Vec::new(), Vec::new(), Vec::new());
         for (who, step) in &release.steps {
-            let seen = self.seen.get(&(name.to_string(), who.clone())).map_or(now, |(_, at)| *at);
             match (&step.going, step.moved) {
                 (Some(going), _) if going.stage == Stage::Back && going.to == side => {
-                    // All that came since it was warm: the longer it is watched, the more is known.
-                    let own = counted(who, seen + settle);
-                    moved.add(&own);
-                    watched.push(own);
+                    let back = self.seen.get(&(name.to_string(), who.clone())).map_or(now, |(_, at)| *at);
+                    if back + settle <= now {
+                        watched.push((who, back + settle));
+                    }
                 }
                 (Some(_), _) => {}
-                (None, Some((at, _))) if at == side => moved.add(&counted(who, window.max(seen))),
-                (None, _) => others.add(&counted(who, window)),
+                (None, Some((at, _))) if at == side => earlier.push(who),
+                // Those that are not back yet are what is to be left: nothing to be held against.
+                (None, _) if side == Side::Old => {}
+                (None, _) => others.push(who),
             }
         }
-        if side == Side::Old {
-            // Those that are not back yet are what is to be left: nothing to be held against.
-            others = Figures::default();
-        }
-        let all = plan.must.judge(&moved, &others, &release.before);
-        if all != Verdict::Well {
-            return all;
-        }
-        // One of many that does badly does not show in the sum of them.
-        let mut verdict = Verdict::Well;
-        for own in watched {
-            match plan.must.judge(&own, &others, &release.before) {
-                Verdict::Worse(why) => return Verdict::Worse(why),
-                Verdict::NotKnown => verdict = Verdict::NotKnown,
-                _ => {}
+        let judge = |who: &[&String], from: Moment| {
+            let (moved, mut others) = (sum(who, from), sum(&others, from));
+            let few = |figures: &Figures| figures.all() < plan.must.least_reqs;
+            if few(&others) && few(&release.before) {
+                // Nobody is left that was not moved, and before is not known: those that were found well are what there is.
+                let found: Vec<&String> =
+                    earlier.iter().filter(|who_| !who.contains(who_)).copied().collect();
+                others = sum(&found, from);
+            }
+            plan.must.judge(&moved, &others, &release.before)
+        };
+        let start = Moment::from_nanos(now.nanos().saturating_sub(watch.nanos()));
+        let latest = watched.iter().map(|(_, from)| *from).max().unwrap_or(start).max(start);
+        let all: Vec<&String> = watched.iter().map(|(who, _)| *who).chain(earlier.iter().copied()).collect();
+        let mut verdict = match judge(&all, latest) {
+            Verdict::NotKnown => Verdict::Well,
+            found => found,
+        };
+        // One of many that does badly does not show in the sum of them. The longer it is watched, the more is known.
+        for (who, from) in watched {
+            match (judge(&[who], from), &verdict) {
+                (_, Verdict::Worse(_)) | (Verdict::Well, _) => {}
+                (Verdict::Worse(why), _) => verdict = Verdict::Worse(why),
+                (Verdict::Outage(why), _) => verdict = Verdict::Outage(why),
+                (Verdict::NotKnown, Verdict::Well) => verdict = Verdict::NotKnown,
+                (Verdict::NotKnown, _) => {}
             }
         }
         verdict
--- a/crates/lab/src/rig.rs
+++ b/crates/lab/src/rig.rs
@@ -7,6 +7,7 @@
 pub mod judge;
 pub mod links;
 pub mod measure;
+pub mod operators;
 pub mod play;
 pub mod processes;
 pub mod sidecars;
--- /dev/null
+++ b/crates/lab/src/rig/operators.rs
@@ -0,0 +1,69 @@
+//! Whoever moves sidecars from one version to another: a stand-in for the operators of a release. It restarts each that the
+//! release has empty, with the version that it is to have, and counts how often.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use appledyke_fleet::releases::{Course, Release, Stage};
+use appledyke_fleet::talk::{Ask, Reply};
+
+use super::fleet::Daemons;
+use super::sidecars::Sidecars;
+
+/// Longest that one look at the releases is waited for.
+const LOOK_IN: Duration = Duration::from_millis(500);
+
+#[derive(Default)]
+pub struct Operators {
+    /// Versions whose processes know of no endpoint.
+    pub flawed: Vec<String>,
+    /// Those that have been restarted, by the entry that sent each out.
+    moved: BTreeMap<(String, u64), String>,
+}
+
+impl Operators {
+    /// How a release stands, where anyone can tell.
+    pub fn release(daemons: &Daemons, name: &str) -> Option<Release> {
+        let releases = match daemons.ask(&Ask::Releases, LOOK_IN) {
+            Ok(Reply::Releases(releases, _)) => releases,
+            _ => return None,
+        };
+        releases.into_iter().find(|release| release.plan.name == name)
+    }
+
+    /// One look: those that are empty are restarted. Gives the release as it stood.
+    ///
+    /// # Errors
+    /// Why one does not start.
+    pub fn turn(
+        &mut self,
+        daemons: &Daemons,
+        sidecars: &mut Sidecars,
+        name: &str,
+        beat_ms: u64,
+    ) -> Result<Option<Release>, String> {
+        let Some(release) = Operators::release(daemons, name) else { return Ok(None) };
+        if release.course == Course::Halted {
+            return Ok(Some(release));
+        }
+        let at: Vec<_> = daemons.places().map(|place| (place, daemons.at(place))).collect();
+        let empty = release.going().filter(|(_, going)| going.stage == Stage::Empty);
+        for (who, going) in empty {
+            let version = release.plan.version(going.to).to_string();
+            // One that has been restarted for this going is on its way back.
+            if self.moved.contains_key(&(who.clone(), going.since)) || !sidecars.names().contains(who) {
+                continue;
+            }
+            self.moved.insert((who.clone(), going.since), version.clone());
+            sidecars.kill(who);
+            sidecars.version(&version, self.flawed.contains(&version));
+            sidecars.start(who, &at, beat_ms)?;
+        }
+        Ok(Some(release))
+    }
+
+    /// How often each was restarted with a version.
+    pub fn moves(&self, who: &str, version: &str) -> usize {
+        self.moved.iter().filter(|((name, _), moved)| name == who && *moved == version).count()
+    }
+}
