Releases of seven kinds of candidate in virtual time

Change: appledyke-lab releases drives the fleet's own log, memory and runner before modelled sidecars: sound, cold, noisy, slow, flawed, one that falls over at half, and an outage that nobody's release caused.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod load;
 pub mod policy;
 pub mod referee;
+pub mod releases;
 pub mod report;
 pub mod rig;
 pub mod scenario;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -7,6 +7,7 @@
 
 use appledyke_lab::faults::Faults;
 use appledyke_lab::policy::Which;
+use appledyke_lab::releases::{self, Candidate};
 use appledyke_lab::report::{Outcomes, paired};
 use appledyke_lab::rig::processes::beside;
 use appledyke_lab::scenario::Scenario;
@@ -32,6 +33,7 @@
     Load(Load),
     Fleet(Fleet),
     Measure(Measure),
+    Releases(Releases),
 }
 
 /// plays a scenario once and tells what it came to
@@ -154,6 +156,21 @@
     compact_every: u64,
 }
 
+/// plays releases of candidates of each kind in virtual time, on many seeds
+#[derive(FromArgs)]
+#[argh(subcommand, name = "releases")]
+struct Releases {
+    /// sidecars, apart by commas
+    #[argh(option, default = "\"300\".to_string()")]
+    sidecars: String,
+    /// how many seeds
+    #[argh(option, default = "20")]
+    seeds: u64,
+    /// for tools: a line of JSON a run
+    #[argh(switch)]
+    json: bool,
+}
+
 /// reads a scenario, and names the key that is at fault
 #[derive(FromArgs)]
 #[argh(subcommand, name = "check")]
@@ -213,6 +230,7 @@
         Command::Load(asked) => load_once(asked),
         Command::Fleet(asked) => fleet_once(asked),
         Command::Measure(asked) => measure_once(asked),
+        Command::Releases(asked) => releases_all(asked),
         Command::Check(asked) => Scenario::read(&asked.scenario).map(|_| true),
     };
     match done {
@@ -300,6 +318,59 @@
     Ok(true)
 }
 
+fn releases_all(asked: Releases) -> Result<bool, String> {
+    let mut work = Vec::new();
+    for size in asked.sidecars.split(',') {
+        let size = size.parse().map_err(|_| format!("--sidecars: expected whole numbers, not '{size}'"))?;
+        if !(2..=20_000).contains(&size) {
+            return Err(format!("--sidecars: expected 2 to 20000, not {size}"));
+        }
+        for candidate in Candidate::ALL {
+            work.extend((1..=asked.seeds).map(|seed| (candidate, size, seed)));
+        }
+    }
+    let played =
+        sweep::each(&work, cores(), |(candidate, size, seed)| releases::play(*candidate, *size, *seed));
+    if asked.json {
+        for one in &played {
+            println!("{}", serde_json::to_string(one).map_err(|e| e.to_string())?);
+        }
+        return Ok(true);
+    }
+    println!(
+        "candidate    sidecars  moved  back  halts  of least  moved at halt  halt after s  worth lost: mean  most  out  entries"
+    );
+    let mut rows = work.iter().zip(&played).peekable();
+    while let Some((of, first)) = rows.next() {
+        let mut group = vec![first];
+        while let Some((_, one)) = rows.next_if(|(other, _)| (other.0, other.1) == (of.0, of.1)) {
+            group.push(one);
+        }
+        let count = |how: &str| group.iter().filter(|one| one.how == how).count();
+        let mean = |of: &dyn Fn(&releases::Played) -> f64| {
+            group.iter().map(|one| of(one)).sum::<f64>() / group.len() as f64
+        };
+        let most =
+            |of: &dyn Fn(&releases::Played) -> f64| group.iter().map(|one| of(one)).fold(f64::MIN, f64::max);
+        println!(
+            "{:<12} {:>8} {:>6} {:>5} {:>6} {:>9.2} {:>14.1} {:>13.1} {:>17.4} {:>5.4} {:>4} {:>8.0}",
+            first.candidate,
+            first.sidecars,
+            count("all are moved"),
+            count("all are back"),
+            group.iter().filter(|one| one.halted.is_some()).count(),
+            mean(&|one| one.secs / one.least_secs),
+            mean(&|one| one.moved_at_halt as f64),
+            mean(&|one| one.halt_after_secs.unwrap_or(0.0)),
+            mean(&|one| one.worth_lost),
+            most(&|one| one.worth_lost),
+            most(&|one| one.most_out as f64),
+            mean(&|one| one.entries as f64)
+        );
+    }
+    Ok(true)
+}
+
 fn simulate_once(asked: Simulate) -> Result<bool, String> {
     let scenario = Scenario::read(&asked.scenario)?;
     let which: Which = asked.policy.parse()?;
--- /dev/null
+++ b/crates/lab/src/releases.rs
@@ -0,0 +1,319 @@
+//! Releases in virtual time: the fleet's own log, its leader's memory and runner, before sidecars that serve by chance, each
+//! as well as its version lets it. One daemon that never fails; what daemons do when they fail is the rig's to show.
+
+use appledyke::units::{Moment, Span};
+use appledyke_fleet::health::{Figures, Must};
+use appledyke_fleet::heard::{Heard, Terms};
+use appledyke_fleet::outs::{Amount, Group};
+use appledyke_fleet::releases::{Course, FORMAT, GoesBack, Moves, Order, Plan, Side, Stage};
+use appledyke_fleet::runner::Runner;
+use appledyke_fleet::state::{Command, Fleet, Standing, What, Write, WriteId};
+use appledyke_fleet::talk::Report;
+use oorandom::Rand64;
+use serde::Serialize;
+
+/// Virtual time between two looks: a beat is five of them.
+const STEP_MS: u64 = 100;
+const BEAT_STEPS: u64 = 5;
+/// How long one takes to drain and to start.
+const DRAIN_MS: u64 = 1000;
+const START_MS: u64 = 2000;
+/// How long a candidate is cold, where it is at first.
+const COLD_MS: u64 = 4000;
+/// After which a release that has not ended is given up: longer than any takes.
+const LENGTH_MOST_MS: u64 = 3_600_000;
+/// Before the release, so that what was before is known.
+const BEFORE_MS: u64 = 60_000;
+
+/// What the new version is like.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Candidate {
+    Sound,
+    /// A fifth more of what it serves is over its budget for its first seconds.
+    Cold,
+    /// Its share of failures swings from second to second, with the old version's mean.
+    Noisy,
+    /// It takes thrice as long to drain and to start.
+    Slow,
+    /// A tenth of its reqs fails.
+    Flawed,
+    /// It fails in three of ten once half of the fleet runs it.
+    FallsAtHalf,
+    /// The old version is as good; half of all reqs fail for a while, whoever serves them.
+    Outage,
+}
+
+impl Candidate {
+    pub const ALL: [Candidate; 7] = [
+        Candidate::Sound,
+        Candidate::Cold,
+        Candidate::Noisy,
+        Candidate::Slow,
+        Candidate::Flawed,
+        Candidate::FallsAtHalf,
+        Candidate::Outage,
+    ];
+
+    pub fn is_sound(self) -> bool {
+        matches!(self, Candidate::Sound | Candidate::Cold | Candidate::Noisy | Candidate::Slow)
+    }
+}
+
+/// What a release came to.
+#[derive(Clone, Debug, Serialize)]
+pub struct Played {
+    pub candidate: String,
+    pub sidecars: usize,
+    pub seed: u64,
+    pub how: String,
+    /// Why it halted, if it did, how many were moved then, and how long after the first that was bad was back.
+    pub halted: Option<String>,
+    pub moved_at_halt: usize,
+    pub halt_after_secs: Option<f64>,
+    /// From its start to its end, and the least that the most allows.
+    pub secs: f64,
+    pub least_secs: f64,
+    /// Worth served from its start to its end, less that of the same clients served by the old version.
+    pub worth_lost: f64,
+    pub most_out: usize,
+    pub entries: u64,
+}
+
+struct Sidecar {
+    incarnation: u64,
+    new: bool,
+    since: u64,
+    figures: Figures,
+    drained: Option<u64>,
+    down: Option<u64>,
+}
+
+/// Reqs that come to one in a second, by chance.
+pub const PER_SECOND: f64 = 20.0;
+const FAILS: f64 = 0.01;
+const SLOW: f64 = 0.03;
+
+fn plan(sidecars: usize, most: u32) -> Plan {
+    Plan {
+        format: FORMAT,
+        name: "release".into(),
+        moves: Moves::Sidecars,
+        group: "all".into(),
+        order: Vec::new(),
+        most_out: most.min(sidecars as u32),
+        from: "old".into(),
+        to: "new".into(),
+        action: None,
+        empty_in_ms: 30_000,
+        back_in_ms: 60_000,
+        settle_ms: 5000,
+        watch_ms: 10_000,
+        watch_most_ms: 60_000,
+        must: Must {
+            least_reqs: 100,
+            served_lower: Some(0.02),
+            nacked_higher: None,
+            failed_higher: None,
+            slow_higher: Some(0.05),
+        },
+        goes_back: GoesBack::WhenWorse,
+    }
+}
+
+/// Plays one release of so many sidecars, a tenth of which may be out at once.
+pub fn play(candidate: Candidate, sidecars: usize, seed: u64) -> Played {
+    let most = (sidecars / 10).max(1) as u32;
+    let plan = plan(sidecars, most);
+    let mut chance = Rand64::new(u128::from(seed) << 8 | candidate as u128);
+    let mut fleet = Fleet::default();
+    let group = Group {
+        name: "all".into(),
+        most_out: Some(Amount::Number(most)),
+        least_serving: None,
+        endpoints: Vec::new(),
+    };
+    let write = Write {
+        id: WriteId(1, 1),
+        expects: None,
+        by: String::new(),
+        why: String::new(),
+        at_ms: 0,
+        what: What::Put("{}".into(), Vec::new(), vec![group]),
+    };
+    let mut index = 1;
+    fleet.apply(index, &Command::Write(write));
+    let name = |at: usize| format!("s{at:04}");
+    for at in 0..sidecars {
+        index += 1;
+        let (standing, groups) = (Standing::Serving, vec!["all".to_string()]);
+        fleet.apply(index, &Command::Member { name: name(at), incarnation: 1, standing, groups });
+    }
+    let terms = Terms { lease: Span::from_millis(3000), gone: Span::from_millis(600_000) };
+    let (mut heard, mut runner) = (Heard::new(Moment::default(), terms), Runner::new());
+    let fresh = |_| Sidecar {
+        incarnation: 1,
+        new: false,
+        since: 0,
+        figures: Figures::default(),
+        drained: None,
+        down: None,
+    };
+    let mut all: Vec<Sidecar> = (0..sidecars).map(fresh).collect();
+    let times = if candidate == Candidate::Slow { 3 } else { 1 };
+    let (mut now, mut entries) = (0, 0);
+    let (mut served, mut wanted, mut usual) = (0.0, 0.0, 0.0);
+    let (mut bad_since, mut halted, mut halted_at, mut moved_at_halt) = (None, None, None, 0);
+    let mut most_out = 0;
+    let ended = loop {
+        now += STEP_MS;
+        let at = Moment::from_nanos(now * 1_000_000);
+        let running = now > BEFORE_MS;
+        let new = all.iter().filter(|one| one.new && one.down.is_none()).count();
+        let outage =
+            candidate == Candidate::Outage && (BEFORE_MS + 40_000..BEFORE_MS + 70_000).contains(&now);
+        for (who, one) in all.iter_mut().enumerate() {
+            if let Some(until) = one.down {
+                if now < until {
+                    continue;
+                }
+                (one.down, one.since) = (None, now);
+            }
+            if one.drained.is_none() {
+                let reqs = PER_SECOND * STEP_MS as f64 / 1e3;
+                let count = reqs as u64 + u64::from(chance.rand_float() < reqs.fract());
+                let cold = now - one.since < COLD_MS;
+                let (mut fails, mut slow) = (FAILS, SLOW);
+                if one.new {
+                    match candidate {
+                        Candidate::Cold if cold => slow += 0.2,
+                        Candidate::Noisy => fails = 2.0 * FAILS * chance.rand_float(),
+                        Candidate::Flawed => fails += 0.1,
+                        Candidate::FallsAtHalf if new * 2 >= sidecars => fails += 0.3,
+                        _ => {}
+                    }
+                }
+                if fails > 3.0 * FAILS && !outage {
+                    bad_since.get_or_insert(now);
+                }
+                if outage {
+                    fails = 0.5;
+                }
+                for _ in 0..count {
+                    let fails = chance.rand_float() < fails;
+                    let slow = chance.rand_float() < slow;
+                    let worth = match (fails, slow) {
+                        (true, _) => 0.0,
+                        (false, true) => 0.5,
+                        (false, false) => 1.0,
+                    };
+                    one.figures.failed += u64::from(fails);
+                    one.figures.served += u64::from(!fails);
+                    one.figures.slow += u64::from(!fails && slow);
+                    if running {
+                        served += worth;
+                        wanted += 1.0;
+                        let base = if outage { 0.5 } else { 1.0 - FAILS };
+                        usual += base * (1.0 - SLOW / 2.0);
+                    }
+                }
+            }
+            if !(now / STEP_MS + who as u64).is_multiple_of(BEAT_STEPS) {
+                continue;
+            }
+            let sent = fleet.releases().sends(&name(who), one.incarnation);
+            one.drained = if sent { one.drained.or(Some(now)) } else { None };
+            let report = Report {
+                name: name(who),
+                incarnation: one.incarnation,
+                process: one.incarnation,
+                standing: if sent { Standing::Drained } else { Standing::Serving },
+                groups: vec!["all".into()],
+                runs: if one.new { "new" } else { "old" }.to_string(),
+                figures: one.figures,
+                open: u64::from(one.drained.is_some_and(|since| now - since < DRAIN_MS * times)),
+                sent,
+                ..Report::default()
+            };
+            heard.report(at, &report, &fleet);
+        }
+        if now == BEFORE_MS {
+            let before = runner.before(at, &fleet, "all", Moves::Sidecars);
+            index += 1;
+            fleet.apply(index, &Command::Release(Order::Start(Box::new(plan.clone()), before)));
+        }
+        let orders = runner.proposals(at, &fleet, &heard).into_iter().map(Command::Release);
+        for command in orders.chain(heard.proposals(at, &fleet)).collect::<Vec<_>>() {
+            index += 1;
+            entries += u64::from(running);
+            fleet.apply(index, &command);
+        }
+        let Some(release) = fleet.releases().get("release") else { continue };
+        most_out = most_out.max(all.iter().filter(|one| one.drained.is_some() || one.down.is_some()).count());
+        if halted.is_none()
+            && let Some((why, _)) = &release.halted
+        {
+            (halted, halted_at) = (Some(why.clone()), Some(now));
+            moved_at_halt = all.iter().filter(|one| one.new).count();
+        }
+        // An operator looks at an outage, and lets the release go on once it is over.
+        if candidate == Candidate::Outage && release.course == Course::Halted && now > BEFORE_MS + 140_000 {
+            index += 1;
+            fleet.apply(index, &Command::Release(Order::Resume("release".into())));
+        }
+        let Some(release) = fleet.releases().get("release") else { continue };
+        if let Course::Ended(how) = &release.course {
+            break how.clone();
+        }
+        if now > LENGTH_MOST_MS {
+            break release.line();
+        }
+        if release.course == Course::Halted {
+            continue;
+        }
+        for (who, going) in release.going().filter(|(_, going)| going.stage == Stage::Empty) {
+            let Some(one) = who[1..].parse::<usize>().ok().and_then(|at| all.get_mut(at)) else { continue };
+            if one.incarnation == going.incarnation && one.down.is_none() {
+                one.incarnation += 1;
+                (one.new, one.drained, one.figures) = (going.to == Side::New, None, Figures::default());
+                one.down = Some(now + START_MS * times);
+            }
+        }
+    };
+    let steps = sidecars.div_ceil(most as usize) as f64;
+    let least = (DRAIN_MS + START_MS) * times + plan.settle_ms + plan.watch_ms;
+    Played {
+        candidate: format!("{candidate:?}"),
+        sidecars,
+        seed,
+        how: ended,
+        halted,
+        moved_at_halt,
+        halt_after_secs: halted_at
+            .zip(bad_since)
+            .map(|(at, bad): (u64, u64)| at.saturating_sub(bad) as f64 / 1e3),
+        secs: (now - BEFORE_MS) as f64 / 1e3,
+        least_secs: steps * least as f64 / 1e3,
+        worth_lost: (usual - served) / f64::max(wanted, 1.0),
+        most_out,
+        entries,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn sound_candidates_go_through_and_flawed_ones_go_back() {
+        for candidate in Candidate::ALL {
+            let played = play(candidate, 30, 1);
+            assert!(played.most_out <= 3, "{played:?}");
+            let wanted = match candidate {
+                Candidate::Flawed | Candidate::FallsAtHalf => "all are back",
+                _ => "all are moved",
+            };
+            assert_eq!(played.how, wanted, "{played:?}");
+            assert_eq!(played.halted.is_none(), candidate.is_sound(), "{played:?}");
+        }
+    }
+}
