A difference must be sure to one in a million before it halts a release

Change: Chernoff's bound on the chance of so many, against the share that may be, at one in a million.

--- a/crates/fleet/src/health.rs
+++ b/crates/fleet/src/health.rs
@@ -2,8 +2,11 @@
 
 use serde::{Deserialize, Serialize};
 
-/// Errors of a share by chance that a difference must be above: one in some three thousand comparisons is by chance alone.
-const ERRORS: f64 = 3.5;
+/// How sure a difference must be, as the natural logarithm of one to its chance: one in some million. A release of hundreds is
+/// looked at many thousand times.
+const SURE: f64 = 14.0;
+/// Errors by chance that are allowed for in what it is held against.
+const ERRORS: f64 = 2.0;
 
 /// How reqs ended, since a process started or between two moments.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -93,9 +96,10 @@
                 return None;
             }
             let (p, q) = (bad as f64 / all as f64, other_bad as f64 / other_all as f64);
-            let both = (bad + other_bad) as f64 / (all + other_all) as f64;
-            let error = (both * (1.0 - both) * (1.0 / all as f64 + 1.0 / other_all as f64)).sqrt();
-            (p - q > most? + ERRORS * error).then(|| {
+            let error = ERRORS * (q * (1.0 - q) / other_all as f64).sqrt() + 1.0 / other_all as f64;
+            let may_be = q + most? + error;
+            // Chernoff's bound: so many of so many come by a chance of `may_be` with a probability under e to the minus this.
+            (p > may_be && all as f64 * apart(p, may_be) > SURE).then(|| {
                 let what = match name {
                     "servedLower" => "not served",
                     "nackedHigher" => "nacked",
@@ -136,6 +140,12 @@
     }
 }
 
+/// How far a share is from a chance: Kullback and Leibler's measure, in nats.
+fn apart(share: f64, chance: f64) -> f64 {
+    let part = |a: f64, b: f64| if a > 0.0 { a * (a / b).ln() } else { 0.0 };
+    if chance >= 1.0 { 0.0 } else { part(share, chance) + part(1.0 - share, 1.0 - chance) }
+}
+
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Verdict {
     Well,
