Releases among drawn faults: processes-drains, with its referee

Cause: no play held releases against kills, stops and cuts. Change: a scenario may have releases of all sidecars, one after another; the referee asks health checks of those that nothing has struck, fronts count what is lost, and four checks more judge it, each seen to fail on a record made to break it.

--- a/crates/daemon/tests/scenarios.rs
+++ b/crates/daemon/tests/scenarios.rs
@@ -29,6 +29,21 @@
     assert!(played.struck.len() > 5 && played.versions > 10, "{played:?}");
 }
 
+#[test]
+fn releases_end_through_a_killed_leader_and_a_stopped_sidecar() {
+    let text = include_str!("../../lab/scenarios/processes-drains-short.toml");
+    let scenario = Scenario::parse(text).unwrap();
+    let folder = std::env::temp_dir().join(format!("appledyke-scenario-drains-{}", std::process::id()));
+    let (daemon, sidecar) =
+        (Path::new(env!("CARGO_BIN_EXE_appledyke-daemon")), beside("appledyke-sidecar").unwrap());
+    let place = Place { daemon, sidecar: &sidecar, folder: &folder, base: BASE };
+    let seed = 1;
+    let played = play(&scenario, seed, &place, None).unwrap();
+    let (broken, struck) = (&played.broken, &played.struck);
+    assert!(broken.is_empty(), "{} seed {seed}: {broken:#?}\n{struck:#?}", scenario.name);
+    assert!(played.releases.is_some_and(|(ended, _, _)| ended >= 1), "{played:?}");
+}
+
 #[test]
 fn what_cannot_be_read_is_named() {
     let text = include_str!("../../lab/scenarios/processes-state-short.toml");
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -276,6 +276,11 @@
         played.paired.0,
         played.paired.1
     );
+    if let Some((ended, halts, out)) = played.releases {
+        println!(
+            "{ended} releases ended, {halts} halts, {out} out at once at the most beside what was struck"
+        );
+    }
     for (of, most, whole) in &played.uses {
         println!("{of}: {most} of {whole} at the most");
     }
--- a/crates/lab/src/rig/judge.rs
+++ b/crates/lab/src/rig/judge.rs
@@ -70,6 +70,21 @@
     pub served: (u64, u64),
     pub paired: (u64, u64),
     pub uses: Vec<Used>,
+    /// Of releases, where there were any: the most that were out at once of those that nothing had struck, and the most that
+    /// may be; reqs that fronts lost; who was moved to what it ran; what was not over or at one version in the end.
+    pub released: Option<Released>,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Released {
+    pub out: usize,
+    pub most: usize,
+    pub lost: u64,
+    pub twice: Vec<String>,
+    pub unfinished: Vec<String>,
+    /// Releases that were ended, and how often one halted.
+    pub ended: usize,
+    pub halts: usize,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -164,6 +179,20 @@
     for Used { of, most, whole } in record.uses.iter().filter(|used| used.most > used.whole) {
         tell("never above the whole", format!("{most} {of} of {whole}"));
     }
+    if let Some(Released { out, most, lost, twice, unfinished, .. }) = &record.released {
+        if out > most {
+            tell("no more out than may be", format!("{out} of {most}"));
+        }
+        if *lost > 0 {
+            tell("no req lost to a drain", format!("{lost} reqs"));
+        }
+        if !twice.is_empty() {
+            tell("none moved twice", twice.join(", "));
+        }
+        if !unfinished.is_empty() {
+            tell("ended, halted or undone", unfinished.join(", "));
+        }
+    }
     let unserved = |(served, all): (u64, u64)| 1.0 - served as f64 / (all as f64).max(1.0);
     if record.paired.1 > 0 && unserved(record.served) > unserved(record.paired) + UNSERVED_MOST {
         tell(
@@ -220,6 +249,7 @@
             served: (985, 1000),
             paired: (990, 1000),
             uses: vec![Used { of: Thing::WriteOuts, most: 100, whole: 100 }],
+            released: Some(Released { out: 2, most: 2, ..Released::default() }),
         }
     }
 
@@ -227,7 +257,14 @@
     fn each_check_fails_on_a_record_made_to_break_it() {
         assert_eq!(judge(&good()), []);
         type Breaks = fn(&mut Record);
-        let cases: [(&str, Breaks); 14] = [
+        fn released(r: &mut Record) -> &mut Released {
+            r.released.as_mut().expect("a record with releases")
+        }
+        let cases: [(&str, Breaks); 18] = [
+            ("no more out than may be", |r| released(r).out = 3),
+            ("no req lost to a drain", |r| released(r).lost = 1),
+            ("none moved twice", |r| released(r).twice.push("s1 to 2".into())),
+            ("ended, halted or undone", |r| released(r).unfinished.push("r1".into())),
             ("never above the whole", |r| r.uses[0].most = 101),
             ("one history", |r| r.history.push(written(2, "other"))),
             ("once", |r| r.history.push(written(3, "a"))),
--- a/crates/lab/src/rig/operators.rs
+++ b/crates/lab/src/rig/operators.rs
@@ -11,7 +11,7 @@
 use super::sidecars::Sidecars;
 
 /// Longest that one look at the releases is waited for.
-const LOOK_IN: Duration = Duration::from_millis(500);
+const LOOK_IN: Duration = Duration::from_millis(300);
 
 #[derive(Default)]
 pub struct Operators {
@@ -19,6 +19,9 @@
     pub flawed: Vec<String>,
     /// Those that have been restarted, by the entry that sent each out.
     moved: BTreeMap<(String, u64), String>,
+    /// What each runs that has been moved, and those that were to be moved to what they ran.
+    pub versions: BTreeMap<String, String>,
+    pub twice: Vec<String>,
 }
 
 impl Operators {
@@ -55,6 +58,9 @@
                 continue;
             }
             self.moved.insert((who.clone(), going.since), version.clone());
+            if self.versions.insert(who.clone(), version.clone()).as_ref() == Some(&version) {
+                self.twice.push(format!("{who} to {version}"));
+            }
             sidecars.kill(who);
             sidecars.version(&version, self.flawed.contains(&version));
             sidecars.start(who, &at, beat_ms)?;
--- a/crates/lab/src/rig/play.rs
+++ b/crates/lab/src/rig/play.rs
@@ -13,16 +13,20 @@
 
 use appledyke_fleet::Version;
 use appledyke_fleet::budgets::{self, Budget, Thing};
+use appledyke_fleet::health::{Figures, Must};
+use appledyke_fleet::outs::{Amount, Group};
+use appledyke_fleet::releases::{Course, FORMAT, GoesBack, Moves, Order, Plan, Release};
 use appledyke_fleet::state::{Standing as Member, What, Write, WriteId, Written};
 use appledyke_fleet::talk::{Ask, Frame, Frames, Reply, Report, Who};
 use oorandom::Rand64;
 use serde::Deserialize;
 
-use super::fleet::{Daemons, FLEET, Shape, ask};
+use super::fleet::{Daemons, FLEET, PATIENCE, Shape, ask};
 use super::folders;
-use super::judge::{Broken, Outcome, Put, Read, Record, Seen, Used, judge};
+use super::judge::{Broken, Outcome, Put, Read, Record, Released, Seen, Used, judge};
 use super::links::{Standing, Way};
-use super::sidecars::{Clients, Endpoint, Sidecars, most_within};
+use super::operators::Operators;
+use super::sidecars::{Clients, Endpoint, Sidecars, health, most_within};
 
 /// Between two looks at what is due.
 const LOOK: Duration = Duration::from_millis(5);
@@ -32,6 +36,8 @@
 /// Between two readings of the history: fewer versions come in that time than are kept.
 const HISTORY_EVERY: Duration = Duration::from_millis(400);
 const BEAT_MS: u64 = 80;
+/// How long a release that halted is left so, before an operator's word.
+const HALTED_FOR_MS: u64 = 800;
 /// By how much later than another a write-out may be delivered on a busy machine: windows are counted shorter by it.
 const UNDER_WAY: Duration = Duration::from_millis(60);
 /// Longest that the paired run without faults lasts: its share served settles well within that.
@@ -132,6 +138,9 @@
     /// Budgets that are put at the start, and with every write.
     #[serde(default)]
     pub budget: Vec<Budget>,
+    /// Releases of all sidecars, one after another for as long as the run lasts: the most that may be out at once.
+    #[serde(default)]
+    pub release_most: Option<u32>,
     /// Faults drawn by the seed, beside those that are stated.
     #[serde(default)]
     pub drawn: usize,
@@ -218,6 +227,8 @@
     pub entries: u64,
     /// Of each budget: the most that was used at once, or in a window, and its whole.
     pub uses: Vec<(String, u64, u64)>,
+    /// Releases that ended, halts, and the most that were out at once beside what was struck.
+    pub releases: Option<(usize, usize, usize)>,
 }
 
 impl Played {
@@ -227,7 +238,7 @@
         serde_json::json!({
             "broken": broken, "struck": self.struck, "committed": self.puts[0], "refused": self.puts[1],
             "unknown": self.puts[2], "reads": self.reads, "versions": self.versions, "told": self.told,
-            "uses": self.uses, "served": self.served.0, "reqs": self.served.1,
+            "uses": self.uses, "releases": self.releases, "served": self.served.0, "reqs": self.served.1,
             "pairedServed": self.paired.0, "pairedReqs": self.paired.1, "entries": self.entries,
         })
     }
@@ -249,7 +260,11 @@
     doors: BTreeMap<u16, SocketAddr>,
     record: Mutex<Record>,
     budgets: Vec<Budget>,
+    groups: Vec<Group>,
     numbers: AtomicU64,
+    /// Those that were struck, whether they are so still, until they are well again; and the most of the others that were out at once.
+    excused: Mutex<BTreeMap<String, bool>>,
+    out: Mutex<(usize, String)>,
 }
 
 impl Watchers {
@@ -303,7 +318,7 @@
             by: "rig".into(),
             why: why.clone(),
             at_ms: 0,
-            what: What::Put(settings, self.budgets.clone(), Vec::new()),
+            what: What::Put(settings, self.budgets.clone(), self.groups.clone()),
         };
         let began = self.now();
         let outcome = match self.ask(&Ask::Write(write), WRITE_IN) {
@@ -340,6 +355,31 @@
         }
     }
 
+    /// Asks all health checks once, and counts those that say no and were not struck.
+    fn check(&self, at: &impl Fn(&str) -> Option<SocketAddr>, names: &[String]) {
+        let excused = |name: &String| self.excused.lock().expect("no watcher panics").contains_key(name);
+        let mut out = Vec::new();
+        for name in names {
+            // Danger: struck while it is asked, it says no by that.
+            let before = excused(name);
+            match at(name).and_then(health) {
+                // Danger: one that is about to be struck is well still.
+                Some(true) if before => {
+                    self.excused
+                        .lock()
+                        .expect("no watcher panics")
+                        .retain(|other, now| other != name || *now);
+                }
+                Some(false) if !before && !excused(name) => out.push(name.clone()),
+                _ => {}
+            }
+        }
+        let mut most = self.out.lock().expect("no watcher panics");
+        if out.len() > most.0 {
+            *most = (out.len(), format!("{} at {} ms", out.join(", "), self.now()));
+        }
+    }
+
     /// A member that keeps what each daemon tells it.
     fn listen(&self, place: u16, life: u64) -> std::io::Result<()> {
         let who = format!("a member of place {place}");
@@ -398,6 +438,10 @@
     /// The place whose folder was struck, and how far all had come: no other folder is struck before it is back.
     wounded: Option<(u16, u64)>,
     struck_sidecars: Vec<String>,
+    operators: Operators,
+    /// The release that is under way, the version that all run, and since when it is halted.
+    releases: (u64, String, Option<u64>),
+    released: Released,
     played: Played,
     seen: Vec<Seen>,
     watchers: &'a Watchers,
@@ -438,11 +482,25 @@
     let mut sidecars =
         Sidecars::new(&place.folder.join("sidecars"), place.sidecar, place.base, scenario.endpoints)?;
     let members: Vec<_> = daemons.places().map(|place| (place, daemons.at(place))).collect();
-    if !scenario.budget.is_empty() {
+    let most = scenario.release_most;
+    let group = |most| Group {
+        name: "all".to_string(),
+        most_out: Some(Amount::Number(most)),
+        least_serving: None,
+        endpoints: Vec::new(),
+    };
+    let groups: Vec<Group> = most.map(group).into_iter().collect();
+    if most.is_some() {
+        sidecars.groups(&["all"]);
+        sidecars.version("v0", false);
+    }
+    if !scenario.budget.is_empty() || most.is_some() {
         let mut write =
-            daemons.a_write(What::Put("{}".to_string(), scenario.budget.clone(), Vec::new()), None);
+            daemons.a_write(What::Put("{}".to_string(), scenario.budget.clone(), groups.clone()), None);
         write.why = "budgets".to_string();
         daemons.ask(&Ask::Write(write), WRITE_IN)?;
+    }
+    if !scenario.budget.is_empty() {
         let alone = scenario.budget.iter().map(|budget| {
             let mut row = serde_json::json!({"part": budget.alone});
             if !budget.of.is_stock() {
@@ -461,7 +519,10 @@
         doors: members.iter().copied().collect(),
         record: Mutex::new(Record { places: scenario.daemons, ..Record::default() }),
         budgets: scenario.budget.clone(),
+        groups,
         numbers: AtomicU64::new(1),
+        excused: Mutex::default(),
+        out: Mutex::default(),
     });
     let mut chance = Rand64::new(u128::from(seed));
     let faults = scenario.faults(&mut chance);
@@ -475,6 +536,11 @@
     let pause = Duration::from_millis(3);
     // A budget is wanted by all that there are, struck or not, and far above the whole.
     let clients = match scenario.budget.is_empty() {
+        true if most.is_some() => {
+            // All have reqs, or none could be judged; those of what is struck are not counted.
+            let names: Vec<String> = (0..scenario.sidecars).map(|number| format!("s{number}")).collect();
+            Clients::front(&sidecars, &names, 1, "/menu/1", pause)
+        }
         true => Clients::start(&at, "/menu/1", pause),
         false => Clients::follow(&sidecars, &sidecars.names(), 2, "/menu/1", pause),
     };
@@ -514,6 +580,15 @@
             }
         }));
     }
+    if most.is_some() {
+        let (watchers, names, at) = (watchers.clone(), sidecars.names(), sidecars.lookup());
+        threads.push(thread::spawn(move || {
+            while !watchers.over() {
+                watchers.check(&at, &names);
+                thread::sleep(LOOK);
+            }
+        }));
+    }
     let mut run = Run {
         daemons,
         sidecars,
@@ -521,21 +596,28 @@
         strikes: Vec::new(),
         wounded: None,
         struck_sidecars: Vec::new(),
+        operators: Operators::default(),
+        releases: (0, "v0".to_string(), None),
+        released: Released { most: most.unwrap_or(0) as usize, ..Released::default() },
         played: Played::default(),
         seen: Vec::new(),
         watchers: &watchers,
     };
     let faults = if paired.is_some() { faults } else { Vec::new() };
-    let played = run.through(faults, scenario.length_ms);
+    let played = run.through(faults, scenario.length_ms).and_then(|()| run.finish());
     watchers.over.store(true, Ordering::Relaxed);
     threads.into_iter().for_each(|thread| thread.join().expect("a watcher does not panic"));
-    let answers = clients.stop();
+    let mut answers = clients.stop();
+    if most.is_some() {
+        answers = spared.iter().map(|number| answers[*number]).collect();
+    }
     let folder = place.folder.to_path_buf();
     played?;
     let served = answers
         .iter()
         .map(|a| (a.served, a.served + a.nacked + a.failed + a.none))
         .fold((0, 0), |sum, a| (sum.0 + a.0, sum.1 + a.1));
+    run.released.lost = answers.iter().map(|a| a.failed + a.none).sum();
     let result = run.end(keep, served, paired.unwrap_or_default());
     let _ = fs::remove_dir_all(folder);
     result
@@ -569,6 +651,7 @@
             {
                 self.wounded = None;
             }
+            self.release(true)?;
             if now >= length && faults.peek().is_none() && self.strikes.is_empty() {
                 return Ok(());
             }
@@ -576,6 +659,120 @@
         }
     }
 
+    /// A look at the releases: whoever is empty is moved; one that ended is followed by another; one that halted goes on, or
+    /// goes back, by an operator's word after a while.
+    fn release(&mut self, more: bool) -> Result<Option<Release>, String> {
+        if self.released.most == 0 {
+            return Ok(None);
+        }
+        let (number, runs, halted) = self.releases.clone();
+        let now = self.watchers.now();
+        let (name, to) = (format!("r{number}"), format!("v{number}"));
+        let seen = match number {
+            0 => None,
+            _ => self.operators.turn(&self.daemons, &mut self.sidecars, &name, BEAT_MS)?,
+        };
+        let Some(release) = seen else {
+            // Danger: a start that was refused, or whose answer was lost, is to be said again; it begins once.
+            if more {
+                self.releases.0 = number.max(1);
+                self.begin(number.max(1), &runs);
+            }
+            return Ok(None);
+        };
+        match &release.course {
+            Course::Ended(how) => {
+                self.released.ended += 1;
+                let runs = if how == "all are moved" { to } else { runs };
+                (self.releases.1, self.releases.2) = (runs.clone(), None);
+                if more {
+                    self.releases.0 = number + 1;
+                    self.begin(number + 1, &runs);
+                }
+            }
+            Course::Halted => {
+                let since = *self.releases.2.get_or_insert(now);
+                if halted.is_none() {
+                    self.released.halts += 1;
+                    self.played.struck.push(format!("{now} ms: {}", release.line()));
+                }
+                if now >= since + HALTED_FOR_MS && release.going().next().is_none() {
+                    let back = self.released.halts.is_multiple_of(3);
+                    let order = if back { Order::Back(name) } else { Order::Resume(name) };
+                    let _ = self.daemons.ask(&Ask::Release(order), ONE_IN);
+                    self.releases.2 = None;
+                }
+            }
+            _ => self.releases.2 = None,
+        }
+        Ok(Some(release))
+    }
+
+    fn begin(&self, number: u64, from: &str) {
+        let plan = Plan {
+            format: FORMAT,
+            name: format!("r{number}"),
+            moves: Moves::Sidecars,
+            group: "all".to_string(),
+            order: Vec::new(),
+            most_out: self.released.most as u32,
+            from: from.to_string(),
+            to: format!("v{number}"),
+            action: None,
+            empty_in_ms: 10_000,
+            back_in_ms: 10_000,
+            settle_ms: 0,
+            watch_ms: 300,
+            watch_most_ms: 8000,
+            must: Must {
+                least_reqs: 1,
+                served_lower: Some(0.5),
+                nacked_higher: None,
+                failed_higher: None,
+                slow_higher: None,
+            },
+            goes_back: GoesBack::Never,
+        };
+        // Whether it has begun shows at the next look: said again it begins once.
+        let start = Order::Start(Box::new(plan), Figures::default());
+        let _ = self.daemons.ask(&Ask::Release(start), ONE_IN);
+    }
+
+    /// Waits until the last release is over, and looks what all run.
+    fn finish(&mut self) -> Result<(), String> {
+        if self.released.most == 0 {
+            return Ok(());
+        }
+        let until = Instant::now() + 4 * PATIENCE;
+        loop {
+            let seen = self.release(false)?;
+            if let Some(release) = &seen
+                && release.is_over()
+            {
+                break;
+            }
+            if Instant::now() >= until {
+                let line = seen.map_or("no release can be seen".to_string(), |release| release.line());
+                self.released.unfinished.push(line);
+                break;
+            }
+            if seen.is_none() {
+                self.begin(self.releases.0, &self.releases.1.clone());
+            }
+            thread::sleep(LOOK);
+        }
+        if let Ok(Reply::Releases(_, runs)) = self.daemons.ask(&Ask::Releases, PATIENCE) {
+            let wanted = &self.releases.1;
+            let odd = runs
+                .iter()
+                .filter(|(who, runs)| who.starts_with('s') && !who.contains('-') && runs != wanted);
+            self.released
+                .unfinished
+                .extend(odd.map(|(who, runs)| format!("{who} runs {runs}, not {wanted}")));
+        }
+        Ok(())
+    }
+
     fn strike(&mut self, fault: Fault, now: u64) -> Result<(), String> {
         let leader = || self.daemons.leader();
         let place = fault.place.or_else(leader).unwrap_or(1);
@@ -646,6 +843,7 @@
                 let Some(number) = fault.sidecar else { return Ok(()) };
                 let name = format!("s{number}");
                 self.struck_sidecars.push(name.clone());
+                self.watchers.excused.lock().expect("no watcher panics").insert(name.clone(), true);
                 if fault.kind == Kind::KillSidecar {
                     self.note_acts(&name);
                     self.sidecars.kill(&name);
@@ -709,10 +907,15 @@
                 let Some(number) = fault.sidecar else { return Ok(()) };
                 let name = format!("s{number}");
                 if fault.kind == Kind::KillSidecar {
+                    if self.released.most > 0 {
+                        let version = self.operators.versions.get(&name).map_or("v0", String::as_str);
+                        self.sidecars.version(version, false);
+                    }
                     self.sidecars.start(&name, &self.members, BEAT_MS)?;
                 } else {
                     self.sidecars.process(&name).go_on();
                 }
+                self.watchers.excused.lock().expect("no watcher panics").insert(name, false);
             }
         }
         Ok(())
@@ -773,6 +976,14 @@
         record.states = statuses.iter().map(|(place, s)| (*place, s.applied, s.digest)).collect();
         record.seen.append(&mut self.seen);
         (record.served, record.paired) = (served, paired);
+        if self.released.most > 0 {
+            let (out, who) = self.watchers.out.lock().expect("all watchers are over").clone();
+            if out > self.released.most {
+                self.played.struck.push(format!("out at once: {who}"));
+            }
+            (self.released.out, self.released.twice) = (out, self.operators.twice.clone());
+            record.released = Some(self.released.clone());
+        }
         let count =
             |wanted: fn(&Outcome) -> bool| record.puts.iter().filter(|put| wanted(&put.outcome)).count();
         let mut played = self.played;
@@ -788,6 +999,7 @@
             record.history.iter().map(|w| w.version).collect();
         played.versions = versions.len();
         played.entries = statuses.values().map(|status| status.applied).max().unwrap_or(0);
+        played.releases = record.released.as_ref().map(|r| (r.ended, r.halts, r.out));
         played.broken = judge(&record);
         if let Err(what) = came {
             played.broken.push(Broken { check: "comes right", what });
--- a/crates/lab/src/rig/sidecars.rs
+++ b/crates/lab/src/rig/sidecars.rs
@@ -431,6 +431,25 @@
     head.first()?.split(' ').nth(1)?.parse().ok()
 }
 
+/// Longest that a health check is waited for: one that is stopped answers nothing.
+const HEALTH_IN: Duration = Duration::from_millis(400);
+
+/// Whether a health check says yes; none where nothing was said in time, which may be a busy machine.
+pub fn health(at: SocketAddr) -> Option<bool> {
+    let Ok(mut stream) = TcpStream::connect(at) else { return Some(false) };
+    stream.set_read_timeout(Some(HEALTH_IN)).ok()?;
+    if write!(stream, "GET /healthz HTTP/1.1\r\nX-Txn: {:x}\r\nConnection: close\r\n\r\n", id()).is_err() {
+        return Some(false);
+    }
+    let mut line = String::new();
+    match BufReader::new(&stream).read_line(&mut line) {
+        Ok(0) => Some(false),
+        Ok(_) => Some(line.split(' ').nth(1) == Some("200")),
+        Err(e) if matches!(e.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut) => None,
+        Err(_) => Some(false),
+    }
+}
+
 /// Where sidecars listen now, by their names.
 type Addresses = Arc<Mutex<BTreeMap<String, SocketAddr>>>;
 
