--- a/crates/fleet/src/runner.rs
+++ b/crates/fleet/src/runner.rs
@@ -428,8 +428,8 @@
                 }
                 (Some(_), _) => {}
                 (None, Some((at, _))) if at == side => earlier.push(who),
-                // Those that are not back yet are what is to be left: nothing to be held against.
-                (None, _) if side == Side::Old => {}
+                // On the way back those that are not back yet are what is to be left: nothing to be held against.
+                (None, Some(_)) if side == Side::Old => {}
                 (None, _) => others.push(who),
             }
         }
