Those of a group that a release does not move are compared with too

Cause: seen in a new test: with an order of one endpoint of two nobody was left to compare, though the other was there, so the moved one could never be judged (runner.rs, verdict, took others from the release's order only). Change: all of the group are compared with. Tests of processes: a zone cut off in the middle of a step, a member stopped after empty while the list drops the endpoint, more holders than least parts after a whole was lowered to a tenth.

--- a/crates/daemon/tests/budgets.rs
+++ b/crates/daemon/tests/budgets.rs
@@ -364,3 +364,34 @@
         .unwrap();
     assert!(most.get() <= whole, "{} of {whole}", most.get());
 }
+
+#[test]
+fn more_holders_than_least_parts_and_a_whole_lowered_to_a_tenth_stay_within_it() {
+    let of = Thing::WriteOuts;
+    let mut both = Both::begin("many", 0, json!({}));
+    let budget = |whole| Budget { of, whole, window_ms: 1000, least: 2, alone: 1, members: 60 };
+    both.put(&[budget(1000)]);
+    let leader = both.daemons.wait_for_leader().unwrap();
+    let at = both.daemons.own_address(leader).unwrap();
+    let mut holders = Holders::new(at, Duration::from_millis(200), &[of]);
+    holders.come(50, 40);
+    let all = |holders: &Holders| holders.believed(of, false);
+    both.daemons.wait("nearly all is held", |_| all(&holders) >= 850).unwrap();
+    // A tenth: first it is taken back, and then it holds. 40 are left for 50 holders of two at least: some have what is theirs alone.
+    both.put(&[budget(100)]);
+    let most = std::cell::Cell::new(0);
+    both.daemons
+        .wait("it is taken back", |_| {
+            most.set(most.get().max(all(&holders)));
+            both.row().over == 0 && all(&holders) <= 100
+        })
+        .unwrap();
+    assert!(most.get() <= 1000, "{}", most.get());
+    let until = Instant::now() + 4 * WINDOW;
+    while Instant::now() < until {
+        let (held, counted) = (all(&holders), both.row().counted);
+        assert!(held <= 100 && counted <= 40, "{held} held, {counted} counted");
+    }
+    let with = (0..50).filter(|who| holders.holds(*who, of) > 1).count();
+    assert!((10..=20).contains(&with), "{with} have a part");
+}
--- a/crates/daemon/tests/releases.rs
+++ b/crates/daemon/tests/releases.rs
@@ -12,9 +12,10 @@
 use appledyke_fleet::state::{Standing, What};
 use appledyke_fleet::talk::{Ask, MemberRow, Reply};
 use appledyke_lab::rig::fleet::{Daemons, PATIENCE, Shape};
+use appledyke_lab::rig::links::{Link, Standing as Way};
 use appledyke_lab::rig::operators::Operators;
 use appledyke_lab::rig::processes::{Process, Recipe, beside};
-use appledyke_lab::rig::sidecars::{Clients, How, Sidecars, req};
+use appledyke_lab::rig::sidecars::{Clients, How, Sidecars, entry, req};
 
 const BASE: &str = include_str!("../../../examples/sidecar.json");
 const BEAT_MS: u64 = 80;
@@ -309,6 +310,39 @@
     drop(clients.stop());
 }
 
+#[test]
+fn a_zone_that_is_cut_off_in_the_middle_of_a_step_counts_as_out_and_sends_nobody_out_itself() {
+    let mut both = Both::begin("zone", 3);
+    // Two more, behind links of their own: the zone that is cut off.
+    let links: Vec<_> = both.daemons.places().map(|place| (place, Link::new(None).unwrap())).collect();
+    links.iter().for_each(|(place, link)| link.lead_to(both.daemons.at(*place)));
+    let at: Vec<_> = links.iter().map(|(place, link)| (*place, link.at())).collect();
+    ["s3", "s4"].iter().for_each(|name| both.sidecars.start(name, &at, BEAT_MS).unwrap());
+    both.wait("all serve", |rows| rows.iter().filter(|row| !row.out).count() == 5);
+    let clients = front(&both, 5);
+    both.start(&plan("r"));
+    both.until("r", "one is on its way", |release| release.going().next().is_some());
+    links.iter().for_each(|(_, link)| link.stand(Way::cut()));
+    let release = both.until("r", "it halts", |release| release.course == Course::Halted);
+    assert!(release.line().contains("more out than may be"), "{}", release.line());
+    both.until("r", "nobody is under way", |release| {
+        release.going().all(|(who, _)| ["s3", "s4"].contains(&who.as_str()))
+    });
+    // On its own side nobody goes out, and all that were not sent before serve on.
+    let sent: Vec<String> = both.release("r").going().map(|(who, _)| who.clone()).collect();
+    for name in ["s3", "s4"].iter().filter(|name| !sent.contains(&name.to_string())) {
+        assert_eq!(both.sidecars.told(name, "drain\n").unwrap(), "400 not now: no daemon heard\n");
+        assert_eq!(req(both.sidecars.at(name), "/healthz"), Some(200));
+    }
+    links.iter().for_each(|(_, link)| link.stand(Way::default()));
+    both.wait("all are back", |rows| rows.iter().all(|row| !row.out));
+    both.until("r", "nobody is under way", |release| release.going().next().is_none());
+    assert_eq!(both.say(Order::Resume("r".into())), Reply::Done);
+    both.until("r", "it ends", ended("all are moved"));
+    let lost: u64 = clients.stop().iter().map(|a| a.none + a.failed).sum();
+    assert_eq!(lost, 0);
+}
+
 /// An agent beside one, as a process.
 fn agent(both: &Both, who: &str) -> Process {
     let config = both.daemons.configuration(1).display().to_string();
@@ -358,6 +392,34 @@
     drop(agents);
 }
 
+#[test]
+fn a_member_stopped_after_it_was_empty_and_an_endpoint_that_the_list_drops_meanwhile_do_no_harm() {
+    let mut both = Both::begin("dropped", 3);
+    let clients = front(&both, 2);
+    let order = vec!["e0".to_string()];
+    let action = act(&both, "sleep 1");
+    let moved =
+        Plan { moves: Moves::Endpoints, group: "pool".into(), order, most_out: 1, action, ..plan("r") };
+    let _agent = agent(&both, "e0");
+    both.start(&moved);
+    both.until("r", "e0 is acted on", |r| r.going().any(|(_, going)| going.stage == Stage::Acting));
+    // All have said that they hold nothing there: one is stopped with that, and the list drops the endpoint.
+    both.sidecars.process("s2").stop();
+    let at = both.sidecars.endpoints[0].at;
+    both.sidecars.list.tell(&[entry(0, at, "removed")]);
+    let before = both.sidecars.endpoints[0].reqs();
+    both.until("r", "e0 is to be back", |r| r.going().any(|(_, going)| going.stage >= Stage::Acted));
+    assert_eq!(both.sidecars.endpoints[0].reqs(), before);
+    // It is another process by now, and the list has it again; who was stopped goes on with what it knew, and learns.
+    both.sidecars.list.tell(&[entry(0, at, "up")]);
+    both.sidecars.process("s2").go_on();
+    both.until("r", "it ends", ended("all are moved"));
+    assert!(both.sidecars.endpoints[0].reqs() > before);
+    assert_eq!(acts(&both), ["e0 2"]);
+    let lost: u64 = clients.stop().iter().map(|a| a.none + a.failed).sum();
+    assert_eq!(lost, 0);
+}
+
 #[test]
 fn an_action_that_fails_or_whose_end_nobody_knows_halts_the_release_and_is_not_begun_again() {
     let mut both = Both::begin("unknown", 3);
--- a/crates/fleet/src/runner.rs
+++ b/crates/fleet/src/runner.rs
@@ -235,7 +235,7 @@
     ) -> Vec<Found> {
         let plan = &release.plan;
         let mut found = Vec::new();
-        let verdict = if looked { Some(self.verdict(now, name, release)) } else { None };
+        let verdict = if looked { Some(self.verdict(now, name, release, fleet)) } else { None };
         if let Some(Verdict::Worse(why)) = &verdict {
             return vec![Found::Halt(why.clone(), true)];
         }
@@ -403,7 +403,7 @@
     }
 
     /// How what is moved does, against the others and against what was before.
-    fn verdict(&self, now: Moment, name: &str, release: &Release) -> Verdict {
+    fn verdict(&self, now: Moment, name: &str, release: &Release, fleet: &Fleet) -> Verdict {
         let plan = &release.plan;
         let side = if release.course == Course::Forward { Side::New } else { Side::Old };
         let (settle, watch) = (Span::from_millis(plan.settle_ms), Span::from_millis(plan.watch_ms));
@@ -433,6 +433,18 @@
                 (None, _) => others.push(who),
             }
         }
+        // Those of the group that this release does not move at all are as good to compare.
+        let beside: Vec<&String> = match plan.moves {
+            Moves::Sidecars => {
+                let of = fleet.members().iter().filter(|(_, member)| member.groups.contains(&plan.group));
+                of.map(|(who, _)| who).collect()
+            }
+            Moves::Endpoints => {
+                let of = fleet.groups().iter().find(|group| group.name == plan.group);
+                of.into_iter().flat_map(|group| &group.endpoints).collect()
+            }
+        };
+        others.extend(beside.into_iter().filter(|who| !release.steps.contains_key(*who)));
         let judge = |who: &[&String], from: Moment| {
             let (moved, mut others) = (sum(who, from), sum(&others, from));
             let few = |figures: &Figures| figures.all() < plan.must.least_reqs;
