Read once more: one check of a plan, one sum of counts, one list of a write-out's flows

Cause: written twice in this change: the check of a release against its fleet (at the start and in release check, which let a most of all pass), the names of a group and the sum of their counts (thrice in the runner), the flows that a write-out counts in (sidecar and laboratory, with a list made for each write-out), what is open (figures and the member's report), the bound of a group (members and endpoints), proposing for an operator (four times), clients by name, and a loop of members that report (measure). A hash of our own marked the endpoints that members look for. Change: one piece for each; the mark is by the hash that the state uses; a lint's exception is gone with the tuple that needed it. release check refuses what start refuses, as its page says; nothing else behaves otherwise.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -15,9 +15,9 @@
 use appledyke_fleet::budgets::Budget;
 use appledyke_fleet::health::Figures;
 use appledyke_fleet::outs::Group;
-use appledyke_fleet::releases::{Moves, Order, Plan};
-use appledyke_fleet::state::{Fleet, What, Write, WriteId};
-use appledyke_fleet::talk::{Ask, Reply};
+use appledyke_fleet::releases::{Order, Plan};
+use appledyke_fleet::state::{Fleet, Standing, What, Write, WriteId};
+use appledyke_fleet::talk::{Ask, MemberRow, Reply};
 use argh::FromArgs;
 use serde::Serialize;
 
@@ -566,24 +566,10 @@
                 return Err("the fleet does not tell its members".to_string());
             };
             let groups = written.map(|written| written.groups).unwrap_or_default();
-            let Some(group) = groups.iter().find(|group| group.name == plan.group) else {
-                return Err(format!("group: the settings have no group {}", plan.group));
-            };
-            let of: Vec<String> = match plan.moves {
-                Moves::Sidecars => {
-                    let rows = members.into_iter().filter(|row| row.groups.contains(&plan.group));
-                    rows.map(|row| row.name).collect()
-                }
-                Moves::Endpoints => group.endpoints.clone(),
-            };
-            if let Some(odd) = plan.order.iter().find(|name| !of.contains(name)) {
-                return Err(format!("order: {odd} is not in {}", plan.group));
-            }
+            let here = |row: &MemberRow| row.groups.contains(&plan.group) && row.standing != Standing::Gone;
+            let members = members.into_iter().filter(here).map(|row| row.name).collect();
+            let (of, most) = plan.fits(&groups, members)?;
             let count = if plan.order.is_empty() { of.len() } else { plan.order.len() };
-            let most = group.most(of.len()).min(plan.most_out as usize);
-            if most == 0 {
-                return Err(format!("group: {} lets none of {} go out", plan.group, of.len()));
-            }
             show(false, &(), || {
                 format!(
                     "{}: {count} of {} in {} from {} to {}, {most} at once",
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -1,6 +1,6 @@
 //! The loop: poll, take the time once, tick, feed what was heard, carry out what the replica and the fleet's state say.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -56,8 +56,6 @@
 const STUCK_ELECTIONS: f64 = 5.0;
 /// Wait before a folder is opened again after its disk failed.
 const REOPEN: Span = Span::from_millis(1000);
-/// By which a list's marks are mixed: an odd number without a pattern (FNV's prime).
-const MARK_TIMES: u64 = 0x100_0000_01b3;
 /// Comparisons of the state that are kept: daemons reach the same entry at different moments.
 const MARKS_MOST: usize = 8;
 
@@ -91,23 +89,16 @@
     divider: Option<Divider>,
     runner: Option<Runner>,
     /// The endpoints that members are to look for, as of a version of the settings, and the mark of these.
-    looks: Option<(Version, u64, Vec<String>)>,
+    looks: Option<(Version, (u64, Vec<String>))>,
     compacted: Index,
 }
 
 impl Life {
-    /// The endpoints that members are to look for: all that groups name.
-    fn looks(&mut self) -> &(Version, u64, Vec<String>) {
+    /// The endpoints that members are to look for, found anew for other settings only: each report asks.
+    fn looks(&mut self) -> &(u64, Vec<String>) {
         let version = self.fleet.version();
-        if self.looks.as_ref().is_none_or(|(of, _, _)| *of != version) {
-            let names = self.fleet.groups().iter().flat_map(|group| group.endpoints.iter().cloned());
-            let names: BTreeSet<String> = names.collect();
-            let mark = names.iter().fold(0, |mark, name| {
-                (mark ^ u64::from(ids::mark(name))).wrapping_mul(MARK_TIMES).wrapping_add(1)
-            });
-            self.looks = Some((version, mark, names.into_iter().collect()));
-        }
-        self.looks.as_ref().expect("just set")
+        let kept = self.looks.take().filter(|(of, _)| *of == version);
+        &self.looks.insert(kept.unwrap_or_else(|| (version, self.fleet.looks()))).1
     }
 }
 
@@ -836,7 +827,7 @@
             }
             // Danger: a leader that was would send out one whom the fleet has counted as back since.
             told.sent = granting.then(|| life.fleet.releases().sends(&report.name, report.incarnation));
-            let (_, mark, names) = life.looks();
+            let (mark, names) = life.looks();
             told.looks = (*mark != report.looks).then(|| (*mark, names.clone()));
             let (since, outs) = life.fleet.endpoints_out();
             told.outs = (since > report.outs && !told.apart).then(|| (since, outs.iter().cloned().collect()));
@@ -894,16 +885,10 @@
                     tracing::warn!(name, reason, "{name} is taken whatever is out already: {reason}");
                 }
                 let missing = life.heard.as_ref().map(Heard::missing).unwrap_or_default();
-                life.replica.propose(Command::Endpoint { name, out, anyway, missing }.bytes()).map(|at| {
-                    self.wait(at, key, Whom::Operator { number });
-                    None
-                })
+                self.propose(key, number, &Command::Endpoint { name, out, anyway, missing })
             }
             Ask::Release(order) => self.release(key, number, order),
-            Ask::Forget(name) => life.replica.propose(Command::Forget(name).bytes()).map(|at| {
-                self.wait(at, key, Whom::Operator { number });
-                None
-            }),
+            Ask::Forget(name) => self.propose(key, number, &Command::Forget(name)),
             Ask::Ended { name, incarnation } => match &mut life.divider {
                 Some(divider) => {
                     divider.ended(self.now, &Holder { name, incarnation });
@@ -963,7 +948,13 @@
                 return Ok(Some(Reply::Faulty(what)));
             }
         }
-        let at = life.replica.propose(Command::Write(write).bytes())?;
+        self.propose(key, number, &Command::Write(write))
+    }
+
+    /// Proposes what an operator asked for, who hears of its fate once that is known.
+    fn propose(&mut self, key: Key, number: u64, command: &Command) -> Result<Option<Reply>, Refused> {
+        let Some(life) = &mut self.life else { return Err(Refused::NotLeader(None)) };
+        let at = life.replica.propose(command.bytes())?;
         self.wait(at, key, Whom::Operator { number });
         Ok(None)
     }
@@ -985,9 +976,7 @@
             }
             other => other,
         };
-        let at = life.replica.propose(Command::Release(order).bytes())?;
-        self.wait(at, key, Whom::Operator { number });
-        Ok(None)
+        self.propose(key, number, &Command::Release(order))
     }
 
     fn take_out(
--- a/crates/fleet/src/heard.rs
+++ b/crates/fleet/src/heard.rs
@@ -134,12 +134,9 @@
         })
     }
 
-    /// What each member has counted: its name, its process, and how reqs ended, in all and at endpoints.
-    #[allow(clippy::type_complexity)]
-    pub fn counts(&self) -> impl Iterator<Item = (&str, u64, &Figures, &[(String, Figures)])> {
-        self.last
-            .iter()
-            .map(|(name, last)| (name.as_str(), last.incarnation, &last.figures, &last.at_endpoints[..]))
+    /// What each member has said last.
+    pub fn all(&self) -> impl Iterator<Item = (&String, &Last)> {
+        self.last.iter()
     }
 
     /// Which version each member that is heard says that it runs.
--- a/crates/fleet/src/limits.rs
+++ b/crates/fleet/src/limits.rs
@@ -70,6 +70,12 @@
 /// Refusals that are kept for what it wants: a bound of memory, and of what one member may ask for.
 const REFUSED_MOST: usize = 100_000;
 
+/// The flows that a write-out counts in: again for the same req, to an endpoint that is cold.
+pub fn flows(again: bool, cold: bool) -> impl Iterator<Item = Thing> {
+    let wanted = [(true, Thing::WriteOuts), (again, Thing::Repeats), (cold, Thing::ColdWriteOuts)];
+    wanted.into_iter().filter(|(wanted, _)| *wanted).map(|(_, of)| of)
+}
+
 #[derive(Clone, Debug, Default)]
 pub struct Limits(BTreeMap<Thing, Limit>);
 
@@ -120,13 +126,13 @@
         may
     }
 
-    /// Whether one of each of these flows may be spent now: all are spent, or none. A refusal counts as a wish only for
-    /// what is asked for one thing first, but for the last.
-    pub fn spend_all(&mut self, now: Moment, flows: &[Thing], first: bool) -> bool {
-        for (at, of) in flows.iter().enumerate() {
-            if !self.spend(now, *of, first || at > 0) {
+    /// Whether a write-out may be spent now, of all flows that it counts in: of all, or of none. A refusal counts as a wish
+    /// for write-outs only where it is not one for the same req again.
+    pub fn spend_write_out(&mut self, now: Moment, again: bool, cold: bool) -> bool {
+        for (at, of) in flows(again, cold).enumerate() {
+            if !self.spend(now, of, !again || at > 0) {
                 // Danger: what is spent and not sent would be idle for a window.
-                flows[..at].iter().for_each(|of| self.unspend(*of));
+                flows(again, cold).take(at).for_each(|of| self.unspend(of));
                 return false;
             }
         }
--- a/crates/fleet/src/outs.rs
+++ b/crates/fleet/src/outs.rs
@@ -86,6 +86,14 @@
     }
 }
 
+impl Group {
+    /// Whether one more may go out beside these, of so many.
+    fn bears(&self, size: usize, out: Vec<String>) -> Result<(), NotNow> {
+        let most = self.most(size);
+        if out.len() < most { Ok(()) } else { Err(NotNow { group: self.name.clone(), most, size, out }) }
+    }
+}
+
 /// Checks groups that are put together.
 ///
 /// # Errors
@@ -142,10 +150,7 @@
         let out = group.endpoints.iter().filter(|other| *other != name);
         let out: Vec<String> =
             out.filter(|other| outs.contains(*other) || missing.contains(other)).cloned().collect();
-        let (size, most) = (group.endpoints.len(), group.most(group.endpoints.len()));
-        if out.len() >= most {
-            return Err(NotNow { group: group.name.clone(), most, size, out });
-        }
+        group.bears(group.endpoints.len(), out)?;
     }
     Ok(())
 }
@@ -163,10 +168,7 @@
             .filter(|(other, member)| *other != name && is_out(member))
             .map(|(name, _)| name.clone())
             .collect();
-        let most = group.most(size);
-        if out.len() >= most {
-            return Err(NotNow { group: group.name.clone(), most, size, out });
-        }
+        group.bears(size, out)?;
     }
     Ok(())
 }
--- a/crates/fleet/src/releases.rs
+++ b/crates/fleet/src/releases.rs
@@ -164,6 +164,35 @@
         self.must.check()
     }
 
+    /// Checks it against a fleet: the settings' groups, and the members of its group that are not gone. Gives all that are in the
+    /// group, and how many of them may be out at once.
+    ///
+    /// # Errors
+    /// The key that is at fault, and what would do.
+    pub fn fits(&self, groups: &[Group], members: Vec<String>) -> Result<(Vec<String>, usize), String> {
+        let Some(group) = groups.iter().find(|group| group.name == self.group) else {
+            return Err(format!("group: the settings have no group {}", self.group));
+        };
+        let of = match self.moves {
+            Moves::Sidecars => members,
+            Moves::Endpoints => group.endpoints.clone(),
+        };
+        let size = of.len();
+        if size == 0 {
+            return Err(format!("group: nobody is in {}", self.group));
+        }
+        if let Some(odd) = self.order.iter().find(|name| !of.contains(name)) {
+            return Err(format!("order: {odd} is not in {}", self.group));
+        }
+        if self.most_out as usize >= size && size > 1 {
+            return Err(format!("mostOut: {} of {size} would be all; {} would do", self.most_out, size - 1));
+        }
+        match group.most(size).min(self.most_out as usize) {
+            0 => Err(format!("group: {} lets none of {size} go out", self.group)),
+            most => Ok((of, most)),
+        }
+    }
+
     /// The version that one has once it has gone this way.
     pub fn version(&self, side: Side) -> &str {
         match side {
@@ -565,40 +594,16 @@
         if let Err(what) = plan.check() {
             return faulty(what);
         }
-        let Some(group) = around.groups.iter().find(|group| group.name == plan.group) else {
-            return faulty(format!("group: the settings have no group {}", plan.group));
-        };
         let running = |other: &&Release| !other.is_over() && other.plan.group == plan.group;
         if let Some(other) = self.0.values().find(running) {
             return faulty(format!("group: release {} moves {} already", other.plan.name, plan.group));
         }
-        let of: Vec<String> = match plan.moves {
-            Moves::Sidecars => {
-                let here = |member: &Member| {
-                    member.groups.contains(&plan.group) && member.standing != Standing::Gone
-                };
-                let here = around.members.iter().filter(|(_, member)| here(member));
-                here.map(|(name, _)| name.clone()).collect()
-            }
-            Moves::Endpoints => group.endpoints.clone(),
+        let here = |member: &Member| member.groups.contains(&plan.group) && member.standing != Standing::Gone;
+        let here = around.members.iter().filter(|(_, member)| here(member));
+        let of = match plan.fits(around.groups, here.map(|(name, _)| name.clone()).collect()) {
+            Ok((of, _)) => of,
+            Err(what) => return faulty(what),
         };
-        if of.is_empty() {
-            return faulty(format!("group: nobody is in {}", plan.group));
-        }
-        if let Some(odd) = plan.order.iter().find(|name| !of.contains(name)) {
-            return faulty(format!("order: {odd} is not in {}", plan.group));
-        }
-        if plan.most_out as usize >= of.len() && of.len() > 1 {
-            return faulty(format!(
-                "mostOut: {} of {} would be all; {} would do",
-                plan.most_out,
-                of.len(),
-                of.len() - 1
-            ));
-        }
-        if group.most(of.len()) == 0 {
-            return faulty(format!("group: {} lets none of {} go out", plan.group, of.len()));
-        }
         if self.0.len() >= KEPT_MOST {
             let over = self.0.iter().find(|(_, release)| release.is_over()).map(|(name, _)| name.clone());
             match over {
--- a/crates/fleet/src/runner.rs
+++ b/crates/fleet/src/runner.rs
@@ -95,23 +95,18 @@
 
     /// What a group did within the last minute, or as long as this leader has heard it.
     pub fn before(&self, now: Moment, fleet: &Fleet, group: &str, moves: Moves) -> Figures {
-        let from = Moment::from_nanos(now.nanos().saturating_sub(HORIZON.nanos()));
+        self.sum(moves, of_group(fleet, group, moves), ago(now, HORIZON))
+    }
+
+    /// What these have counted together since a moment.
+    fn sum<'a>(&self, moves: Moves, names: impl IntoIterator<Item = &'a String>, from: Moment) -> Figures {
+        let series = match moves {
+            Moves::Sidecars => &self.members,
+            Moves::Endpoints => &self.endpoints,
+        };
         let mut sum = Figures::default();
-        match moves {
-            Moves::Sidecars => {
-                let of = fleet.members().iter().filter(|(_, m)| m.groups.iter().any(|own| own == group));
-                for series in of.filter_map(|(name, _)| self.members.get(name)) {
-                    sum.add(&series.since(from));
-                }
-            }
-            Moves::Endpoints => {
-                let of = fleet.groups().iter().find(|known| known.name == group);
-                for series in
-                    of.into_iter().flat_map(|of| &of.endpoints).filter_map(|e| self.endpoints.get(e))
-                {
-                    sum.add(&series.since(from));
-                }
-            }
+        for series in names.into_iter().filter_map(|name| series.get(name)) {
+            sum.add(&series.since(from));
         }
         sum
     }
@@ -124,14 +119,14 @@
             return false;
         }
         self.looked = Some(now);
-        for (name, incarnation, figures, at) in heard.counts() {
-            self.members.entry(name.to_string()).or_default().hear(name, incarnation, figures);
-            for (endpoint, figures) in at {
-                self.endpoints.entry(endpoint.clone()).or_default().hear(name, incarnation, figures);
+        for (name, last) in heard.all() {
+            self.members.entry(name.clone()).or_default().hear(name, last.incarnation, &last.figures);
+            for (endpoint, figures) in &last.at_endpoints {
+                self.endpoints.entry(endpoint.clone()).or_default().hear(name, last.incarnation, figures);
             }
         }
         self.members.retain(|name, _| fleet.members().contains_key(name));
-        let listed: BTreeSet<&String> = fleet.groups().iter().flat_map(|group| &group.endpoints).collect();
+        let listed: BTreeSet<&String> = fleet.looked_for().collect();
         self.endpoints.retain(|name, _| listed.contains(name));
         self.members.values_mut().chain(self.endpoints.values_mut()).for_each(|s| s.look(now, horizon));
         true
@@ -407,16 +402,8 @@
         let plan = &release.plan;
         let side = if release.course == Course::Forward { Side::New } else { Side::Old };
         let (settle, watch) = (Span::from_millis(plan.settle_ms), Span::from_millis(plan.watch_ms));
-        let series = match plan.moves {
-            Moves::Sidecars => &self.members,
-            Moves::Endpoints => &self.endpoints,
-        };
         // Danger: held against each other over other times, an outage that has just begun shows on one side first.
-        let sum = |names: &[&String], from: Moment| {
-            let mut sum = Figures::default();
-            names.iter().filter_map(|who| series.get(*who)).for_each(|series| sum.add(&series.since(from)));
-            sum
-        };
+        let sum = |names: &[&String], from: Moment| self.sum(plan.moves, names.iter().copied(), from);
         let (mut watched, mut earlier, mut others) = (Vec::new(), Vec::new(), Vec::new());
         for (who, step) in &release.steps {
             match (&step.going, step.moved) {
@@ -434,29 +421,20 @@
             }
         }
         // Those of the group that this release does not move at all are as good to compare.
-        let beside: Vec<&String> = match plan.moves {
-            Moves::Sidecars => {
-                let of = fleet.members().iter().filter(|(_, member)| member.groups.contains(&plan.group));
-                of.map(|(who, _)| who).collect()
-            }
-            Moves::Endpoints => {
-                let of = fleet.groups().iter().find(|group| group.name == plan.group);
-                of.into_iter().flat_map(|group| &group.endpoints).collect()
-            }
-        };
-        others.extend(beside.into_iter().filter(|who| !release.steps.contains_key(*who)));
+        let beside = of_group(fleet, &plan.group, plan.moves).into_iter();
+        others.extend(beside.filter(|who| !release.steps.contains_key(*who)));
         let judge = |who: &[&String], from: Moment| {
             let (moved, mut others) = (sum(who, from), sum(&others, from));
             let few = |figures: &Figures| figures.all() < plan.must.least_reqs;
             if few(&others) && few(&release.before) {
                 // Nobody is left that was not moved, and before is not known: those that were found well are what there is.
                 let found: Vec<&String> =
-                    earlier.iter().filter(|who_| !who.contains(who_)).copied().collect();
+                    earlier.iter().filter(|other| !who.contains(other)).copied().collect();
                 others = sum(&found, from);
             }
             plan.must.judge(&moved, &others, &release.before)
         };
-        let start = Moment::from_nanos(now.nanos().saturating_sub(watch.nanos()));
+        let start = ago(now, watch);
         let latest = watched.iter().map(|(_, from)| *from).max().unwrap_or(start).max(start);
         let all: Vec<&String> = watched.iter().map(|(who, _)| *who).chain(earlier.iter().copied()).collect();
         let mut verdict = match judge(&all, latest) {
@@ -483,6 +461,24 @@
     }
 }
 
+fn ago(now: Moment, span: Span) -> Moment {
+    Moment::from_nanos(now.nanos().saturating_sub(span.nanos()))
+}
+
+/// The names in a group, of what a release moves.
+fn of_group<'a>(fleet: &'a Fleet, group: &str, moves: Moves) -> Vec<&'a String> {
+    match moves {
+        Moves::Sidecars => {
+            let of = fleet.members().iter().filter(|(_, m)| m.groups.iter().any(|own| own == group));
+            of.map(|(name, _)| name).collect()
+        }
+        Moves::Endpoints => {
+            let of = fleet.groups().iter().find(|known| known.name == group);
+            of.into_iter().flat_map(|of| &of.endpoints).collect()
+        }
+    }
+}
+
 fn settle(name: &str, who: &str, going: &Going, moved: bool) -> Found {
     let (release, since) = (name.to_string(), going.since);
     Found::Order(who.to_string(), Order::Settle { release, who: who.to_string(), since, moved })
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -253,6 +253,20 @@
         self.history.back().map_or(&[], |written| &written.groups)
     }
 
+    /// The endpoints that groups name.
+    pub fn looked_for(&self) -> impl Iterator<Item = &String> {
+        self.groups().iter().flat_map(|group| &group.endpoints)
+    }
+
+    /// The endpoints that members are to look for, each once, and the mark by which a list of them is known: 0 for
+    /// none.
+    pub fn looks(&self) -> (u64, Vec<String>) {
+        let names: BTreeSet<&String> = self.looked_for().collect();
+        let bytes = postcard::to_stdvec(&names).expect("names have no form that cannot be written");
+        let mark = if names.is_empty() { 0 } else { XxHash64::oneshot(0, &bytes) };
+        (mark, names.into_iter().cloned().collect())
+    }
+
     pub fn releases(&self) -> &Releases {
         &self.releases
     }
--- a/crates/lab/src/rig/measure.rs
+++ b/crates/lab/src/rig/measure.rs
@@ -1,23 +1,20 @@
 //! What a fleet's daemons cost and how long they take, on real processes: each figure beside the time that the settings state.
 
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::path::Path;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use appledyke_fleet::budgets::{Budget, Thing};
 use appledyke_fleet::state::{Standing as Member, What};
-use appledyke_fleet::talk::{Ask, Frame, Frames, Reply, Report, Who};
-use serde_json::{Value, json};
+use appledyke_fleet::talk::{Ask, Reply};
+use serde_json::{Map, Value, json};
 
-use super::fleet::{Daemons, FLEET, PATIENCE, Shape, ask};
+use super::fleet::{Daemons, PATIENCE, Shape, ask};
 use super::holders::Holders;
 use super::sidecars::{Clients, Endpoint, How, Sidecars, most_within, req};
 
 /// Clock ticks a second in the system's account of a process's time.
 const TICKS: f64 = 100.0;
-const THREADS: usize = 8;
 
 /// The programs, where files may be, and a sidecar's configuration as a base.
 pub struct Bench<'a> {
@@ -47,6 +44,22 @@
     fields.get(11..13).map_or(0.0, |times| times.iter().sum::<f64>() / TICKS)
 }
 
+/// A leader's processor time, entries, reports and bytes a second while something is done.
+fn load(daemons: &mut Daemons, leader: u16, holders: &Holders, during: impl FnOnce()) -> Map<String, Value> {
+    let id = daemons.process(leader).id();
+    let applied = |daemons: &Daemons| daemons.status(leader).map_or(0, |status| status.applied);
+    let (cpu, traffic, entries, start) = (used(id), holders.traffic(), applied(daemons), Instant::now());
+    during();
+    let (secs, now) = (start.elapsed().as_secs_f64(), holders.traffic());
+    let rows = [
+        ("processor_share", (used(id) - cpu) / secs),
+        ("entries_a_second", (applied(daemons) - entries) as f64 / secs),
+        ("reports_a_second", (now.0 - traffic.0) as f64 / secs),
+        ("bytes_a_second", (now.1 - traffic.1) as f64 / secs),
+    ];
+    rows.into_iter().map(|(key, value)| (key.to_string(), value.into())).collect()
+}
+
 impl Bench<'_> {
     fn fleet(&self, name: &str, shape: Shape) -> Result<Daemons, String> {
         let mut daemons = Daemons::new(&self.folder.join(name), self.daemon, self.base, shape)?;
@@ -135,87 +148,16 @@
             Shape { election_ms: 1000, beat_ms: 100, lease_ms: 5000, compact_every: 512, ..Shape::default() };
         let mut daemons = self.fleet("members", shape)?;
         let leader = daemons.wait_for_leader()?;
-        let at = daemons.own_address(leader)?;
-        let (over, answers, bytes) = (AtomicBool::new(false), AtomicU64::new(0), AtomicU64::new(0));
-        std::thread::scope(|scope| {
-            for thread in 0..THREADS {
-                let (over, answers, bytes) = (&over, &answers, &bytes);
-                scope.spawn(move || {
-                    let mut open = Vec::new();
-                    for member in (thread..members).step_by(THREADS) {
-                        let Ok(mut stream) = TcpStream::connect(at) else { continue };
-                        let _ = stream.set_nodelay(true);
-                        let _ = stream.set_read_timeout(Some(Duration::from_secs(5)));
-                        let name = format!("m{member}");
-                        let mut out = Vec::new();
-                        Frame::hello(FLEET, Who::Member { name: name.clone() }).write(&mut out);
-                        if stream.write_all(&out).is_ok() {
-                            open.push((name, stream, Frames::default()));
-                        }
-                    }
-                    let pause = beat / open.len().max(1) as u32;
-                    let mut piece = vec![0; 64 * 1024];
-                    while !over.load(Ordering::Relaxed) {
-                        for (name, stream, frames) in &mut open {
-                            let start = Instant::now();
-                            let (incarnation, standing) = (1, Member::Serving);
-                            let report = Report {
-                                name: name.clone(),
-                                incarnation,
-                                process: 1,
-                                standing,
-                                ..Report::default()
-                            };
-                            let mut out = Vec::new();
-                            Frame::Report(report).write(&mut out);
-                            let mut moved = out.len();
-                            let mut done = stream.write_all(&out).is_err();
-                            while !done {
-                                match frames.pop() {
-                                    Ok(Some(Frame::Told(_))) => {
-                                        answers.fetch_add(1, Ordering::Relaxed);
-                                        done = true;
-                                    }
-                                    Ok(Some(_)) => {}
-                                    Ok(None) => match stream.read(&mut piece) {
-                                        Ok(0) | Err(_) => done = true,
-                                        Ok(read) => {
-                                            moved += read;
-                                            frames.push(&piece[..read]);
-                                        }
-                                    },
-                                    Err(_) => done = true,
-                                }
-                            }
-                            bytes.fetch_add(moved as u64, Ordering::Relaxed);
-                            std::thread::sleep(pause.saturating_sub(start.elapsed()));
-                            if over.load(Ordering::Relaxed) {
-                                return;
-                            }
-                        }
-                    }
-                });
-            }
-            let result = daemons.wait("all are members", |fleet| {
-                matches!(fleet.ask(&Ask::Members, PATIENCE), Ok(Reply::Members(rows))
-                    if rows.iter().filter(|row| row.standing == Member::Serving).count() == members)
-            });
-            let id = daemons.process(leader).id();
-            let (cpu, said, moved, start) =
-                (used(id), answers.load(Ordering::Relaxed), bytes.load(Ordering::Relaxed), Instant::now());
-            let entries = daemons.status(leader).map_or(0, |status| status.applied);
-            std::thread::sleep(lasts);
-            let secs = start.elapsed().as_secs_f64();
-            let figures = json!({
-                "what": "members", "members": members, "beat_ms": beat.as_millis() as u64,
-                "processor_share": (used(id) - cpu) / secs,
-                "reports_a_second": (answers.load(Ordering::Relaxed) - said) as f64 / secs,
-                "bytes_a_second": (bytes.load(Ordering::Relaxed) - moved) as f64 / secs,
-                "entries_a_second": (daemons.status(leader).map_or(0, |s| s.applied) - entries) as f64 / secs,
-            });
-            over.store(true, Ordering::Relaxed);
-            result.map(|()| figures)
-        })
+        let mut holders = Holders::new(daemons.own_address(leader)?, beat, &[]);
+        holders.come(members, 0);
+        daemons.wait("all are members", |fleet| {
+            matches!(fleet.ask(&Ask::Members, PATIENCE), Ok(Reply::Members(rows))
+                if rows.iter().filter(|row| row.standing == Member::Serving).count() == members)
+        })?;
+        let load = load(&mut daemons, leader, &holders, || std::thread::sleep(lasts));
+        let mut figures = json!({"what": "members", "members": members, "beat_ms": beat.as_millis() as u64});
+        figures.as_object_mut().expect("an object").extend(load);
+        Ok(figures)
     }
 
     /// A leader's processor time, entries and bytes a second with so many holders of so many budgets: while what they want
@@ -245,29 +187,23 @@
             (0..members).all(|who| of.iter().all(|of| holders.holds(who, *of) >= WANTS))
         })?;
         std::thread::sleep(Duration::from_secs(2));
-        let id = daemons.process(leader).id();
-        let applied = |daemons: &Daemons| daemons.status(leader).map_or(0, |status| status.applied);
         let mut figures = Vec::new();
         for moves in [false, true] {
-            let (cpu, traffic, entries, start) =
-                (used(id), holders.traffic(), applied(&daemons), Instant::now());
-            let mut round = 0;
-            while start.elapsed() < lasts {
-                for who in (0..members).filter(|who| moves && (who + round) % 10 == 0) {
-                    holders.wants(who, if round % 2 == 0 { 3 * WANTS } else { WANTS });
+            let during = || {
+                let start = Instant::now();
+                let mut round = 0;
+                while start.elapsed() < lasts {
+                    for who in (0..members).filter(|who| moves && (who + round) % 10 == 0) {
+                        holders.wants(who, if round % 2 == 0 { 3 * WANTS } else { WANTS });
+                    }
+                    round += 1;
+                    std::thread::sleep(Duration::from_secs(1).min(lasts));
                 }
-                round += 1;
-                std::thread::sleep(Duration::from_secs(1).min(lasts));
-            }
-            let secs = start.elapsed().as_secs_f64();
-            let now = holders.traffic();
-            figures.push(json!({
-                "what": "holders", "members": members, "budgets": budgets, "moves": moves,
-                "processor_share": (used(id) - cpu) / secs,
-                "entries_a_second": (applied(&daemons) - entries) as f64 / secs,
-                "reports_a_second": (now.0 - traffic.0) as f64 / secs,
-                "bytes_a_second": (now.1 - traffic.1) as f64 / secs,
-            }));
+            };
+            let load = load(&mut daemons, leader, &holders, during);
+            let mut row = json!({"what": "holders", "members": members, "budgets": budgets, "moves": moves});
+            row.as_object_mut().expect("an object").extend(load);
+            figures.push(row);
         }
         (0..members).for_each(|who| holders.wants(who, WANTS));
         std::thread::sleep(Duration::from_secs(5));
--- a/crates/lab/src/rig/sidecars.rs
+++ b/crates/lab/src/rig/sidecars.rs
@@ -461,6 +461,12 @@
 }
 
 impl Where {
+    /// So many times each of these names.
+    fn named(sidecars: &Sidecars, names: &[String], each: usize) -> impl Iterator<Item = Where> {
+        let all = names.iter().flat_map(move |name| std::iter::repeat_n(name, each));
+        all.map(|name| Where::Named(sidecars.addresses.clone(), name.clone()))
+    }
+
     fn address(&self) -> Option<SocketAddr> {
         match self {
             Where::At(at) => Some(*at),
@@ -562,9 +568,7 @@
         path: &'static str,
         pause: Duration,
     ) -> Clients {
-        let all = names.iter().flat_map(|name| std::iter::repeat_n(name, each));
-        let all = all.map(|name| Where::Named(sidecars.addresses.clone(), name.clone()));
-        Clients::of(all, path, pause, false)
+        Clients::of(Where::named(sidecars, names, each), path, pause, false)
     }
 
     /// The same, but as a front does: a sidecar whose health check says no is asked nothing.
@@ -575,9 +579,7 @@
         path: &'static str,
         pause: Duration,
     ) -> Clients {
-        let all = names.iter().flat_map(|name| std::iter::repeat_n(name, each));
-        let all = all.map(|name| Where::Named(sidecars.addresses.clone(), name.clone()));
-        Clients::of(all, path, pause, true)
+        Clients::of(Where::named(sidecars, names, each), path, pause, true)
     }
 
     fn of(to: impl Iterator<Item = Where>, path: &'static str, pause: Duration, front: bool) -> Clients {
--- a/crates/lab/src/shares.rs
+++ b/crates/lab/src/shares.rs
@@ -6,7 +6,7 @@
 use appledyke::units::{Moment, Span};
 use appledyke_fleet::budgets::{Budget, Budgets, Change, Holder, Thing};
 use appledyke_fleet::divide::Divider;
-use appledyke_fleet::limits::{Grant, Limits};
+use appledyke_fleet::limits::{Grant, Limits, flows};
 
 use crate::scenario::{By, Scenario, at_ms};
 
@@ -112,12 +112,11 @@
     /// Whether a sidecar may write out now; it is counted if so.
     pub fn may_send(&mut self, now: Moment, node: usize, again: bool, cold: bool) -> bool {
         let Some(limits) = self.limits.get_mut(node) else { return true };
-        let wanted = [(true, Thing::WriteOuts), (again, Thing::Repeats), (cold, Thing::ColdWriteOuts)];
-        let flows: Vec<Thing> = wanted.into_iter().filter(|(wanted, _)| *wanted).map(|(_, of)| of).collect();
-        if !limits.spend_all(now, &flows, !again) {
+        if !limits.spend_write_out(now, again, cold) {
             return false;
         }
-        for spent in self.spent.iter_mut().filter(|spent| flows.contains(&spent.budget.of)) {
+        let counts = |spent: &&mut Spent| flows(again, cold).any(|of| of == spent.budget.of);
+        for spent in self.spent.iter_mut().filter(counts) {
             let window = Span::from_millis(spent.budget.window_ms);
             while spent.window.front().is_some_and(|at| now.since(*at) >= window) {
                 spent.window.pop_front();
--- a/crates/sidecar/src/fleet.rs
+++ b/crates/sidecar/src/fleet.rs
@@ -208,14 +208,6 @@
     pub idle: bool,
 }
 
-impl Wish {
-    fn flows(&self) -> Vec<Thing> {
-        let wanted =
-            [(true, Thing::WriteOuts), (self.again, Thing::Repeats), (self.cold, Thing::ColdWriteOuts)];
-        wanted.into_iter().filter(|(wanted, _)| *wanted).map(|(_, of)| of).collect()
-    }
-}
-
 struct Link {
     connection: Connection,
     frames: Frames,
@@ -301,7 +293,7 @@
         }
         let held = limits.hold(now, Thing::InFlight, wish.out as u64)
             && (wish.idle || limits.hold(now, Thing::Connections, wish.connections as u64));
-        held && limits.spend_all(now, &wish.flows(), !wish.again)
+        held && limits.spend_write_out(now, wish.again, wish.cold)
     }
 
     /// Whether the fleet's budgets allow a call to the list's service now.
--- a/crates/sidecar/src/sidecar/process.rs
+++ b/crates/sidecar/src/sidecar/process.rs
@@ -241,9 +241,13 @@
         "200 takes clients"
     }
 
+    /// Reqs whose clients wait, and long answers that are on their way.
+    fn open(&self) -> usize {
+        self.reqs.iter().filter(|(_, r)| r.client.is_some()).count() + self.servers.passing().count()
+    }
+
     pub(super) fn figures(&self) -> String {
-        let open =
-            self.reqs.iter().filter(|(_, r)| r.client.is_some()).count() + self.servers.passing().count();
+        let open = self.open();
         let (listed, avoided) = self.choice.avoided(self.turn.now);
         let text = self.figures.text(Now { open, written: self.servers.written, listed, avoided });
         match &self.fleet {
@@ -345,8 +349,8 @@
     /// What it holds is counted anew before it is told, and idle connections above its part are given back.
     fn tell_holds(&mut self) {
         let alone = self.presence.is_some() && self.others.alive() == 0;
-        let now = self.clock.now();
-        let Sidecar { fleet, servers, turn, endpoints, outs, entries, reqs, clients, draining, .. } = self;
+        let (now, open) = (self.clock.now(), self.open());
+        let Sidecar { fleet, servers, turn, endpoints, outs, entries, clients, draining, .. } = self;
         let Some(fleet) = fleet.as_mut() else { return };
         // What is out of service by an operator's word is left for good: the module would keep idle connections there until its
         // next req.
@@ -362,7 +366,6 @@
         let lacks = fleet.looks_for().filter(|name| !ready(name)).cloned().collect();
         // Danger: what was on its way when the drain began comes still, and would not be seen to have been waited for.
         let early = draining.is_some_and(|since| turn.now.since(since) < DRAIN_GRACE);
-        let open = reqs.iter().filter(|(_, r)| r.client.is_some()).count() + servers.passing().count();
         fleet.stands_with(open + clients.count() + usize::from(early), lacks);
         // Danger: a cap that is not taken back would outlive its budget.
         servers.most_at_one = fleet.connections_most(now);
