Lists may come indented, and what a watch tells with its end is heard

Cause: seen by reading, then in tests on sockets: a list over several lines was read a line at a time (list.rs, take_lists), so its watch was taken for broken and opened anew for ever; a list that came in one read with its watch's end, or with bytes that are no chunk, was dropped with the watch (take_chunks returned before what it had moved on was looked at); a list of which a little comes at a time was waited for for ever (MORE_IN counted anew with each piece). Change: a list ends where its braces do, each byte looked at once; what is whole is heard before an end or a fault counts; two seconds for all of one list; the line before a torn chunk does not spoil the entry that it stands in. Excluded: the salvage of drains from a torn list, which read bytes and not lines.

--- a/crates/sidecar/src/net/http.rs
+++ b/crates/sidecar/src/net/http.rs
@@ -416,6 +416,14 @@
     Ok((buffer.len() >= line + size + 2).then_some((line, size, line + size + 2)))
 }
 
+/// Where the data of the chunk starts that stands first in the buffer, whole or not.
+pub fn chunk_line(buffer: &[u8]) -> Option<usize> {
+    match httparse::parse_chunk_size(buffer) {
+        Ok(Status::Complete((line, _))) => Some(line),
+        _ => None,
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/sidecar/src/net/list.rs
+++ b/crates/sidecar/src/net/list.rs
@@ -19,18 +19,19 @@
 const ANSWER_IN: Span = Span::from_millis(3000);
 /// Longest silence of a watch: its beat of 2 s, with room for a busy service.
 const SILENCE_MOST: Span = Span::from_millis(3500);
-/// In which more of a line must come that has begun: lines are written in one go, and what one tells counts as
-/// told when it was written.
+/// In which more of a list must come that has begun, and in which all of it: lists are written in one go, and what one
+/// tells counts as told when it was written. Danger: one of which a little comes at a time would be waited for for ever.
 const MORE_IN: Span = Span::from_millis(300);
-/// Most that is waited before a watch is opened anew that broke off within a line, times a half to one by
+const ALL_IN: Span = Span::from_millis(2000);
+/// Most that is waited before a watch is opened anew that broke off within a list, times a half to one by
 /// chance: its service is up, and has something to tell.
 const RETRY_TORN: Span = Span::from_millis(60);
 /// Wait before a failed watch is opened anew, doubled with each further failure up to the most, and times a
 /// half to one by chance.
 const RETRY_FIRST: Span = Span::from_millis(400);
 const RETRY_MOST: Span = Span::from_millis(5000);
-/// Bytes that a line may have: a whole list of many thousand endpoints.
-const LINE_MOST: usize = 4 << 20;
+/// Bytes that a list may have: a whole one of many thousand endpoints.
+const LIST_MOST: usize = 4 << 20;
 
 /// The version of a list in the service's form, and whether it is complete.
 pub fn version(list: &Value) -> Result<(u64, bool), String> {
@@ -73,20 +74,58 @@
     connection: Connection,
     up: bool,
     head_read: bool,
-    /// What chunks have brought and is no whole line yet.
-    lines: Vec<u8>,
+    /// What chunks have brought and is no whole list yet, and where one ends in it.
+    text: Vec<u8>,
+    braces: Braces,
+    /// Since when part of a list has been there.
+    begun_at: Option<Moment>,
+}
+
+/// Where the lists of a stream end, however they are set in lines: braces outside of texts, each byte looked at once.
+#[derive(Default)]
+struct Braces {
+    seen: usize,
+    depth: usize,
+    in_text: bool,
+    escaped: bool,
+}
+
+impl Braces {
+    /// How much of a stream holds whole lists, where it is what was seen before and more behind it.
+    fn whole(&mut self, stream: &[u8]) -> usize {
+        let mut whole = 0;
+        for (at, byte) in stream.iter().enumerate().skip(self.seen) {
+            match byte {
+                _ if std::mem::take(&mut self.escaped) => {}
+                b'\\' => self.escaped = self.in_text,
+                b'"' => self.in_text = !self.in_text,
+                b'{' if !self.in_text => self.depth += 1,
+                b'}' if !self.in_text => {
+                    self.depth = self.depth.saturating_sub(1);
+                    if self.depth == 0 {
+                        whole = at + 1;
+                    }
+                }
+                _ => {}
+            }
+        }
+        self.seen = stream.len() - whole;
+        whole
+    }
 }
 
 impl Watch {
-    /// Part of a line has come.
+    /// Part of a list has come.
     fn begun(&self) -> bool {
-        !self.lines.is_empty() || self.head_read && !self.connection.input.is_empty()
+        !self.text.is_empty() || self.head_read && !self.connection.input.is_empty()
     }
 
-    /// What has come of a line that is not whole.
+    /// What has come of a list that is not whole.
     fn torn(&self) -> Option<Vec<u8>> {
-        self.begun()
-            .then(|| [&self.lines[..], if self.head_read { &self.connection.input } else { &[] }].concat())
+        let input = if self.head_read { &self.connection.input[..] } else { &[] };
+        // Danger: the line before a chunk that is not whole would spoil the entry in which it stands.
+        let line = http::chunk_line(input).unwrap_or(0);
+        self.begun().then(|| [&self.text[..], &input[line..]].concat())
     }
 }
 
@@ -101,11 +140,11 @@
     chance: Rand64,
     /// The version that was last heard, at this address.
     version: u64,
-    /// What a line that broke off told of endpoints to leave alone.
+    /// What a list that broke off told of endpoints to leave alone.
     salvaged: Vec<Value>,
 }
 
-/// The entries that are whole in a part of a line, of those endpoints that want nothing more.
+/// The entries that are whole in a part of a list, of those endpoints that want nothing more.
 fn salvage(part: &[u8]) -> Vec<Value> {
     let starts = part.iter().enumerate().filter(|(_, byte)| **byte == b'{').map(|(at, _)| at);
     let whole = starts.filter_map(|at| {
@@ -168,7 +207,15 @@
         let opened = self.watches.insert_with(|key| {
             let mut connection = Connection::open(at, &turn.registry, Peer::List(key).token())?;
             connection.queue(&[&call], 0);
-            Ok::<_, std::io::Error>(Watch { connection, up: false, head_read: false, lines: Vec::new() })
+            let (text, braces) = (Vec::new(), Braces::default());
+            Ok::<_, std::io::Error>(Watch {
+                connection,
+                up: false,
+                head_read: false,
+                text,
+                braces,
+                begun_at: None,
+            })
         });
         match opened {
             Ok(key) => {
@@ -182,8 +229,8 @@
 
     /// The call has failed or the watch has ended: what is known of the list stays, and the next try waits.
     fn fail(&mut self, what: &str, turn: &mut Turn) -> bool {
-        // Danger: of a line that never ends the sidecar has been told all the same. What it says of drains is
-        // heeded; all else waits for the whole line, as the version stays what it was.
+        // Danger: of a list that never ends the sidecar has been told all the same. What it says of drains is
+        // heeded; all else waits for the whole list, as the version stays what it was.
         let torn = self.open.and_then(|key| self.watches.get(key)).and_then(Watch::torn);
         self.salvaged = salvage(torn.as_deref().unwrap_or_default());
         self.close(turn);
@@ -207,7 +254,7 @@
         }
     }
 
-    /// A list of what a line told that broke off, if it did.
+    /// What a list told that broke off, if one did.
     pub fn take_salvaged(&mut self) -> Option<Value> {
         let entries = std::mem::take(&mut self.salvaged);
         let list = || json!({"index": self.version, "snapshot": false, "endpoints": entries});
@@ -235,7 +282,7 @@
         }
         watch.connection.flush().map_err(broken)?;
         loop {
-            let over = watch.connection.fill(LINE_MOST + http::HEAD_MOST).is_err() || watch.connection.ended;
+            let over = watch.connection.fill(LIST_MOST + http::HEAD_MOST).is_err() || watch.connection.ended;
             let full = watch.connection.full;
             if !watch.head_read {
                 match http::watch_head(&watch.connection.input) {
@@ -246,23 +293,33 @@
                 }
                 watch.head_read = true;
             }
-            if watch.take_chunks()? {
+            // Danger: what came before an end or a fault has been told.
+            let (any, faulty) = watch.take_chunks();
+            if any {
                 turn.deadlines.shift(Due::List, &mut self.deadline, Some(turn.now + SILENCE_MOST));
             }
-            for list in watch.take_lists()? {
+            let whole = watch.braces.whole(&watch.text);
+            for list in serde_json::Deserializer::from_slice(&watch.text[..whole]).into_iter::<Value>() {
+                let list = list.map_err(|e| format!("bad list: {e}"))?;
                 let (version, complete) = version(&list)?;
                 // Danger: a list that is told in part, up to what is faulty, would drop the rest.
                 entries(&list, |_, _, _, _, _| {})?;
                 (self.version, self.failures) = (version, 0);
                 hear(complete, list);
             }
+            watch.done_with(whole)?;
+            if let Some(what) = faulty {
+                return Err(what);
+            }
             if over {
                 return Err("the watch broke".to_string());
             }
             if !full {
-                // Danger: a line that stops short would be waited for as long as for a beat.
-                if watch.begun() {
-                    turn.deadlines.shift(Due::List, &mut self.deadline, Some(turn.now + MORE_IN));
+                // Danger: a list that stops short would be waited for as long as for a beat.
+                watch.begun_at = watch.begun().then(|| watch.begun_at.unwrap_or(turn.now));
+                if let Some(since) = watch.begun_at {
+                    let until = (turn.now + MORE_IN).min(since + ALL_IN);
+                    turn.deadlines.shift(Due::List, &mut self.deadline, Some(until));
                 }
                 return Ok(());
             }
@@ -271,33 +328,35 @@
 }
 
 impl Watch {
-    /// Moves what the whole chunks hold on to the lines. Returns whether there was any.
-    fn take_chunks(&mut self) -> Result<bool, String> {
+    /// Moves on what the whole chunks hold. Returns whether there was any, and what ends or spoils the watch behind them.
+    fn take_chunks(&mut self) -> (bool, Option<String>) {
         let (input, mut done) = (&self.connection.input, 0);
-        while let Some((data, size, end)) =
-            http::chunk(&input[done..], LINE_MOST).map_err(|_| "no chunk".to_string())?
-        {
-            if size == 0 {
-                return Err("the watch has ended".to_string());
+        let faulty = loop {
+            match http::chunk(&input[done..], LIST_MOST) {
+                Ok(Some((_, 0, _))) => break Some("the watch has ended"),
+                Ok(Some((data, size, end))) => {
+                    self.text.extend_from_slice(&input[done + data..done + data + size]);
+                    done += end;
+                }
+                Ok(None) => break None,
+                Err(_) => break Some("no chunk"),
             }
-            self.lines.extend_from_slice(&input[done + data..done + data + size]);
-            done += end;
-        }
+        };
         self.connection.consume(done);
-        Ok(done > 0)
+        (done > 0, faulty.map(str::to_string))
     }
 
-    /// Takes the whole lines; an empty one is only a beat.
-    fn take_lists(&mut self) -> Result<Vec<Value>, String> {
-        let whole = self.lines.iter().rposition(|byte| *byte == b'\n').map_or(0, |end| end + 1);
-        if self.lines.len() - whole > LINE_MOST {
-            return Err("a line is too long".to_string());
+    /// Drops the lists that are done with, and what is only a beat.
+    fn done_with(&mut self, whole: usize) -> Result<(), String> {
+        self.text.drain(..whole);
+        if self.text.trim_ascii_start().is_empty() {
+            (self.text, self.braces.seen) = (Vec::new(), 0);
+        }
+        match self.text.trim_ascii_start().first() {
+            Some(first) if *first != b'{' => Err("bad list: no object".to_string()),
+            _ if self.text.len() > LIST_MOST => Err("a list is too long".to_string()),
+            _ => Ok(()),
         }
-        let lines = self.lines[..whole].split(|byte| *byte == b'\n');
-        let lists = lines.filter(|line| !line.trim_ascii().is_empty()).map(serde_json::from_slice);
-        let lists = lists.collect::<Result<_, _>>().map_err(|e| format!("bad line: {e}"));
-        self.lines.drain(..whole);
-        lists
     }
 }
 
--- /dev/null
+++ b/crates/sidecar/tests/crossings.rs
@@ -0,0 +1,7 @@
+//! Two events that cross, on real sockets among stand-ins: each crossing is held open until it is there, and awaited.
+//! `docs/crossings.md` lists the pairs.
+
+mod stand_ins;
+
+#[path = "crossings/lists.rs"]
+mod lists;
--- /dev/null
+++ b/crates/sidecar/tests/crossings/lists.rs
@@ -0,0 +1,125 @@
+//! Watches on the list, and what can cross with them.
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+use crate::stand_ins::{
+    Client, Endpoint, Sidecar, configuration, entry, list, list_of, ok, until_served_by, watch_line,
+};
+
+const OPEN: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// The same list over many lines, as a service may write it.
+fn indented(list: &str) -> String {
+    let value: serde_json::Value = serde_json::from_str(list).unwrap();
+    serde_json::to_string_pretty(&value).unwrap()
+}
+
+fn chunk(stream: &mut TcpStream, bytes: &[u8]) {
+    write!(stream, "{:x}\r\n", bytes.len()).unwrap();
+    stream.write_all(bytes).unwrap();
+    stream.write_all(b"\r\n").unwrap();
+}
+
+/// Danger: a list over several lines, read a line at a time, was taken for one that is broken, and its watch opened anew
+/// for ever.
+#[test]
+fn a_list_that_comes_indented_is_heard_however_it_is_cut() {
+    let (one, other) = (Endpoint::start(|_| ok("one")), Endpoint::start(|_| ok("other")));
+    let (at, watches) = list();
+    let known = list_of(1, true, &[entry("e0", one.at, 0, "up")]);
+    let sidecar = Sidecar::start(&configuration(at, 1024, &known));
+    let (_, mut watch) = watches.recv().unwrap();
+    watch.write_all(OPEN).unwrap();
+    let mut index = 1;
+    let mut next = || {
+        index += 1;
+        let (at, body) = if index % 2 == 0 { (other.at, "other") } else { (one.at, "one") };
+        let text = indented(&list_of(index, true, &[entry(&format!("e{index}"), at, 0, "up")]));
+        (text + "\n", body)
+    };
+    // In one chunk; cut in the middle of a text, of a number and behind a bracket; a chunk for each byte; two at once,
+    // of which the last counts; with beats between the lines.
+    let (text, body) = next();
+    chunk(&mut watch, text.as_bytes());
+    until_served_by(&sidecar, body);
+    for cut in ["\"addr", "127.0", "["] {
+        let (text, body) = next();
+        let at = text.find(cut).unwrap() + cut.len() - 1;
+        chunk(&mut watch, &text.as_bytes()[..at]);
+        chunk(&mut watch, &text.as_bytes()[at..]);
+        until_served_by(&sidecar, body);
+    }
+    let (text, body) = next();
+    text.bytes().for_each(|byte| chunk(&mut watch, &[byte]));
+    until_served_by(&sidecar, body);
+    let ((first, _), (second, body)) = (next(), next());
+    chunk(&mut watch, (first.trim_end().to_string() + &second).as_bytes());
+    until_served_by(&sidecar, body);
+    let (text, body) = next();
+    for line in text.split_inclusive('\n') {
+        chunk(&mut watch, line.as_bytes());
+        chunk(&mut watch, b"\n");
+    }
+    until_served_by(&sidecar, body);
+    // All of it on the first watch.
+    assert!(watches.try_recv().is_err());
+}
+
+/// Danger: what a watch tells and then ends, all in one turn, was lost with its end.
+#[test]
+fn a_list_and_the_end_of_its_watch_in_one_turn_are_both_heard() {
+    let (one, other) = (Endpoint::start(|_| ok("one")), Endpoint::start(|_| ok("other")));
+    let (at, watches) = list();
+    let known = list_of(1, true, &[entry("e0", one.at, 0, "up")]);
+    let sidecar = Sidecar::start(&configuration(at, 1024, &known));
+    let endings: [&[u8]; 3] = [b"0\r\n\r\n", b"no chunk\r\n", b""];
+    for (number, ending) in endings.into_iter().enumerate() {
+        let (call, mut watch) = watches.recv().unwrap();
+        assert!(call.contains(&format!("since={} ", number + 1)), "{call}");
+        let (at, body) = if number % 2 == 0 { (other.at, "other") } else { (one.at, "one") };
+        let text = list_of(number as u32 + 2, true, &[entry(&format!("n{number}"), at, 0, "up")]) + "\n";
+        let line = format!("{:x}\r\n{text}\r\n", text.len());
+        watch.write_all(&[OPEN, line.as_bytes(), ending].concat()).unwrap();
+        drop(watch);
+        until_served_by(&sidecar, body);
+    }
+}
+
+/// Danger: what is no list would be waited for as part of one, or cost the list that is known.
+#[test]
+fn what_is_no_list_ends_its_watch_and_what_was_known_stays() {
+    let one = Endpoint::start(|_| ok("one"));
+    let known = list_of(1, true, &[entry("e0", one.at, 0, "up")]);
+    let start = || {
+        let (at, watches) = list();
+        let sidecar = Sidecar::start(&configuration(at, 1024, &known));
+        let (_, mut watch) = watches.recv().unwrap();
+        watch.write_all(OPEN).unwrap();
+        (sidecar, watches, watch)
+    };
+    let endless = format!("{{\"index\":2,\"snapshot\":true,\"endpoints\":[{}", "\"x\",".repeat(10));
+    let no_entries = "{\"index\":2,\"snapshot\":true,\"endpoints\":{}}";
+    for bad in ["soup", "[1,2]", "7", "{\"index\":2}", no_entries, "}{", &endless] {
+        let (sidecar, watches, mut watch) = start();
+        watch_line(&mut watch, bad);
+        let (call, _) = watches.recv().unwrap();
+        assert!(call.contains("since=1 "), "{bad}: {call}");
+        let mut client = Client::connect(&sidecar);
+        client.view();
+        assert!(client.answer().ends_with("one"), "{bad}");
+    }
+    // A value of which a little comes all the time, and that never ends.
+    let (sidecar, watches, mut watch) = start();
+    let begun = Instant::now();
+    let mut more = || write!(watch, "4\r\n{{\"a\"\r\n").is_ok();
+    while watches.try_recv().is_err() {
+        more();
+        std::thread::sleep(Duration::from_millis(100));
+        assert!(begun.elapsed() < Duration::from_secs(4), "it is followed for ever");
+    }
+    let mut client = Client::connect(&sidecar);
+    client.view();
+    assert!(client.answer().ends_with("one"));
+}
--- a/crates/sidecar/tests/sockets.rs
+++ b/crates/sidecar/tests/sockets.rs
@@ -6,7 +6,9 @@
 use std::process::Command;
 use std::time::{Duration, Instant};
 
-use stand_ins::{Client, Endpoint, Sidecar, configuration, entry, file, list, list_of, ok, watch_line};
+use stand_ins::{
+    Client, Endpoint, Sidecar, configuration, entry, file, list, list_of, ok, until_served_by, watch_line,
+};
 
 #[test]
 fn a_req_goes_on_and_its_answer_comes_back() {
@@ -500,21 +502,6 @@
     (sidecar, watch)
 }
 
-/// Asks until this endpoint serves, as a list takes effect a moment after it was written. Whatever else is
-/// listed, each req is answered.
-fn until_served_by(sidecar: &Sidecar, body: &str) {
-    let mut client = Client::connect(sidecar);
-    for _ in 0..2000 {
-        client.view();
-        let answer = client.answer();
-        if answer.ends_with(body) {
-            return;
-        }
-        assert!(answer.starts_with("HTTP/1.1 200 ") || answer.starts_with("HTTP/1.1 503 "), "{answer}");
-    }
-    panic!("never served by {body}");
-}
-
 /// An address at which nobody listens.
 fn nobody() -> std::net::SocketAddr {
     std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
--- a/crates/sidecar/tests/stand_ins/mod.rs
+++ b/crates/sidecar/tests/stand_ins/mod.rs
@@ -340,3 +340,18 @@
         }
     }
 }
+
+/// Asks until this endpoint serves, as a list takes effect a moment after it was written. Whatever else is
+/// listed, each req is answered.
+pub fn until_served_by(sidecar: &Sidecar, body: &str) {
+    let mut client = Client::connect(sidecar);
+    for _ in 0..2000 {
+        client.view();
+        let answer = client.answer();
+        if answer.ends_with(body) {
+            return;
+        }
+        assert!(answer.starts_with("HTTP/1.1 200 ") || answer.starts_with("HTTP/1.1 503 "), "{answer}");
+    }
+    panic!("never served by {body}");
+}
