A silent watch leaves time for a lost call, and an agent that was down is met at once

Cause: what a silent watch misses counts as told 6 s after it fell silent, but silence (3.5 s), wait, a lost call (3 s) and the next wait made 7.7 s (list.rs, SILENCE_MOST, ANSWER_IN). Where lists are pushed, what the agent gets at its service's return counts at once, and calls made while it was down were waited for 3 s, with up to 5 s between two (RETRY_MOST). Failures of before an outage outlived a watch that only beat. Change: 2.8 s of silence (the beat is 2 s), 1.2 s for the first call after it, 0.4 to 1 s for one to an agent and 0.1 s between two of these; a beat ends the count of failures. Measured: two tests in virtual time on sockets, seen to fail with the figures of before; all tests of the sidecar pass.

--- a/crates/sidecar/src/net/list.rs
+++ b/crates/sidecar/src/net/list.rs
@@ -18,7 +18,15 @@
 const CONNECT_IN: Span = Span::from_millis(1000);
 const ANSWER_IN: Span = Span::from_millis(3000);
 /// Longest silence of a watch: its beat of 2 s, with room for a busy service.
-const SILENCE_MOST: Span = Span::from_millis(3500);
+const SILENCE_MOST: Span = Span::from_millis(2800);
+/// In which the first call after such a silence must be answered. Danger: what a silent watch misses counts as told
+/// 6 s after it fell silent; a call that is lost then has to leave time for another.
+const ANSWER_SOON: Span = Span::from_millis(1200);
+/// The same where lists are pushed, doubled with each failure up to the most, and the longest wait between two calls.
+/// Danger: what the agent beside this process gets when its service is back counts as told at once, whether a call to it
+/// is open or not, and the time to heed a drain may be well under a second. It has no other callers to serve.
+const AGENT_IN: (Span, Span) = (Span::from_millis(400), Span::from_millis(1000));
+const AGENT_RETRY: Span = Span::from_millis(100);
 /// In which more of a list must come that has begun, and in which all of it: lists are written in one go, and what one
 /// tells counts as told when it was written. Danger: one of which a little comes at a time would be waited for for ever.
 const MORE_IN: Span = Span::from_millis(300);
@@ -74,6 +82,8 @@
     connection: Connection,
     up: bool,
     head_read: bool,
+    /// It has brought anything.
+    heard: bool,
     /// What chunks have brought and is no whole list yet, and where one ends in it.
     text: Vec<u8>,
     braces: Braces,
@@ -137,6 +147,10 @@
     wanted: bool,
     deadline: Option<Moment>,
     failures: i32,
+    /// The last watch fell silent, and none has been heard since.
+    fell_silent: bool,
+    /// Lists are pushed: they come from an agent of this process's own.
+    pub pushed: bool,
     chance: Rand64,
     /// The version that was last heard, at this address.
     version: u64,
@@ -155,7 +169,7 @@
 }
 
 impl List {
-    pub fn new(at: SocketAddr, version: u64, seed: u64) -> List {
+    pub fn new(at: SocketAddr, version: u64, seed: u64, pushed: bool) -> List {
         List {
             at,
             watches: Slots::default(),
@@ -163,6 +177,8 @@
             wanted: false,
             deadline: None,
             failures: 0,
+            fell_silent: false,
+            pushed,
             chance: Rand64::new(u128::from(seed)),
             version,
             salvaged: Vec::new(),
@@ -212,6 +228,7 @@
                 connection,
                 up: false,
                 head_read: false,
+                heard: false,
                 text,
                 braces,
                 begun_at: None,
@@ -235,7 +252,8 @@
         self.salvaged = salvage(torn.as_deref().unwrap_or_default());
         self.close(turn);
         // Danger: a service that comes back would be met by every sidecar at once.
-        let wait = (RETRY_FIRST * 2.0_f64.powi(self.failures.min(10))).min(RETRY_MOST);
+        let most = if self.pushed { AGENT_RETRY } else { RETRY_MOST };
+        let wait = (RETRY_FIRST * 2.0_f64.powi(self.failures.min(10))).min(most);
         let wait = if torn.is_some() && self.failures == 0 { RETRY_TORN } else { wait };
         let wait = wait * (0.5 + self.chance.rand_float() / 2.0);
         self.failures += 1;
@@ -244,12 +262,25 @@
         true
     }
 
+    /// In which a call that is up must be answered.
+    fn answer_in(&self) -> Span {
+        match self.failures {
+            failures if self.pushed => (AGENT_IN.0 * 2.0_f64.powi(failures.min(10))).min(AGENT_IN.1),
+            // The silence itself is the first failure.
+            1 if self.fell_silent => ANSWER_SOON,
+            _ => ANSWER_IN,
+        }
+    }
+
     /// The deadline has passed: of a watch that is silent, or of the wait for the next. Returns whether a
     /// call has failed by that.
     pub fn overdue(&mut self, may: impl FnOnce() -> bool, turn: &mut Turn) -> bool {
         self.deadline = None;
         match self.open {
-            Some(_) => self.fail("nothing heard", turn),
+            Some(key) => {
+                self.fell_silent |= self.watches.get(key).is_some_and(|watch| watch.heard);
+                self.fail("nothing heard", turn)
+            }
             None => self.open_if(may, turn),
         }
     }
@@ -271,6 +302,7 @@
     }
 
     fn read(&mut self, key: Key, turn: &mut Turn, hear: &mut impl FnMut(bool, Value)) -> Result<(), String> {
+        let answer_in = self.answer_in();
         let Some(watch) = self.watches.get_mut(key) else { return Ok(()) };
         let broken = |e: std::io::Error| e.to_string();
         if !watch.up {
@@ -278,7 +310,7 @@
             if !watch.up {
                 return Ok(());
             }
-            turn.deadlines.shift(Due::List, &mut self.deadline, Some(turn.now + ANSWER_IN));
+            turn.deadlines.shift(Due::List, &mut self.deadline, Some(turn.now + answer_in));
         }
         watch.connection.flush().map_err(broken)?;
         loop {
@@ -296,6 +328,7 @@
             // Danger: what came before an end or a fault has been told.
             let (any, faulty) = watch.take_chunks();
             if any {
+                (watch.heard, self.fell_silent) = (true, false);
                 turn.deadlines.shift(Due::List, &mut self.deadline, Some(turn.now + SILENCE_MOST));
             }
             let whole = watch.braces.whole(&watch.text);
@@ -308,6 +341,10 @@
                 hear(complete, list);
             }
             watch.done_with(whole)?;
+            // Danger: a watch that only beats is as good; kept, old failures would delay the next for long.
+            if any && watch.text.is_empty() {
+                self.failures = 0;
+            }
             if let Some(what) = faulty {
                 return Err(what);
             }
@@ -370,7 +407,7 @@
         let now = Moment::from_nanos(0);
         let mut turn = Turn { now, registry, deadlines: Default::default(), room: 0 };
         let nobody = "127.0.0.1:1".parse().unwrap();
-        let mut lists = [List::new(nobody, 0, 1), List::new(nobody, 0, 2)];
+        let mut lists = [List::new(nobody, 0, 1, false), List::new(nobody, 0, 2, false)];
         let mut last = Span::ZERO;
         for _ in 0..20 {
             let [one, other] = lists.each_mut().map(|list| {
@@ -382,4 +419,86 @@
         }
         assert!(last >= RETRY_MOST * 0.5);
     }
+
+    /// Turns that end at what falls due first, until the list has been called so many times more.
+    fn calls(
+        list: &mut List,
+        turn: &mut Turn,
+        poll: &mut mio::Poll,
+        times: usize,
+        listener: &std::net::TcpListener,
+    ) {
+        for _ in 0..times {
+            while list.open.is_some() {
+                turn.now = turn.deadlines.next().unwrap();
+                turn.deadlines.pop(turn.now);
+                list.overdue(|| true, turn);
+            }
+            turn.now = turn.deadlines.next().unwrap();
+            turn.deadlines.pop(turn.now);
+            list.overdue(|| true, turn);
+            up(list, turn, poll);
+            let _ = listener.accept().unwrap();
+        }
+    }
+
+    /// Awaits that the call is up.
+    fn up(list: &mut List, turn: &mut Turn, poll: &mut mio::Poll) {
+        let mut events = mio::Events::with_capacity(8);
+        let key = list.open.unwrap();
+        while !list.watches.get(key).unwrap().up {
+            poll.poll(&mut events, None).unwrap();
+            list.ready(key, turn, |_, _| {});
+        }
+    }
+
+    fn followed(pushed: bool) -> (List, Turn, mio::Poll, std::net::TcpListener, std::net::TcpStream) {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let mut poll = mio::Poll::new().unwrap();
+        let registry = poll.registry().try_clone().unwrap();
+        let now = Moment::from_nanos(1);
+        let mut turn = Turn { now, registry, deadlines: Default::default(), room: 0 };
+        let mut list = List::new(listener.local_addr().unwrap(), 0, 1, pushed);
+        list.watch(|| true, &mut turn);
+        up(&mut list, &mut turn, &mut poll);
+        let (mut peer, _) = listener.accept().unwrap();
+        std::io::Write::write_all(
+            &mut peer,
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n",
+        )
+        .unwrap();
+        let (key, mut events) = (list.open.unwrap(), mio::Events::with_capacity(8));
+        while !list.watches.get(key).unwrap().heard {
+            poll.poll(&mut events, None).unwrap();
+            list.ready(key, &mut turn, |_, _| {});
+        }
+        (list, turn, poll, listener, peer)
+    }
+
+    /// Danger: what a watch misses that has fallen silent counts as told 6 s later, also if the call that follows it is
+    /// silent as well.
+    #[test]
+    fn after_a_silence_a_call_that_is_lost_leaves_time_for_another() {
+        let (mut list, mut turn, mut poll, listener, _peer) = followed(false);
+        let heard = turn.now;
+        // The first is lost. The second is made in time.
+        calls(&mut list, &mut turn, &mut poll, 2, &listener);
+        assert!(turn.now.since(heard) < Span::from_millis(5500), "{:?}", turn.now.since(heard));
+        // Later ones have all the time that a busy service may take.
+        let second = turn.now;
+        calls(&mut list, &mut turn, &mut poll, 1, &listener);
+        assert!(turn.now.since(second) > ANSWER_IN);
+    }
+
+    /// Danger: an agent that was down would be called anew seconds after it is back, while what it has counts as told.
+    #[test]
+    fn an_agent_that_is_silent_is_called_again_within_little_more_than_a_second() {
+        let (mut list, mut turn, mut poll, listener, _peer) = followed(true);
+        calls(&mut list, &mut turn, &mut poll, 1, &listener);
+        for _ in 0..20 {
+            let before = turn.now;
+            calls(&mut list, &mut turn, &mut poll, 1, &listener);
+            assert!(turn.now.since(before) <= AGENT_IN.1 + AGENT_RETRY, "{:?}", turn.now.since(before));
+        }
+    }
 }
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -173,7 +173,7 @@
             places,
             clients,
             servers: Servers::new(launch.connection_idle, launch.connect_timeout),
-            list: List::new(launch.discovery, known.map_or(0, |(version, _)| version), launch.seed),
+            list: List::new(launch.discovery, known.map_or(0, |(version, _)| version), launch.seed, unasked),
             look_again: Vec::new(),
             pass_again: Vec::new(),
             operators,
--- a/crates/sidecar/src/sidecar/process.rs
+++ b/crates/sidecar/src/sidecar/process.rs
@@ -64,6 +64,7 @@
 
     /// What may change while reqs are under way is taken over.
     fn take_over(&mut self, launch: Launch) {
+        self.list.pushed = launch.terms.ask_within.is_none();
         let may = may_call_list(&mut self.fleet, &self.clock);
         if self.list.move_to(launch.discovery, may, &mut self.turn) {
             self.choice.list_failed(self.turn.now);
