Settings that come later hold whole, and a repeat counts the time that its connect takes

Cause: by reading, one customer's or one file's figures outlived it: Choice::retune replaced the terms, but kept from those of the start how many endpoints are asked for loads, the bound's aim, least and part (new), and the window in which sends are counted for a cold endpoint (Rate), so that a file with a shorter window let twice as much onto it; Servers::retune left idle connections the deadline of the old limit, so that an endpoint could end one as a req is written to it. may_repeat counted four ticks for a repeat to arrive and nothing for its connect, so a repeat near the end of its group's memory could run twice where a connect may take longer. Excluded: indices of methods that are used again (terms.rs, after; held by reqs and by passing answers), read through with the tests of before.

--- a/crates/sidecar/src/net/servers.rs
+++ b/crates/sidecar/src/net/servers.rs
@@ -147,8 +147,15 @@
     }
 
     /// Other limits hold from now on.
-    pub fn retune(&mut self, idle_limit: Span, connect_timeout: Span) {
+    pub fn retune(&mut self, idle_limit: Span, connect_timeout: Span, turn: &mut Turn) {
         (self.idle_most, self.connect_timeout) = (idle_limit * IDLE_SHARE, connect_timeout);
+        // Danger: kept for as long as the limits of before allowed, one would be ended by its endpoint just as a req is
+        // written to it.
+        for (key, since) in self.places.iter().flat_map(|place| &place.idle) {
+            if let Some(link) = self.links.get_mut(*key) {
+                turn.deadlines.shift(Due::Server(*key), &mut link.deadline, Some(*since + self.idle_most));
+            }
+        }
     }
 
     /// Where an endpoint is to be found from now on, and since when. Danger: a machine that was cut off comes
@@ -541,4 +548,30 @@
         assert!(servers.ready(key, &mut turn).is_none() && servers.overdue(key, &mut turn).is_none());
         assert!(send(&mut servers, &mut turn).is_ok());
     }
+
+    #[test]
+    fn idle_connections_keep_to_the_limits_of_new_settings() {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let mut poll = mio::Poll::new().unwrap();
+        let registry = poll.registry().try_clone().unwrap();
+        let mut turn = Turn { now: Moment::from_nanos(1), registry, deadlines: Default::default(), room: 2 };
+        let mut servers = Servers::new(Span::from_millis(60_000), Span::from_millis(200));
+        servers.place(0, listener.local_addr().unwrap(), None, &mut turn);
+        let carried = Carried { req: 0, write_out: 0, give_up: turn.now + Span::from_millis(2000) };
+        let key =
+            servers.send(0, carried, Message { head: HEAD, body: b"", coming: None }, &mut turn).unwrap();
+        let (mut peer, _) = listener.accept().unwrap();
+        std::io::Write::write_all(&mut peer, b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").unwrap();
+        let mut events = mio::Events::with_capacity(8);
+        let ended = loop {
+            poll.poll(&mut events, None).unwrap();
+            if let Some(ended) = servers.ready(key, &mut turn) {
+                break ended;
+            }
+        };
+        servers.release(key, ended.answer.unwrap(), &mut turn);
+        servers.retune(Span::from_millis(4000), Span::from_millis(200), &mut turn);
+        assert!(servers.has_idle(0));
+        assert_eq!(turn.deadlines.next(), Some(turn.now + Span::from_millis(4000) * IDLE_SHARE));
+    }
 }
--- a/crates/sidecar/src/sidecar/process.rs
+++ b/crates/sidecar/src/sidecar/process.rs
@@ -69,7 +69,7 @@
         if self.list.move_to(launch.discovery, may, &mut self.turn) {
             self.choice.list_failed(self.turn.now);
         }
-        self.servers.retune(launch.connection_idle, launch.connect_timeout);
+        self.servers.retune(launch.connection_idle, launch.connect_timeout, &mut self.turn);
         self.retune(launch.terms, launch.watched);
     }
 
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -73,7 +73,7 @@
 const COME_BACK: f64 = 0.1; // told to a nacked client, of the budget, times one to two: spreads the returns
 // Rules.
 const ANSWER_TICKS: f64 = 2.0; // before the budget ends: a write-out's outcome, then the final answer
-const REPEAT_TICKS: f64 = 4.0; // before a group forgets: a repeat has yet to arrive
+const REPEAT_TICKS: f64 = 4.0; // before a group forgets: a repeat has yet to connect and to arrive
 const COLD_FLOOR: f64 = 4.0; // sends in a fall window to a started endpoint, from all, if none is known
 const ASK_SHARE: f64 = 0.5; // of the stated asking time, to wait before subscribing or asking again
 const GONE_KEPT: Span = Span::from_millis(60_000); // for an endpoint that is gone: it may yet come back
@@ -107,7 +107,7 @@
     due: VecDeque<usize>,
     keyed: bool,                 // reqs come with keys here
     keys: HashMap<u32, Rolling>, // requests and accepts since one failed, of the keys that have failed lately
-    asks: usize,                 // from how many endpoints a req asks for reports of load
+    asks: usize,                 // how many endpoints a req asks for their load
     asking_load: Vec<usize>,     // reqs that wait for these
     held: Vec<usize>,            // reqs that wait for an endpoint, the most worth first
     look_at_held: bool,
@@ -126,36 +126,38 @@
     solved: Option<Moment>,
     purse: f64,
     bound: f64,
-    bound_aim: f64,
-    bound_least: f64,
     crowd: f64, // the mean in flight in the circle, or everywhere as told, smoothed, as of a moment
     crowd_at: Moment,
     ask_at: Option<Moment>,
     asking: bool, // a call to the list's service is under way
 }
 
+fn asks(terms: &Terms) -> usize {
+    let worth = (ASKED_PRICE / terms.probe_price.max(1e-9)) as usize;
+    if terms.load_at.is_some() && worth > 1 { worth.min(ASKED) } else { 0 }
+}
+
+/// The bound's aim, and an instance's part of the least and the first.
+fn bounds(terms: &Terms) -> (f64, f64, f64) {
+    let (of, sharers) = if terms.may_tell { (BOUND_TOLD, 1.0) } else { (BOUND_OWN, terms.instances) };
+    (of.0, of.1 / sharers, of.2 / sharers)
+}
+
 impl Choice {
     pub fn new(now: Moment, terms: Terms, seed: u64) -> Choice {
         let mut chance = Chance::new(seed);
         // Danger: all instances that start together would fall on the list's service at once.
         let ask_at = terms.ask_within.map(|within| now + within * (ASK_SHARE * chance.part()));
-        let worth = (ASKED_PRICE / terms.probe_price.max(1e-9)) as usize;
-        let asks = if terms.load_at.is_some() && worth > 1 { worth.min(ASKED) } else { 0 };
-        let (bound_aim, least, first) = if terms.may_tell { BOUND_TOLD } else { BOUND_OWN };
-        let sharers = if terms.may_tell { 1.0 } else { terms.instances };
-        let (bound_least, first) = (least / sharers, first / sharers);
         let mut choice = Choice {
             habits: vec![Habit::default(); terms.methods.len()],
             load_usual: 1.0,
             telling: Slope::new(SLOPE_FIRST.0, SLOPE_FIRST.1),
-            bound: first,
-            bound_aim,
-            bound_least,
+            bound: bounds(&terms).2,
+            asks: asks(&terms),
             sends: Rate::new(now, terms.fall_window),
             answers: Rate::new(now, terms.fall_window),
             terms,
             chance,
-            asks,
             circle_most: f64::MAX,
             exchange_at: now,
             purse: PURSE_MOST,
@@ -183,7 +185,8 @@
                 e.distrust[*to] = from.map_or(0.0, |from| e.distrust[from]);
             }
         }
-        self.terms = terms;
+        self.bound *= bounds(&terms).2 / bounds(&self.terms).2;
+        (self.asks, self.terms) = (asks(&terms), terms);
     }
 
     pub fn arrival(&mut self, now: Moment, req: usize, ask: Ask) {
@@ -193,7 +196,6 @@
         // work within work that shows so; it hurts where clients leave out keys at will.
         self.keyed |= key.is_some();
         let within = self.keyed && key.is_none();
-
         let size =
             work.map_or(1.0, |work| self.habits[method].size(work, USUAL_PART).clamp(SIZES.0, SIZES.1));
         self.reqs.resize_with(self.reqs.len().max(req + 1), || None);
@@ -339,9 +341,10 @@
         // Danger: a queue that answers late never fails, so the window would not see the overload in it.
         self.window(now, method).book(now, 1.0, f64::from(u8::from(satisfied && part <= 1.0)));
         // Danger: crowded endpoints turn slower and stay so; the crowd must be kept from forming.
+        let (aim, least, _) = bounds(&self.terms);
         let off = match outcome {
-            Outcome::Satisfied | Outcome::Overdue => self.bound_aim - part.min(1.0),
-            Outcome::Saturated => self.bound_aim - 1.0,
+            Outcome::Satisfied | Outcome::Overdue => aim - part.min(1.0),
+            Outcome::Saturated => aim - 1.0,
             _ => 0.0,
         };
         // Danger: by its own few reqs none can tell how much is out. By all, it is the time in a second.
@@ -358,7 +361,7 @@
             let answers = self.answers.in_second().max(self.sends.in_second());
             let gain = (BOUND_GAIN.0 / answers.max(1e-6)).min(BOUND_GAIN.1);
             // Danger: a least that each instance may hold adds up over them. One must be possible, though.
-            let least = self.bound_least.max(if shared { 0.0 } else { 1.0 / self.fleet.max(1.0) });
+            let least = least.max(if shared { 0.0 } else { 1.0 / self.fleet.max(1.0) });
             self.bound = (self.bound * (1.0 + gain * off)).max(least);
         }
     }
@@ -611,8 +614,7 @@
     /// Danger: where the few places of one method are down, its failures would have all others refused too.
     fn window(&mut self, now: Moment, method: usize) -> &mut Rolling {
         let at = if self.terms.methods[method].is_placed() { method + 1 } else { 0 };
-        let windows = self.windows.len().max(at + 1);
-        self.windows.resize_with(windows, || Rolling::new(now, BUCKETS.0, BUCKETS.1));
+        self.windows.resize_with(self.windows.len().max(at + 1), || Rolling::new(now, BUCKETS.0, BUCKETS.1));
         &mut self.windows[at]
     }
 
@@ -839,7 +841,7 @@
         let may_have_run = || r.write_outs.iter().filter(|w| !w.ended.is_some_and(Outcome::never_ran));
         let Some(first) = may_have_run().next() else { return true };
         // Danger: outside the group, or past its memory from the first that may have run, it runs twice.
-        let remembered = now.since(first.sent) + self.terms.tick * REPEAT_TICKS < m.window;
+        let remembered = now.since(first.sent) + self.terms.up_in + self.terms.tick * REPEAT_TICKS < m.window;
         let earlier = |w: &WriteOut| self.endpoints[w.endpoint].as_ref().map(|e| &e.entry);
         let alike = |w: &WriteOut| earlier(w).is_some_and(|earlier| m.group.joins(earlier, &e.entry));
         match m.effect {
@@ -851,8 +853,8 @@
 
     /// Sets the fractions anew, once every solve interval or when the list has changed.
     fn solve(&mut self, now: Moment) {
-        self.sends.roll(now);
-        self.answers.roll(now);
+        self.sends.roll(now, self.terms.fall_window);
+        self.answers.roll(now, self.terms.fall_window);
         if self.solved.is_some_and(|at| now.since(at) < SOLVE_EVERY) {
             return;
         }
@@ -978,10 +980,8 @@
     /// By method, or by that which fares worst.
     fn trust(&self, now: Moment, method: Option<usize>) -> f64 {
         let worst = || self.distrust.iter().copied().fold(0.0, f64::max);
-        0.5_f64.powf(
-            method.map_or_else(worst, |method| self.distrust[method])
-                * halved(self.distrust_at, now, DISTRUST_HALF),
-        )
+        let score = method.map_or_else(worst, |method| self.distrust[method]);
+        0.5_f64.powf(score * halved(self.distrust_at, now, DISTRUST_HALF))
     }
 
     fn cold_share(&self, now: Moment, terms: &Terms) -> f64 {
--- a/src/figures.rs
+++ b/src/figures.rs
@@ -197,8 +197,13 @@
         self.running += 1.0;
     }
 
-    /// Begins another window if the running one is over.
-    pub fn roll(&mut self, now: Moment) {
+    /// Begins another window if the running one is over. Danger: counted over a window of before, what is sent in one of
+    /// another length would be off by as much.
+    pub fn roll(&mut self, now: Moment, window: Span) {
+        if window != self.window {
+            let part = window.secs() / self.window.secs().max(1e-9);
+            (self.running, self.last, self.window) = (self.running * part, self.last * part, window);
+        }
         if now.since(self.since) >= self.window {
             (self.running, self.last, self.since) = (0.0, self.running, now);
         }
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -84,6 +84,8 @@
     pub cold_start: f64,
     pub cold_for: Span,
     pub fall_window: Span,
+    /// How long a connection may take to come up; nought where connects take no time of their own.
+    pub up_in: Span,
     /// The instance's own zone where that is told, and what it costs if as many write-outs as first tries leave it.
     pub home: Option<usize>,
     pub crossing_price: f64,
@@ -299,6 +301,7 @@
             cold_start: p.read("rules.startCapacity")?,
             cold_for: p.span("rules.coldNs")?,
             fall_window: p.span("rules.overloadForNs")?,
+            up_in: p.span_or_nought("ceilings.connectTimeoutNs")?,
             home: p.0.get("zone").map(|zone| places.zones.index(zone)),
             crossing_price: p.or("deductions.crossZone", 0.0)?,
             left_doubt: p.span_or_nought("rules.deadlineDriftNs")?,
