A connect that comes up after a drain has no time left carries nothing

Cause: by reading, then forced on sockets: a write-out waits in its connection for up to the time to connect (servers.rs, send), and goes out when that comes up, though its endpoint has been told to drain meanwhile; where that time is longer than the time to stop sending, the rule on drains breaks. Change: a connect gets no more than the time to stop sending (launch.rs), so what was decided before a drain is told is written within its time or not at all; it never ran, and may go elsewhere. Excluded: held reqs, which are decided anew (tests/scenarios/drain-while-held.txt). Measured: a test with a listener without room, seen to fail with the cap taken out.

--- a/crates/sidecar/src/launch.rs
+++ b/crates/sidecar/src/launch.rs
@@ -25,6 +25,9 @@
 const SOCKETS: u64 = 1024;
 const MEMORY_MB: u64 = 192;
 
+/// The setting that tells how soon nothing more may be sent to an endpoint that drains.
+const STOPS: &str = "rules.stopSendingWithinNs";
+
 /// Keys that a file may have for a while.
 const OPTIONAL: [&str; 3] = ["known", "watch", "fleet"];
 
@@ -350,6 +353,11 @@
                 format!("settings.{path}: expected nanoseconds as a whole number, not '{nanos}'")
             })
         };
+        // Danger: what waits for its connect goes out when that comes up, and an endpoint may have been told to drain
+        // meanwhile; so it comes up within the time to stop sending, or not at all.
+        let connects = span("ceilings.connectTimeoutNs")?;
+        let stops = pairs.iter().any(|(at, _)| at == STOPS).then(|| span(STOPS)).transpose()?;
+        let stops = stops.filter(|stops| *stops > Span::ZERO);
         let sockets = limit(&file, "sockets", SOCKETS)? as usize;
         let memory = limit(&file, "memory_mb", MEMORY_MB)? as f64 * 1e6 * BUFFERS_SHARE;
         let in_memory = (memory / (2.0 * http::MESSAGE_MOST as f64)) as usize;
@@ -378,7 +386,7 @@
             discovery,
             seed: seed(&file)?,
             connection_idle: span("ceilings.connIdleNs")?,
-            connect_timeout: span("ceilings.connectTimeoutNs")?,
+            connect_timeout: stops.map_or(connects, |stops| connects.min(stops)),
             keys: keys(&file),
             known: file["known"].take(),
             terms,
--- a/crates/sidecar/tests/crossings/clients.rs
+++ b/crates/sidecar/tests/crossings/clients.rs
@@ -1,15 +1,13 @@
 //! Clients that leave, and what can cross with that: a req whose client has left is not sent on.
 
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::time::Duration;
 
-use socket2::{Domain, Socket, Type};
-
 use crate::stand_ins::{
-    Client, Endpoint, Sidecar, asked, configuration, connections, entry, list, list_of, message, ok, until,
-    watch_line,
+    Client, Endpoint, Sidecar, asked, configuration, connecting, connections, entry, full, list, list_of,
+    message, ok, sent_late, until, watch_line,
 };
 
 /// An endpoint that tells of each req and breaks its connection once it may.
@@ -49,11 +47,6 @@
     (sidecar, waits, may, good)
 }
 
-/// How many connects to this port are under way.
-fn connecting(port: u16) -> usize {
-    connections(None, port, "02")
-}
-
 /// Lets a client leave, and waits until the machine has told the sidecar's end of it.
 fn leave(sidecar: &Sidecar, client: Client, leave: impl FnOnce(Client)) {
     let from = client.port();
@@ -135,16 +128,8 @@
 #[test]
 fn a_req_whose_client_leaves_while_its_connect_is_under_way_is_not_sent() {
     for cancel in ["true", "false"] {
-        // One place in the backlog, which is taken, so that a connect waits until there is room.
-        let listener = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-        listener.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
-        listener.listen(0).unwrap();
-        let listener = TcpListener::from(listener);
+        let (listener, fillers) = full();
         let at = listener.local_addr().unwrap();
-        let mut fillers = Vec::new();
-        while let Ok(filler) = TcpStream::connect_timeout(&at, Duration::from_millis(100)) {
-            fillers.push(filler);
-        }
         let text = asked(&configuration(list().0, 1024, &list_of(1, true, &[entry("late", at, 0, "up")])));
         let text = text.replace("\"connectTimeoutNs\":200000000", "\"connectTimeoutNs\":3000000000");
         let sidecar = Sidecar::start(&text.replace("\"cancel\":true", &format!("\"cancel\":{cancel}")));
@@ -154,18 +139,8 @@
         until("a connect", || connecting(at.port()) > before);
         drop(client);
         sidecar.until_open(0);
-        // There is room from now on: what is still under way comes up with its next try.
-        for _ in &fillers {
-            listener.accept().unwrap();
-        }
-        listener.set_nonblocking(true).unwrap();
-        until("no connect", || connecting(at.port()) <= before);
-        while let Ok((mut late, _)) = listener.accept() {
-            late.set_nonblocking(false).unwrap();
-            let mut sent = String::new();
-            late.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
-            let _ = late.read_to_string(&mut sent);
-            assert_eq!(sent, "", "cancel {cancel}");
-        }
+        // What is still under way from now on comes up with its next try.
+        let sent = sent_late(&listener, &fillers, before);
+        assert!(sent.iter().all(String::is_empty), "cancel {cancel}: {sent:?}");
     }
 }
--- a/crates/sidecar/tests/crossings/lists.rs
+++ b/crates/sidecar/tests/crossings/lists.rs
@@ -5,7 +5,8 @@
 use std::time::{Duration, Instant};
 
 use crate::stand_ins::{
-    Client, Endpoint, Sidecar, configuration, entry, list, list_of, ok, until_served_by, watch_line,
+    Client, Endpoint, Sidecar, asked, configuration, connecting, entry, full, list, list_of, ok, sent_late,
+    until, until_served_by, watch_line,
 };
 
 const OPEN: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -123,3 +124,28 @@
     client.view();
     assert!(client.answer().ends_with("one"));
 }
+
+/// Danger: what waits for its connect to an endpoint goes out when that comes up, though the endpoint has been told to
+/// drain meanwhile and its time to be sent to is over.
+#[test]
+fn a_connect_that_comes_up_after_a_drain_has_no_time_left_carries_nothing() {
+    let (listener, fillers) = full();
+    let at = listener.local_addr().unwrap();
+    let (service, watches) = list();
+    let text = asked(&configuration(service, 1024, &list_of(1, true, &[entry("late", at, 0, "up")])));
+    let text = text.replace("\"connectTimeoutNs\":200000000", "\"connectTimeoutNs\":3000000000");
+    let text = text.replace("\"rules\":{", "\"rules\":{\"stopSendingWithinNs\":300000000,");
+    let sidecar = Sidecar::start(&text);
+    let (_, mut watch) = watches.recv().unwrap();
+    watch.write_all(OPEN).unwrap();
+    let before = connecting(at.port());
+    let mut client = Client::connect(&sidecar);
+    client.view();
+    until("a connect", || connecting(at.port()) > before);
+    watch_line(&mut watch, &list_of(2, false, &[entry("late", at, 0, "draining")]));
+    let told = Instant::now();
+    until("its time is over", || told.elapsed() > Duration::from_millis(350));
+    let sent = sent_late(&listener, &fillers, before);
+    assert!(sent.iter().all(String::is_empty), "{sent:?}");
+    assert_eq!(client.status(), "503");
+}
--- a/crates/sidecar/tests/stand_ins/mod.rs
+++ b/crates/sidecar/tests/stand_ins/mod.rs
@@ -398,3 +398,38 @@
     };
     table.lines().skip(1).filter(there).count()
 }
+
+/// A listener with no room: connects to it are under way until those that fill it have been accepted.
+pub fn full() -> (TcpListener, Vec<TcpStream>) {
+    let listener = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    listener.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+    listener.listen(0).unwrap();
+    let listener = TcpListener::from(listener);
+    let (at, mut fillers) = (listener.local_addr().unwrap(), Vec::new());
+    while let Ok(filler) = TcpStream::connect_timeout(&at, Duration::from_millis(100)) {
+        fillers.push(filler);
+    }
+    (listener, fillers)
+}
+
+/// How many connects to this port are under way.
+pub fn connecting(port: u16) -> usize {
+    connections(None, port, "02")
+}
+
+/// Makes room at a full listener, and awaits that nothing is under way to it but what was before; what came of that.
+pub fn sent_late(listener: &TcpListener, fillers: &[TcpStream], before: usize) -> Vec<String> {
+    let port = listener.local_addr().unwrap().port();
+    fillers.iter().for_each(|_| drop(listener.accept().unwrap()));
+    until("no connect", || connecting(port) <= before);
+    listener.set_nonblocking(true).unwrap();
+    let mut sent = Vec::new();
+    while let Ok((mut late, _)) = listener.accept() {
+        late.set_nonblocking(false).unwrap();
+        late.set_read_timeout(Some(PATIENCE / 2)).unwrap();
+        let mut text = String::new();
+        let _ = late.read_to_string(&mut text);
+        sent.push(text);
+    }
+    sent
+}
