--- a/crates/sidecar/tests/crossings/retries.rs
+++ b/crates/sidecar/tests/crossings/retries.rs
@@ -83,6 +83,7 @@
     let mut client = Client::connect(&sidecar);
     post(&mut client, "first");
     assert_eq!(client.status(), "200");
+    until("it is idle", || connections(None, at.port(), "01") == 1);
     sidecar.in_one_turn(|| {
         post(&mut client, "second");
         go.send(()).unwrap();
