Read once more: one set-up for the tests of endpoints, one head of a watch

Cause: written twice in this change: the set-up of connections to one endpoint and an answer on one (servers.rs, tests; a third stood there before), the head that opens a watch (three times in the tests); a fault of a watch was made a text before it was one; the comment of REPEAT_TICKS told of the connect, which is counted beside it. Change: one piece for each; nothing behaves otherwise, and the tests keep their assertions.

--- a/crates/sidecar/src/net/list.rs
+++ b/crates/sidecar/src/net/list.rs
@@ -346,7 +346,7 @@
                 self.failures = 0;
             }
             if let Some(what) = faulty {
-                return Err(what);
+                return Err(what.to_string());
             }
             if over {
                 return Err("the watch broke".to_string());
@@ -366,7 +366,7 @@
 
 impl Watch {
     /// Moves on what the whole chunks hold. Returns whether there was any, and what ends or spoils the watch behind them.
-    fn take_chunks(&mut self) -> (bool, Option<String>) {
+    fn take_chunks(&mut self) -> (bool, Option<&'static str>) {
         let (input, mut done) = (&self.connection.input, 0);
         let faulty = loop {
             match http::chunk(&input[done..], LIST_MOST) {
@@ -380,7 +380,7 @@
             }
         };
         self.connection.consume(done);
-        (done > 0, faulty.map(str::to_string))
+        (done > 0, faulty)
     }
 
     /// Drops the lists that are done with, and what is only a beat.
--- a/crates/sidecar/src/net/servers.rs
+++ b/crates/sidecar/src/net/servers.rs
@@ -523,14 +523,39 @@
 
     const HEAD: &[u8] = b"GET /view HTTP/1.1\r\nX-Txn: 1\r\n\r\n";
 
-    #[test]
-    fn a_connect_that_never_comes_up_never_ran_and_leaves_nothing_behind() {
+    /// Connections to one endpoint, with room for two.
+    fn before_one() -> (std::net::TcpListener, mio::Poll, Turn, Servers) {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
         let poll = mio::Poll::new().unwrap();
         let registry = poll.registry().try_clone().unwrap();
         let mut turn = Turn { now: Moment::from_nanos(1), registry, deadlines: Default::default(), room: 2 };
         let mut servers = Servers::new(Span::from_millis(60_000), Span::from_millis(200));
         servers.place(0, listener.local_addr().unwrap(), None, &mut turn);
+        (listener, poll, turn, servers)
+    }
+
+    /// Has the endpoint answer what this connection carries, and lets the connection go idle.
+    fn answer(
+        servers: &mut Servers,
+        turn: &mut Turn,
+        poll: &mut mio::Poll,
+        key: Key,
+        peer: &mut std::net::TcpStream,
+    ) {
+        std::io::Write::write_all(peer, b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").unwrap();
+        let mut events = mio::Events::with_capacity(8);
+        let ended = loop {
+            poll.poll(&mut events, None).unwrap();
+            if let Some(ended) = servers.ready(key, turn) {
+                break ended;
+            }
+        };
+        servers.release(key, ended.answer.unwrap(), turn);
+    }
+
+    #[test]
+    fn a_connect_that_never_comes_up_never_ran_and_leaves_nothing_behind() {
+        let (_listener, _poll, mut turn, mut servers) = before_one();
         let give_up = turn.now + Span::from_millis(2000);
         let carried = Carried { req: 0, write_out: 0, give_up };
         let message = Message { head: HEAD, body: b"", coming: None };
@@ -552,25 +577,12 @@
 
     #[test]
     fn idle_connections_keep_to_the_limits_of_new_settings() {
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-        let mut poll = mio::Poll::new().unwrap();
-        let registry = poll.registry().try_clone().unwrap();
-        let mut turn = Turn { now: Moment::from_nanos(1), registry, deadlines: Default::default(), room: 2 };
-        let mut servers = Servers::new(Span::from_millis(60_000), Span::from_millis(200));
-        servers.place(0, listener.local_addr().unwrap(), None, &mut turn);
+        let (listener, mut poll, mut turn, mut servers) = before_one();
         let carried = Carried { req: 0, write_out: 0, give_up: turn.now + Span::from_millis(2000) };
         let key =
             servers.send(0, carried, Message { head: HEAD, body: b"", coming: None }, &mut turn).unwrap();
         let (mut peer, _) = listener.accept().unwrap();
-        std::io::Write::write_all(&mut peer, b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").unwrap();
-        let mut events = mio::Events::with_capacity(8);
-        let ended = loop {
-            poll.poll(&mut events, None).unwrap();
-            if let Some(ended) = servers.ready(key, &mut turn) {
-                break ended;
-            }
-        };
-        servers.release(key, ended.answer.unwrap(), &mut turn);
+        answer(&mut servers, &mut turn, &mut poll, key, &mut peer);
         servers.retune(Span::from_millis(4000), Span::from_millis(200), &mut turn);
         assert!(servers.has_idle(0));
         assert_eq!(turn.deadlines.next(), Some(turn.now + Span::from_millis(4000) * IDLE_SHARE));
@@ -579,26 +591,13 @@
     /// Danger: what comes late behind an answer passes for the answer to the next req on its connection.
     #[test]
     fn a_connection_that_has_just_been_answered_is_used_last() {
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-        let mut poll = mio::Poll::new().unwrap();
-        let registry = poll.registry().try_clone().unwrap();
-        let mut turn = Turn { now: Moment::from_nanos(1), registry, deadlines: Default::default(), room: 2 };
-        let mut servers = Servers::new(Span::from_millis(60_000), Span::from_millis(200));
-        servers.place(0, listener.local_addr().unwrap(), None, &mut turn);
+        let (listener, mut poll, mut turn, mut servers) = before_one();
         let send = |servers: &mut Servers, turn: &mut Turn| {
             let carried = Carried { req: 0, write_out: 0, give_up: turn.now + Span::from_millis(2000) };
             servers.send(0, carried, Message { head: HEAD, body: b"", coming: None }, turn).unwrap()
         };
-        let mut events = mio::Events::with_capacity(8);
         let mut answered = |servers: &mut Servers, turn: &mut Turn, key, peer: &mut std::net::TcpStream| {
-            std::io::Write::write_all(peer, b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").unwrap();
-            let frame = loop {
-                poll.poll(&mut events, None).unwrap();
-                if let Some(ended) = servers.ready(key, turn) {
-                    break ended.answer.unwrap();
-                }
-            };
-            servers.release(key, frame, turn);
+            answer(servers, turn, &mut poll, key, peer);
         };
         let keys = [(); 2].map(|()| send(&mut servers, &mut turn));
         let mut peers = [(); 2].map(|()| listener.accept().unwrap().0);
--- a/crates/sidecar/tests/crossings/clients.rs
+++ b/crates/sidecar/tests/crossings/clients.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use crate::stand_ins::{
-    Client, Endpoint, Sidecar, asked, configuration, connecting, connections, entry, full, list, list_of,
-    message, ok, sent_late, until, watch_line,
+    Client, Endpoint, OPEN, Sidecar, asked, configuration, connecting, connections, entry, full, list,
+    list_of, message, ok, sent_late, until, watch_line,
 };
 
 /// An endpoint that tells of each req and breaks its connection once it may.
@@ -40,7 +40,7 @@
     reqs.recv_timeout(Duration::from_secs(10)).expect("it is sent");
     // Only now is there another that it could be sent to.
     let (_, mut watch) = watches.recv().unwrap();
-    watch.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
+    watch.write_all(OPEN).unwrap();
     watch_line(&mut watch, &list_of(2, false, &[entry("good", good.at, 1, "up")]));
     until("both are listed", || sidecar.figure("sidecar_members") == 2);
     std::mem::forget(watch);
@@ -106,7 +106,7 @@
     let text = text.replace("\"latencyBudgetNs\":2000000000", "\"latencyBudgetNs\":200000000000");
     let sidecar = Sidecar::start(&text.replace("\"deadlineNs\":3000000000", "\"deadlineNs\":300000000000"));
     let (_, mut watch) = watches.recv().unwrap();
-    watch.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
+    watch.write_all(OPEN).unwrap();
     let (mut leaves, mut stays) = (Client::connect(&sidecar), Client::connect(&sidecar));
     for client in [&mut leaves, &mut stays] {
         client.send(format!("GET /view/{client:p} HTTP/1.1\r\nX-Txn: {client:p}\r\n\r\n"));
--- a/crates/sidecar/tests/crossings/lists.rs
+++ b/crates/sidecar/tests/crossings/lists.rs
@@ -5,12 +5,10 @@
 use std::time::{Duration, Instant};
 
 use crate::stand_ins::{
-    Client, Endpoint, Sidecar, asked, configuration, connecting, entry, full, list, list_of, ok, sent_late,
-    until, until_served_by, watch_line,
+    Client, Endpoint, OPEN, Sidecar, asked, configuration, connecting, entry, full, list, list_of, ok,
+    sent_late, until, until_served_by, watch_line,
 };
 
-const OPEN: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-
 /// The same list over many lines, as a service may write it.
 fn indented(list: &str) -> String {
     let value: serde_json::Value = serde_json::from_str(list).unwrap();
--- a/crates/sidecar/tests/stand_ins/mod.rs
+++ b/crates/sidecar/tests/stand_ins/mod.rs
@@ -88,6 +88,9 @@
     Some(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()))
 }
 
+/// How the answer begins that a watch is.
+pub const OPEN: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
 /// The list's service: each watch that is opened goes to the test, which writes what it likes to it.
 pub fn list() -> (SocketAddr, Receiver<(String, TcpStream)>) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -111,7 +114,7 @@
     std::thread::spawn(move || {
         let mut open = Vec::new();
         for (_, mut watch) in watches {
-            watch.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
+            watch.write_all(OPEN).unwrap();
             watch_line(&mut watch, &list);
             open.push(watch);
         }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -73,7 +73,7 @@
 const COME_BACK: f64 = 0.1; // told to a nacked client, of the budget, times one to two: spreads the returns
 // Rules.
 const ANSWER_TICKS: f64 = 2.0; // before the budget ends: a write-out's outcome, then the final answer
-const REPEAT_TICKS: f64 = 4.0; // before a group forgets: a repeat has yet to connect and to arrive
+const REPEAT_TICKS: f64 = 4.0; // before a group forgets: a repeat has yet to arrive, once connected
 const COLD_FLOOR: f64 = 4.0; // sends in a fall window to a started endpoint, from all, if none is known
 const ASK_SHARE: f64 = 0.5; // of the stated asking time, to wait before subscribing or asking again
 const GONE_KEPT: Span = Span::from_millis(60_000); // for an endpoint that is gone: it may yet come back
