An attempt tells the time that is left as it is written, not as it was decided

Cause: Servers::send wrote the line X-Remaining-Ms into the head at the decision and kept it with the connection that was being opened; connects there take up to 1.5 s, and Link was written as it came up (servers.rs, ready), with the time of before. Excluded: attempts on idle connections are written in the turn of their decision; the time itself (give_up) is never over the client's deadline. Forced on sockets: with a connect held up for 501 ms of 2000, 2000 was told.

Change: the head's last line is written as the connect comes up. Test crossings time_left, seen to fail before.

--- a/crates/sidecar/src/net/connection.rs
+++ b/crates/sidecar/src/net/connection.rs
@@ -161,6 +161,11 @@
         }
     }
 
+    /// Puts bytes in between, behind so many of those that are kept: none of these may have been sent.
+    pub fn insert(&mut self, at: usize, bytes: &[u8]) {
+        self.unsent.splice(at..at, bytes.iter().copied());
+    }
+
     pub fn flush(&mut self) -> io::Result<()> {
         while self.sent < self.unsent.len() {
             match self.stream.write(&self.unsent[self.sent..]) {
--- a/crates/sidecar/src/net/http.rs
+++ b/crates/sidecar/src/net/http.rs
@@ -302,17 +302,20 @@
     out.write_fmt(text).expect("a vector takes all");
 }
 
-/// The head of a req as it goes on to an endpoint, with the time that is left for it.
-pub fn forwarded_head(out: &mut Vec<u8>, request: &Request, body: Length, left: Span) {
+/// The head of a request as it goes on to an endpoint, but for its last line.
+pub fn forwarded_head(out: &mut Vec<u8>, request: &Request, body: Length) {
     let (method, path) = (request.method.unwrap_or(""), origin_form(request.path.unwrap_or("")));
     write(out, format_args!("{method} {path} HTTP/1.1\r\n"));
     let passed = passed_on(request.headers).filter(|h| !h.name.eq_ignore_ascii_case("X-Remaining-Ms"));
     write_headers(out, passed);
-    write(out, format_args!("X-Remaining-Ms: {}\r\n", left.nanos() / 1_000_000));
     if body != Length::Known(0) || method != "GET" {
         write_length(out, body);
     }
-    out.extend_from_slice(b"\r\n");
+}
+
+/// The last line of such a head: the time that is left as it is written.
+pub fn last_line(left: Span) -> String {
+    format!("X-Remaining-Ms: {}\r\n\r\n", left.nanos() / 1_000_000)
 }
 
 /// The head of an endpoint's answer as it goes on to a client.
--- a/crates/sidecar/src/net/servers.rs
+++ b/crates/sidecar/src/net/servers.rs
@@ -45,6 +45,9 @@
     up: bool,
     carries: Option<Carried>,
     deadline: Option<Moment>,
+    /// Where the end of its head is to stand in what is kept until it is up. Danger: an attempt that told the time left at
+    /// its decision, and waited for its connect, had its endpoint go on for longer than the client waits.
+    head_ends: Option<usize>,
     /// The write-out that it carries is counted as written whole.
     counted: bool,
     /// When that set out, and how what is to come of its req is framed, behind what was written.
@@ -245,10 +248,9 @@
         turn: &mut Turn,
     ) -> Result<Key, Ending> {
         self.head.clear();
-        let left = carried.give_up.since(turn.now);
         let length = coming.unwrap_or(Length::Known(body.len() as u64));
         let out = &mut self.head;
-        http::with_request(head, |request| http::forwarded_head(out, request, length, left));
+        http::with_request(head, |request| http::forwarded_head(out, request, length));
         // Danger: what comes late behind an answer would pass for the answer to the next req.
         let now = turn.now;
         let wary = now < self.wary_until;
@@ -265,7 +267,8 @@
                 self.close_unasked(key, turn);
                 continue;
             }
-            if link.connection.send(&[&self.head, body]).is_err() {
+            let last_line = http::last_line(carried.give_up.since(now));
+            if link.connection.send(&[&self.head, last_line.as_bytes(), body]).is_err() {
                 self.close(key, turn);
                 return Err(Ending::Broken { whole: false });
             }
@@ -292,6 +295,7 @@
                 up: false,
                 carries,
                 deadline: None,
+                head_ends: Some(self.head.len()),
                 counted: false,
                 sent: now,
                 coming,
@@ -335,6 +339,10 @@
                 Ok(false) => return None,
                 Err(_) => return self.end(key, Ending::NeverUp, turn),
             }
+            if let Some(at) = link.head_ends.take() {
+                let last_line = http::last_line(carried.give_up.since(turn.now));
+                link.connection.insert(at, last_line.as_bytes());
+            }
             let until = link.until(carried.give_up, turn.now);
             turn.deadlines.shift(Due::Server(key), &mut link.deadline, Some(until));
         }
--- a/crates/sidecar/tests/crossings.rs
+++ b/crates/sidecar/tests/crossings.rs
@@ -11,3 +11,5 @@
 mod lists;
 #[path = "crossings/retries.rs"]
 mod retries;
+#[path = "crossings/time_left.rs"]
+mod time_left;
--- /dev/null
+++ b/crates/sidecar/tests/crossings/time_left.rs
@@ -0,0 +1,32 @@
+//! The time that an attempt tells its endpoint, and what can pass between its decision and its writing.
+
+use std::time::Instant;
+
+use crate::stand_ins::{
+    Client, Sidecar, asked, configuration, connecting, entry, full, list, list_of, sent_late, until,
+};
+
+/// Danger: an attempt whose connect comes up late told the time that was left when it was decided; its endpoint goes on
+/// for longer than the client waits, and its own calls with it.
+#[test]
+fn an_attempt_whose_connect_comes_up_late_tells_what_is_left_then() {
+    let (listener, fillers) = full();
+    let at = listener.local_addr().unwrap();
+    let text = asked(&configuration(list().0, 1024, &list_of(1, true, &[entry("late", at, 0, "up")])));
+    let sidecar =
+        Sidecar::start(&text.replace("\"connectTimeoutNs\":200000000", "\"connectTimeoutNs\":3000000000"));
+    let before = connecting(at.port());
+    let mut client = Client::connect(&sidecar);
+    client.order();
+    until("a connect", || connecting(at.port()) > before);
+    let asked = Instant::now();
+    until("much of its time has passed", || asked.elapsed().as_millis() > 500);
+    let waited = asked.elapsed().as_millis();
+    let sent = sent_late(&listener, &fillers, before);
+    let sent = sent.iter().find(|text| !text.is_empty()).expect("it goes out");
+    let (head, body) = sent.split_once("\r\n\r\n").expect("a whole head");
+    let told = head.lines().filter_map(|line| line.strip_prefix("X-Remaining-Ms: "));
+    let told: Vec<u128> = told.map(|told| told.parse().unwrap()).collect();
+    assert!(matches!(told[..], [told] if told + waited <= 2000), "{told:?} told after {waited} of 2000");
+    assert_eq!(body, "soup");
+}
