The lab measures what a sidecar adds to a call, in pairs with calls made direct

appledyke-lab added plays the same open-loop Poisson arrivals direct and through a real sidecar, in short blocks of alternating order, and tells p50 and p99 of both, their difference and its spread over rounds, the sidecar's processor time, connections and memory for lists of several lengths. A block in which the tool itself was late is void.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,6 +1,7 @@
 //! A laboratory for the decisions: a seeded model of a fleet and its faults in virtual time, an independent check
 //! of the four rules, plain policies to compare with, and reports. What it says is simulated.
 
+pub mod added;
 pub mod emulate;
 pub mod faults;
 pub mod load;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -11,7 +11,7 @@
 use appledyke_lab::report::{Outcomes, paired};
 use appledyke_lab::rig::processes::beside;
 use appledyke_lab::scenario::Scenario;
-use appledyke_lab::{emulate, load, rig, scenario, simulate, sweep};
+use appledyke_lab::{added, emulate, load, rig, scenario, simulate, sweep};
 use argh::FromArgs;
 
 /// A laboratory for appledyke: plays fleets and their faults in virtual time.
@@ -34,6 +34,7 @@
     Fleet(Fleet),
     Measure(Measure),
     Releases(Releases),
+    Added(Added),
 }
 
 /// plays a scenario once and tells what it came to
@@ -171,6 +172,36 @@
     json: bool,
 }
 
+/// measures what a sidecar adds to a call, in pairs with the same calls made direct
+#[derive(FromArgs)]
+#[argh(subcommand, name = "added")]
+struct Added {
+    /// calls a second, apart by commas
+    #[argh(option, default = "\"258,1000,2580,5000,10000,15000,20000\".to_string()")]
+    rates: String,
+    /// lengths of the service's list, apart by commas
+    #[argh(option, default = "\"6,60,1200\".to_string()")]
+    endpoints: String,
+    /// seconds for each way, rate and round
+    #[argh(option, default = "1.5")]
+    seconds: f64,
+    /// how many rounds
+    #[argh(option, default = "3")]
+    rounds: usize,
+    /// the seed of all chance
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// most that may be added for 99 in 100 calls, in milliseconds; more is exit 1
+    #[argh(option)]
+    most_ms: Option<f64>,
+    /// the sidecar's program; beside this one if not said
+    #[argh(option)]
+    sidecar: Option<PathBuf>,
+    /// a file for the result, as JSON
+    #[argh(option)]
+    out: Option<PathBuf>,
+}
+
 /// reads a scenario, and names the key that is at fault
 #[derive(FromArgs)]
 #[argh(subcommand, name = "check")]
@@ -231,6 +262,7 @@
         Command::Fleet(asked) => fleet_once(asked),
         Command::Measure(asked) => measure_once(asked),
         Command::Releases(asked) => releases_all(asked),
+        Command::Added(asked) => added_measured(asked),
         Command::Check(asked) => Scenario::read(&asked.scenario).map(|_| true),
     };
     match done {
@@ -323,6 +355,40 @@
     Ok(true)
 }
 
+fn added_measured(asked: Added) -> Result<bool, String> {
+    fn numbers<T: std::str::FromStr>(option: &str, text: &str) -> Result<Vec<T>, String> {
+        let number = |word: &str| word.trim().parse();
+        let read = |word| number(word).map_err(|_| format!("{option}: expected numbers, not '{word}'"));
+        text.split(',').map(read).collect()
+    }
+    let plan = added::Plan {
+        rates: numbers("--rates", &asked.rates)?,
+        endpoints: numbers("--endpoints", &asked.endpoints)?,
+        seconds: asked.seconds,
+        rounds: asked.rounds,
+        seed: asked.seed,
+    };
+    plan.check()?;
+    let sidecar = asked.sidecar.map_or_else(|| beside("appledyke-sidecar"), Ok)?;
+    let folder = std::env::temp_dir().join(format!("appledyke-added-{}", std::process::id()));
+    let base = include_str!("../../../examples/sidecar.json");
+    let place = added::Place { sidecar: &sidecar, folder: &folder, base };
+    println!("{}", added::HEAD);
+    let most_ms = asked.most_ms.unwrap_or(added::TARGET_MS);
+    let measured = added::measure(&plan, most_ms, &place, |row| println!("{}", row.text()));
+    let _ = std::fs::remove_dir_all(&folder);
+    let measured = measured?;
+    measured.lists.iter().for_each(|list| println!("{}", list.text()));
+    println!(
+        "{:.0} s on {} cores; load average {} before and {} after",
+        measured.seconds, measured.cores, measured.load_before, measured.load_after
+    );
+    if let Some(out) = &asked.out {
+        write(out, &measured.json().to_string())?;
+    }
+    Ok(asked.most_ms.is_none() || measured.over().is_empty())
+}
+
 fn releases_all(asked: Releases) -> Result<bool, String> {
     let mut work = Vec::new();
     for size in asked.sidecars.split(',') {
