lab added: how many sidecars share the list is said

The settings' nInstances decides how a sidecar's bound is shared, so the plan says it: with one instance a list of 1,200 is another case than with 1,200.

--- a/crates/lab/src/added.rs
+++ b/crates/lab/src/added.rs
@@ -52,6 +52,7 @@
 const SECONDS_MOST: f64 = 1800.0;
 const CALLS_MOST: f64 = 20_000_000.0;
 const ENDPOINTS_MOST: usize = 2400;
+const INSTANCES_MOST: u64 = 100_000;
 /// Seeds are told apart up to here, so that those which are worked out from one don't pass a number's end.
 const SEEDS: u64 = 1 << 32;
 /// The method of the base configuration that is called.
@@ -68,6 +69,8 @@
     /// For each way, rate and round.
     pub seconds: f64,
     pub rounds: usize,
+    /// How many sidecars share the list, as its settings say: each keeps to a part of a long one.
+    pub instances: u64,
     pub seed: u64,
 }
 
@@ -84,6 +87,9 @@
         if !(self.seconds >= 0.1 && self.seconds <= SECONDS_MOST) || self.rounds == 0 {
             return Err("--seconds, --rounds: expected 0.1 and 1 at the least".to_string());
         }
+        if !(1..=INSTANCES_MOST).contains(&self.instances) {
+            return Err(format!("--instances: expected 1 to {INSTANCES_MOST}, not {}", self.instances));
+        }
         let ways = 2.0 * self.seconds * (self.rounds * self.endpoints.len()) as f64;
         let (secs, calls) = (ways * self.rates.len() as f64, ways * self.rates.iter().sum::<f64>());
         if secs > SECONDS_MOST || calls > CALLS_MOST {
@@ -627,12 +633,14 @@
 }
 
 impl Bench {
-    fn start(count: usize, seed: u64, place: &Place) -> Result<Bench, String> {
+    fn start(count: usize, instances: u64, seed: u64, place: &Place) -> Result<Bench, String> {
         let told = |e: std::io::Error| format!("stand-in: {e}");
         let endpoints = Endpoints::start(count).map_err(told)?;
         let entries = endpoints.at.iter().enumerate().map(|(at, to)| entry(at, *to, "up")).collect();
+        let mut base: Value = serde_json::from_str(place.base).map_err(|e| format!("base: {e}"))?;
+        base["settings"]["nInstances"] = instances.into();
         let mut sidecars =
-            Sidecars::new(&place.folder.join(count.to_string()), place.sidecar, place.base, 0)?;
+            Sidecars::new(&place.folder.join(count.to_string()), place.sidecar, &base.to_string(), 0)?;
         sidecars.list = ListService::start(entries).map_err(told)?;
         sidecars.start(NAME, &[], 0)?;
         sidecars.wait("the list", |s| s.figure(NAME, "sidecar_members") == Some(count as u64))?;
@@ -744,7 +752,7 @@
     let mut lists = Vec::new();
     for (at, count) in plan.endpoints.iter().enumerate() {
         let seed = (plan.seed % SEEDS) * 1_000_003 + 1_000 * at as u64;
-        let mut bench = Bench::start(*count, seed, place)?;
+        let mut bench = Bench::start(*count, plan.instances, seed, place)?;
         bench.direct.greet()?;
         let (before, began) = (used(bench.id)?, Instant::now());
         thread::sleep(IDLE);
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -188,6 +188,9 @@
     /// how many rounds
     #[argh(option, default = "3")]
     rounds: usize,
+    /// how many sidecars share the list, as the settings say: each keeps to its part of a long one
+    #[argh(option, default = "1")]
+    instances: u64,
     /// the seed of all chance
     #[argh(option, default = "1")]
     seed: u64,
@@ -366,6 +369,7 @@
         endpoints: numbers("--endpoints", &asked.endpoints)?,
         seconds: asked.seconds,
         rounds: asked.rounds,
+        instances: asked.instances,
         seed: asked.seed,
     };
     plan.check()?;
--- a/crates/lab/tests/added.rs
+++ b/crates/lab/tests/added.rs
@@ -112,9 +112,11 @@
     let through = block(slow, &due);
     assert!(through.iter().all(|call| call.status == 200 && call.took_ms.unwrap() >= 19.9), "{through:?}");
     // Danger: calls that wait for the answers before them would make a stall of the sidecar look like one slow call. More
-    // are due than may be out at once, so the last wait for the first and have waited twice as long.
+    // are due than may be out at once, so the last 44 wait for the first and have waited twice as long. Several stand-ins, as
+    // a listener holds 128 connections that nobody has taken yet.
+    let slow = (0..6).map(|_| answers_after(Duration::from_millis(20), 200, true)).collect();
     let due = vec![Duration::from_millis(1); 300];
-    let through = block(slow, &due);
+    let through = Client::new(slow, 1).unwrap().block(&due, |_| ()).unwrap();
     assert_eq!(through.iter().filter(|call| call.status == 200).count(), 300);
     assert!(through.iter().filter(|call| call.took_ms.unwrap() >= 39.0).count() >= 44);
 }
@@ -165,7 +167,14 @@
     let folder = std::env::temp_dir().join(format!("appledyke-added-test-{}", std::process::id()));
     let base = include_str!("../../../examples/sidecar.json");
     let place = Place { sidecar: &sidecar, folder: &folder, base };
-    let plan = Plan { rates: vec![400.0, 100.0], endpoints: vec![3, 40], seconds: 0.5, rounds: 1, seed: 5 };
+    let plan = Plan {
+        rates: vec![400.0, 100.0],
+        endpoints: vec![3, 40],
+        seconds: 0.5,
+        rounds: 1,
+        instances: 2,
+        seed: 5,
+    };
     let mut told = 0;
     let measured = measure(&plan, 1e9, &place, |_| told += 1).unwrap();
     std::fs::remove_dir_all(&folder).unwrap();
@@ -212,6 +221,7 @@
         (&["--rates", "many"], "--rates"),
         (&["--endpoints", "100000"], "--endpoints"),
         (&["--rounds", "0"], "--rounds"),
+        (&["--instances", "0"], "--instances"),
         (&["--seconds", "NaN"], "--seconds"),
         (&["--seconds", "600"], "--seconds"),
         (&["--sidecar", "/nowhere/at-all", "--rates", "10", "--seconds", "0.1"], "/nowhere/at-all"),
