Lab: hollow members, a list's stand-in and a first scale run by phases

Hundreds of whole members share one loop, each with its own connection to a daemon and its own watch on the list.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod releases;
 pub mod report;
 pub mod rig;
+pub mod scale;
 pub mod scenario;
 pub mod service;
 pub mod shares;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -11,7 +11,7 @@
 use appledyke_lab::report::{Outcomes, paired};
 use appledyke_lab::rig::processes::beside;
 use appledyke_lab::scenario::Scenario;
-use appledyke_lab::{added, emulate, load, rig, scenario, simulate, sweep};
+use appledyke_lab::{added, emulate, load, rig, scale, scenario, simulate, sweep};
 use argh::FromArgs;
 
 /// A laboratory for appledyke: plays fleets and their faults in virtual time.
@@ -35,6 +35,9 @@
     Measure(Measure),
     Releases(Releases),
     Added(Added),
+    Scale(Scale),
+    Hollow(Hollow),
+    Lists(Lists),
 }
 
 /// plays a scenario once and tells what it came to
@@ -253,6 +256,34 @@
     out: Option<PathBuf>,
 }
 
+/// plays a fleet of real daemons and some real sidecars, filled up with hollow members, at several sizes
+#[derive(FromArgs)]
+#[argh(subcommand, name = "scale")]
+struct Scale {
+    /// the scenario's file
+    #[argh(positional)]
+    scenario: PathBuf,
+    /// the seed of all chance
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// a file for the result, as JSON
+    #[argh(option)]
+    out: Option<PathBuf>,
+    /// a file for the drawing
+    #[argh(option)]
+    svg: Option<PathBuf>,
+}
+
+/// runs hollow members, as its standard input says: a part of a scale run
+#[derive(FromArgs)]
+#[argh(subcommand, name = "hollow")]
+struct Hollow {}
+
+/// serves lists of endpoints, as its standard input says: a part of a scale run
+#[derive(FromArgs)]
+#[argh(subcommand, name = "lists")]
+struct Lists {}
+
 fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
     let done = match arguments.command {
@@ -266,6 +297,9 @@
         Command::Measure(asked) => measure_once(asked),
         Command::Releases(asked) => releases_all(asked),
         Command::Added(asked) => added_measured(asked),
+        Command::Scale(asked) => scale_once(asked),
+        Command::Hollow(_) => scale::hollow::serve().map(|()| true),
+        Command::Lists(_) => scale::lists::serve().map(|()| true),
         Command::Check(asked) => Scenario::read(&asked.scenario).map(|_| true),
     };
     match done {
@@ -329,6 +363,20 @@
     Ok(played.broken.is_empty())
 }
 
+fn scale_once(asked: Scale) -> Result<bool, String> {
+    let scenario = scale::scenario::Scenario::read(&asked.scenario)?;
+    let lab = std::env::current_exe().map_err(|e| format!("this program: {e}"))?;
+    let (daemon, sidecar) = (beside("appledyke-daemon")?, beside("appledyke-sidecar")?);
+    let (folder, base) = (scale::run::folder(), include_str!("../../../examples/sidecar.json"));
+    let place = scale::run::Place { lab: &lab, daemon: &daemon, sidecar: &sidecar, folder: &folder, base };
+    let played = scale::run::play(&scenario, asked.seed, &place)?;
+    print!("{}", scale::report::text(&played));
+    if let Some(out) = &asked.out {
+        write(out, &serde_json::to_string(&played).map_err(|e| e.to_string())?)?;
+    }
+    Ok(played.broken.is_empty() && played.void.is_empty())
+}
+
 fn measure_once(asked: Measure) -> Result<bool, String> {
     let (daemon, sidecar) = (beside("appledyke-daemon")?, beside("appledyke-sidecar")?);
     let folder = std::env::temp_dir().join(format!("appledyke-measure-{}", std::process::id()));
--- /dev/null
+++ b/crates/lab/src/scale/hollow.rs
@@ -0,0 +1,840 @@
+//! Hollow members: each a whole member by the fleet's own code, with its own connection to a daemon and its own watch on the
+//! list, and no data path. Some hundreds share this loop. It measures how late it was itself: a run in which it was is void.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::io::{ErrorKind, Read, Write};
+use std::net::SocketAddr;
+use std::sync::mpsc::{Receiver, channel};
+use std::time::Duration;
+
+use appledyke::ids;
+use appledyke::units::{Moment, Span};
+use appledyke_fleet::Version;
+use appledyke_fleet::budgets::Thing;
+use appledyke_fleet::limits::Limits;
+use appledyke_fleet::member::{self, Do, Member};
+use appledyke_fleet::state::Standing;
+use appledyke_fleet::talk::{Frame, Frames, Who, greeted};
+use mio::net::TcpStream;
+use mio::{Events, Interest, Poll, Registry, Token, Waker};
+use oorandom::Rand64;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use super::{children, now};
+use crate::rig::fleet::FLEET;
+
+const WAKER: Token = Token(usize::MAX);
+const EVENTS: usize = 4096;
+/// Bytes read at a time.
+const READ_MOST: usize = 64 * 1024;
+/// Between two looks at what members want of budgets: a small part of the shortest window.
+const WANTS_EVERY: Span = Span::from_millis(100);
+/// Wait before a watch on the list is opened again.
+const WATCH_AGAIN: Span = Span::from_millis(1000);
+/// What a lost packet costs a stream of which little is under way: the least retransmission timeout of common systems.
+const RETRANSMISSION: Span = Span::from_millis(200);
+/// Longest wait of the loop where nothing is due.
+const LOOK: Span = Span::from_millis(1000);
+/// Rows of lateness, each twice as late as the one before, the first up to a microsecond.
+pub const LATENESS: usize = 32;
+
+/// A member, and where it stands.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Spec {
+    pub name: String,
+    pub service: u32,
+    pub zone: u32,
+    pub region: u32,
+    pub rack: u32,
+}
+
+/// The way from one region to another.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Path {
+    /// In one direction.
+    pub delay_us: u64,
+    /// The share of frames that a lost packet holds up, and all behind them.
+    pub loss: f64,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Setup {
+    pub beat_ms: u64,
+    pub seed: u64,
+    /// A beat that is made so much after it was due was late.
+    pub late_us: u64,
+    pub list: SocketAddr,
+    pub daemons: Vec<Daemon>,
+    /// From a member's region to a daemon's, and back.
+    pub paths: Vec<Vec<Path>>,
+    /// All members of the fleet; those of this process are in the range.
+    pub members: Vec<Spec>,
+    pub from: usize,
+    pub to: usize,
+}
+
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct Daemon {
+    pub place: u16,
+    pub at: SocketAddr,
+    pub region: u32,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Order {
+    /// These start, as new processes.
+    Raise(Vec<u32>),
+    /// These are gone without a word.
+    Drop(Vec<u32>),
+    /// These ask whether they may go out, and are back after so long.
+    Drain { who: Vec<u32>, for_ms: u64 },
+    /// A daemon listens there now.
+    Daemon { place: u16, at: SocketAddr },
+    /// Nothing passes between members of this region and a daemon; what is under way is delivered late.
+    Cut { region: u32, place: u16, cut: bool },
+    /// Each member books so many records a beat.
+    Evidence { each: u32 },
+    /// What these want of each of these things in a window, or at a time: all members if none is named.
+    Wants { who: Vec<u32>, of: Vec<Thing>, wants: u64 },
+    /// What all here believe that they may use, at this moment.
+    Sums { at_ns: u64 },
+    /// Say what was counted; the worst is counted anew from here.
+    Mark,
+    /// The loop stands still: the flaw that the measure of its lateness must show.
+    Stall { ms: u64 },
+}
+
+/// A member acts on a version from now on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Acts {
+    pub member: u32,
+    pub incarnation: u64,
+    pub at_ns: u64,
+    pub version: Version,
+}
+
+/// Bytes and frames over connections to one daemon, from here and back.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Wire {
+    pub bytes_out: u64,
+    pub bytes_in: u64,
+    pub frames_out: u64,
+    pub frames_in: u64,
+}
+
+/// Counted since the start, but for the worst, which is since the last mark.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Counts {
+    pub at_ns: u64,
+    /// Members that run, and that have heard a daemon lately.
+    pub running: u64,
+    pub heard: u64,
+    /// How many of them act on what.
+    pub versions: BTreeMap<String, u64>,
+    pub beats: u64,
+    pub late: u64,
+    pub late_worst_us: u64,
+    /// Beats by how late they were made.
+    pub lateness: Vec<u64>,
+    pub turn_worst_us: u64,
+    pub wires: BTreeMap<u16, Wire>,
+    pub list_bytes: u64,
+    pub list_reads: u64,
+    /// Records booked by members of each service, and of these, heard by other members of it; and heard by any.
+    pub booked: BTreeMap<u32, u64>,
+    pub heard_own: BTreeMap<u32, u64>,
+    pub heard_all: u64,
+    pub dials: u64,
+    pub drains: [u64; 3],
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Said {
+    Ready,
+    Acts(Vec<Acts>),
+    Sums { at_ns: u64, late_us: u64, sums: Vec<(Thing, u64)> },
+    Mark(Box<Counts>),
+}
+
+struct Conn {
+    stream: TcpStream,
+    place: u16,
+    path: Path,
+    up: bool,
+    frames: Frames,
+    greeted: bool,
+    unsent: Vec<u8>,
+    /// What is on its way over a long path, and when it arrives.
+    late_out: VecDeque<(Moment, Vec<u8>)>,
+    late_in: VecDeque<(Moment, Vec<u8>)>,
+}
+
+impl Conn {
+    /// When a frame that is sent now arrives over its path: never before the one before it.
+    fn arrives(path: Path, queue: &VecDeque<(Moment, Vec<u8>)>, now: Moment, chance: &mut Rand64) -> Moment {
+        let delay = Span::from_nanos(path.delay_us * 1000);
+        let lost = path.loss > 0.0 && chance.rand_float() < path.loss;
+        let at = now + delay + if lost { RETRANSMISSION + delay * 2.0 } else { Span::ZERO };
+        queue.back().map_or(at, |(before, _)| at.max(*before))
+    }
+
+    fn flush(&mut self) -> bool {
+        while self.up && !self.unsent.is_empty() {
+            match self.stream.write(&self.unsent) {
+                Ok(0) => return false,
+                Ok(sent) => drop(self.unsent.drain(..sent)),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(_) => return false,
+            }
+        }
+        true
+    }
+}
+
+struct Watch {
+    stream: TcpStream,
+    up: bool,
+    told: bool,
+}
+
+/// A member while it runs.
+struct Life {
+    member: Member,
+    incarnation: u64,
+    conn: Option<Conn>,
+    watch: Option<Watch>,
+    watch_at: Moment,
+    on_list: bool,
+    /// Out by its own asking, and when it is back.
+    back_at: Option<Moment>,
+    drains_for: Span,
+    wants: Vec<(Thing, u64)>,
+}
+
+struct Hollow {
+    setup: Setup,
+    registry: Registry,
+    chance: Rand64,
+    lives: Vec<Option<Life>>,
+    timers: BTreeSet<(Moment, u32)>,
+    next: Vec<Option<Moment>>,
+    cut: BTreeSet<(u32, u16)>,
+    service_of: HashMap<u32, u32>,
+    marks: HashMap<u32, Vec<u32>>,
+    each: u32,
+    counts: Counts,
+    acts: Vec<Acts>,
+    piece: Vec<u8>,
+}
+
+fn connected(stream: &TcpStream) -> Option<bool> {
+    if !matches!(stream.take_error(), Ok(None)) {
+        return None;
+    }
+    match stream.peer_addr() {
+        Ok(_) => Some(true),
+        Err(e) if e.kind() == ErrorKind::NotConnected => Some(false),
+        Err(_) => None,
+    }
+}
+
+/// What a socket has to read, up to its end or until there is no more; `false` once it has ended.
+fn drain(stream: &mut TcpStream, piece: &mut [u8], mut each: impl FnMut(&[u8])) -> bool {
+    loop {
+        match stream.read(piece) {
+            Ok(0) => return false,
+            Ok(read) => each(&piece[..read]),
+            Err(e) if e.kind() == ErrorKind::WouldBlock => return true,
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            Err(_) => return false,
+        }
+    }
+}
+
+impl Hollow {
+    fn new(setup: Setup, registry: Registry) -> Hollow {
+        let count = setup.to - setup.from;
+        let mut marks: HashMap<u32, Vec<u32>> = HashMap::new();
+        let mut service_of = HashMap::new();
+        for spec in &setup.members {
+            let mark = ids::mark(&spec.name);
+            service_of.insert(mark, spec.service);
+            marks.entry(spec.service).or_default().push(ids::mark(&format!("{}-endpoint", spec.name)));
+        }
+        let chance = Rand64::new(u128::from(setup.seed) << 32 | setup.from as u128);
+        let counts = Counts { lateness: vec![0; LATENESS], ..Counts::default() };
+        Hollow {
+            registry,
+            chance,
+            lives: (0..count).map(|_| None).collect(),
+            timers: BTreeSet::new(),
+            next: vec![None; count],
+            cut: BTreeSet::new(),
+            service_of,
+            marks,
+            each: 0,
+            counts,
+            acts: Vec::new(),
+            piece: vec![0; READ_MOST],
+            setup,
+        }
+    }
+
+    fn spec(&self, at: usize) -> &Spec {
+        &self.setup.members[self.setup.from + at]
+    }
+
+    /// Those of the named ones that are here.
+    fn here(&self, who: &[u32]) -> Vec<usize> {
+        let (from, to) = (self.setup.from, self.setup.to);
+        who.iter().map(|who| *who as usize).filter(|who| (from..to).contains(who)).map(|who| who - from).collect()
+    }
+
+    fn raise(&mut self, at: usize) {
+        let now = now();
+        let spec = self.spec(at).clone();
+        // Danger: one that is raised again within a clock's step would be its own twin.
+        let incarnation = now.nanos();
+        let setup = member::Setup {
+            name: spec.name,
+            daemons: self.setup.daemons.iter().map(|daemon| daemon.place).collect(),
+            beat: Span::from_millis(self.setup.beat_ms),
+            incarnation,
+            process: self.chance.rand_u64(),
+            version: Version::default(),
+            limits: Limits::default(),
+            groups: vec![format!("service-{}", spec.service), format!("zone-{}", spec.zone)],
+            runs: env!("CARGO_PKG_VERSION").to_string(),
+        };
+        let mut member = Member::new(now, setup, self.chance.rand_u64());
+        member.alone = true;
+        self.lives[at] = Some(Life {
+            member,
+            incarnation,
+            conn: None,
+            watch: None,
+            watch_at: now,
+            on_list: false,
+            back_at: None,
+            drains_for: Span::ZERO,
+            wants: Vec::new(),
+        });
+        self.schedule(at);
+    }
+
+    fn schedule(&mut self, at: usize) {
+        let next = self.lives[at].as_ref().map(|life| {
+            let member = life.member.asker.until().map_or(life.member.next(), |u| u.min(life.member.next()));
+            let watch = if life.watch.is_none() { Some(life.watch_at) } else { None };
+            let conn = life.conn.as_ref().filter(|conn| !self.cut.contains(&self.pair(at, conn.place)));
+            let out = conn.and_then(|conn| Some(conn.late_out.front()?.0));
+            let back = conn.and_then(|conn| Some(conn.late_in.front()?.0));
+            [watch, out, back, life.back_at].into_iter().flatten().fold(member, Moment::min)
+        });
+        if self.next[at] != next {
+            if let Some(before) = self.next[at] {
+                self.timers.remove(&(before, at as u32));
+            }
+            if let Some(next) = next {
+                self.timers.insert((next, at as u32));
+            }
+            self.next[at] = next;
+        }
+    }
+
+    fn pair(&self, at: usize, place: u16) -> (u32, u16) {
+        (self.spec(at).region, place)
+    }
+
+    /// A member's time has come.
+    fn due(&mut self, at: usize) {
+        let now = now();
+        let Some(life) = &mut self.lives[at] else { return };
+        let due = life.member.next();
+        if due <= now {
+            let late = now.since(due).nanos() / 1000;
+            let row = (64 - late.leading_zeros() as usize).min(LATENESS - 1);
+            self.counts.beats += 1;
+            self.counts.lateness[row] += 1;
+            self.counts.late += u64::from(late > self.setup.late_us);
+            self.counts.late_worst_us = self.counts.late_worst_us.max(late);
+            if self.each > 0 && life.member.is_up() {
+                let service = self.setup.members[self.setup.from + at].service;
+                let marks = &self.marks[&service];
+                for _ in 0..self.each {
+                    let endpoint = marks[self.chance.rand_range(0..marks.len() as u64) as usize];
+                    life.member.book(now, endpoint, 1, 0, 0.5);
+                }
+                *self.counts.booked.entry(service).or_default() += u64::from(self.each);
+            }
+            let done = life.member.due(now);
+            self.carry_out(at, done);
+        }
+        self.others(at, now);
+        self.pump(at);
+        self.schedule(at);
+    }
+
+    /// What falls due beside the member's own.
+    fn others(&mut self, at: usize, now: Moment) {
+        let Some(life) = &mut self.lives[at] else { return };
+        if life.member.asker.until().is_some_and(|until| until <= now) {
+            life.member.asker.give_up();
+            self.counts.drains[2] += 1;
+        }
+        if life.back_at.is_some_and(|back| back <= now) {
+            life.back_at = None;
+            life.member.asker.is_back();
+            let done = life.member.stands(now, Standing::Serving);
+            self.carry_out(at, done);
+        }
+        let Some(life) = &mut self.lives[at] else { return };
+        if life.watch.is_none() && life.watch_at <= now {
+            life.watch_at = now + WATCH_AGAIN;
+            if let Ok(mut stream) = TcpStream::connect(self.setup.list) {
+                let interest = Interest::READABLE | Interest::WRITABLE;
+                if self.registry.register(&mut stream, Token(2 * at + 1), interest).is_ok() {
+                    life.watch = Some(Watch { stream, up: false, told: false });
+                }
+            }
+        }
+    }
+
+    fn close(&mut self, at: usize) {
+        if let Some(mut conn) = self.lives[at].as_mut().and_then(|life| life.conn.take()) {
+            let _ = self.registry.deregister(&mut conn.stream);
+        }
+    }
+
+    fn broken(&mut self, at: usize) {
+        self.close(at);
+        if let Some(life) = &mut self.lives[at] {
+            life.member.broken(now());
+        }
+    }
+
+    fn dial(&mut self, at: usize, place: u16) {
+        self.close(at);
+        self.counts.dials += 1;
+        let region = self.spec(at).region as usize;
+        let daemon = self.setup.daemons.iter().find(|daemon| daemon.place == place);
+        let Some(daemon) = daemon.copied() else { return };
+        let path = self.setup.paths[region][daemon.region as usize];
+        let opened = TcpStream::connect(daemon.at).and_then(|mut stream| {
+            let _ = stream.set_nodelay(true);
+            let interest = Interest::READABLE | Interest::WRITABLE;
+            self.registry.register(&mut stream, Token(2 * at), interest)?;
+            Ok(stream)
+        });
+        match opened {
+            Ok(stream) => {
+                let life = self.lives[at].as_mut().expect("it dials, so it runs");
+                let name = life.member.name().to_string();
+                life.conn = Some(Conn {
+                    stream,
+                    place,
+                    path,
+                    up: false,
+                    frames: Frames::default(),
+                    greeted: false,
+                    unsent: Vec::new(),
+                    late_out: VecDeque::new(),
+                    late_in: VecDeque::new(),
+                });
+                self.send(at, &Frame::hello(FLEET, Who::Member { name }));
+            }
+            Err(_) => self.broken(at),
+        }
+    }
+
+    fn send(&mut self, at: usize, frame: &Frame) {
+        let cut = self.cut_off(at);
+        let Some(conn) = self.lives[at].as_mut().and_then(|life| life.conn.as_mut()) else { return };
+        let mut bytes = Vec::new();
+        frame.write(&mut bytes);
+        let wire = self.counts.wires.entry(conn.place).or_default();
+        wire.bytes_out += bytes.len() as u64;
+        wire.frames_out += 1;
+        if conn.path.delay_us > 0 || cut {
+            let arrives = Conn::arrives(conn.path, &conn.late_out, now(), &mut self.chance);
+            conn.late_out.push_back((arrives, bytes));
+        } else {
+            conn.unsent.extend_from_slice(&bytes);
+            if !conn.flush() {
+                self.broken(at);
+            }
+        }
+    }
+
+    fn cut_off(&self, at: usize) -> bool {
+        let place = self.lives[at].as_ref().and_then(|life| life.conn.as_ref()).map(|conn| conn.place);
+        !self.cut.is_empty() && place.is_some_and(|place| self.cut.contains(&self.pair(at, place)))
+    }
+
+    /// Moves what can be moved over its connection to a daemon.
+    fn pump(&mut self, at: usize) {
+        if self.cut_off(at) {
+            return;
+        }
+        let now = now();
+        let Some(conn) = self.lives[at].as_mut().and_then(|life| life.conn.as_mut()) else { return };
+        if !conn.up {
+            match connected(&conn.stream) {
+                Some(true) => conn.up = true,
+                Some(false) => return,
+                None => return self.broken(at),
+            }
+        }
+        while conn.late_out.front().is_some_and(|(due, _)| *due <= now) {
+            let (_, bytes) = conn.late_out.pop_front().expect("there is one");
+            conn.unsent.extend_from_slice(&bytes);
+        }
+        let mut works = conn.flush();
+        let wire = self.counts.wires.entry(conn.place).or_default();
+        let Conn { stream, path, frames, late_in, .. } = conn;
+        works &= drain(stream, &mut self.piece, |read| {
+            wire.bytes_in += read.len() as u64;
+            if path.delay_us > 0 {
+                let arrives = Conn::arrives(*path, late_in, now, &mut self.chance);
+                late_in.push_back((arrives, read.to_vec()));
+            } else {
+                frames.push(read);
+            }
+        });
+        while conn.late_in.front().is_some_and(|(due, _)| *due <= now) {
+            let (_, bytes) = conn.late_in.pop_front().expect("there is one");
+            conn.frames.push(&bytes);
+        }
+        loop {
+            let Some(conn) = self.lives[at].as_mut().and_then(|life| life.conn.as_mut()) else { return };
+            match conn.frames.pop() {
+                Ok(Some(frame)) => {
+                    self.counts.wires.entry(conn.place).or_default().frames_in += 1;
+                    if !self.hear(at, frame) {
+                        return self.broken(at);
+                    }
+                }
+                Ok(None) => break,
+                Err(_) => return self.broken(at),
+            }
+        }
+        if !works {
+            self.broken(at);
+        }
+    }
+
+    /// A frame from a daemon; `false` where its connection is of no use any more.
+    fn hear(&mut self, at: usize, frame: Frame) -> bool {
+        let now = now();
+        let Some(life) = &mut self.lives[at] else { return false };
+        let done = match frame {
+            Frame::Hello { .. } => {
+                if greeted(&frame, FLEET).is_err() {
+                    return false;
+                }
+                if let Some(conn) = &mut life.conn {
+                    conn.greeted = true;
+                }
+                life.member.up(now)
+            }
+            Frame::Told(told) => life.member.told(now, told),
+            Frame::OutTold { ask, refused } => {
+                if !life.member.asker.answered(ask, refused.is_none()) {
+                    return true;
+                }
+                if refused.is_some() {
+                    self.counts.drains[2] += 1;
+                    return true;
+                }
+                self.counts.drains[1] += 1;
+                life.back_at = Some(now + life.drains_for);
+                life.member.stands(now, Standing::Drained)
+            }
+            _ => return false,
+        };
+        self.carry_out(at, done);
+        true
+    }
+
+    fn carry_out(&mut self, at: usize, done: Vec<Do>) {
+        for what in done {
+            match what {
+                Do::Dial(place) => self.dial(at, place),
+                Do::Close => self.close(at),
+                Do::Send(report) => self.send(at, &Frame::Report(*report)),
+                Do::Take(version, _) => {
+                    let member = (self.setup.from + at) as u32;
+                    let Some(life) = &mut self.lives[at] else { return };
+                    life.member.acts_on(version);
+                    let (incarnation, at_ns) = (life.incarnation, now().nanos());
+                    self.acts.push(Acts { member, incarnation, at_ns, version });
+                }
+                Do::Hear(passed) => {
+                    let own = self.spec(at).service;
+                    let of = |writer: &u32| self.service_of.get(writer) == Some(&own);
+                    let from_own = passed.iter().filter(|passed| of(&passed.writer)).count() as u64;
+                    *self.counts.heard_own.entry(own).or_default() += from_own;
+                    self.counts.heard_all += passed.len() as u64;
+                }
+                Do::Outs(_) => {
+                    if let Some(life) = &mut self.lives[at] {
+                        // It has no data path, so it holds nothing anywhere.
+                        life.member.holds.clear();
+                    }
+                }
+                Do::Sent(sent) => {
+                    let standing = if sent { Standing::Drained } else { Standing::Serving };
+                    let done = self.lives[at].as_mut().map(|life| life.member.stands(now(), standing));
+                    self.carry_out(at, done.unwrap_or_default());
+                }
+                Do::Twin(_) | Do::Superseded(_) => {}
+            }
+        }
+    }
+
+    /// Its watch on the list is to be looked at.
+    fn watch(&mut self, at: usize) {
+        let service = format!("s{}", self.spec(at).service);
+        let Some(life) = &mut self.lives[at] else { return };
+        let Some(watch) = &mut life.watch else { return };
+        let mut works = true;
+        if !watch.up {
+            match connected(&watch.stream) {
+                Some(true) => {
+                    watch.up = true;
+                    let head = format!("GET /v1/servers?follow=1&since=0&service={service} HTTP/1.1\r\n\r\n");
+                    works = watch.stream.write_all(head.as_bytes()).is_ok();
+                }
+                Some(false) => return,
+                None => works = false,
+            }
+        }
+        let (counts, mut told) = (&mut self.counts, watch.told);
+        works = works
+            && drain(&mut watch.stream, &mut self.piece, |read| {
+                counts.list_bytes += read.len() as u64;
+                counts.list_reads += 1;
+                told |= read.windows(11).any(|word| word == b"\"endpoints\"");
+            });
+        watch.told = told;
+        let mut done = Vec::new();
+        if told && !std::mem::replace(&mut life.on_list, true) {
+            done = life.member.stands(now(), Standing::Serving);
+        }
+        if !works {
+            if let Some(mut watch) = life.watch.take() {
+                let _ = self.registry.deregister(&mut watch.stream);
+            }
+            life.watch_at = now() + WATCH_AGAIN;
+        }
+        self.carry_out(at, done);
+        self.schedule(at);
+    }
+
+    /// What members want of budgets, spent or refused as it would be by their traffic.
+    fn spend(&mut self, part: f64) {
+        let now = now();
+        for life in self.lives.iter_mut().flatten() {
+            for (of, wants) in &life.wants {
+                let limits = &mut life.member.limits;
+                let Some(allowed) = limits.allowed(now, *of) else { continue };
+                if of.is_stock() {
+                    limits.holds(*of, allowed.min(*wants));
+                    limits.hold(now, *of, wants.saturating_sub(1));
+                    limits.holds(*of, allowed.min(*wants));
+                } else {
+                    let count = *wants as f64 * part + self.chance.rand_float();
+                    for _ in 0..count as u64 {
+                        limits.spend(now, *of, true);
+                    }
+                }
+            }
+        }
+    }
+
+    fn sums(&self) -> Vec<(Thing, u64)> {
+        let now = now();
+        let believed = |of: Thing| {
+            self.lives.iter().flatten().filter_map(|life| life.member.limits.allowed(now, of)).sum()
+        };
+        Thing::ALL.into_iter().map(|of| (of, believed(of))).collect()
+    }
+
+    fn mark(&mut self) -> Counts {
+        let now = now();
+        let lives = || self.lives.iter().flatten();
+        self.counts.at_ns = now.nanos();
+        self.counts.running = lives().count() as u64;
+        self.counts.heard = lives().filter(|life| life.member.is_heard(now)).count() as u64;
+        let mut versions: BTreeMap<String, u64> = BTreeMap::new();
+        for life in lives() {
+            *versions.entry(life.member.version().to_string()).or_default() += 1;
+        }
+        self.counts.versions = versions;
+        let counts = self.counts.clone();
+        (self.counts.late_worst_us, self.counts.turn_worst_us) = (0, 0);
+        counts
+    }
+
+    /// Carries an order out; what is to be said of it.
+    fn order(&mut self, order: Order) -> Option<Said> {
+        match order {
+            Order::Raise(who) => {
+                for at in self.here(&who) {
+                    if self.lives[at].is_none() {
+                        self.raise(at);
+                    }
+                }
+            }
+            Order::Drop(who) => {
+                for at in self.here(&who) {
+                    self.lives[at] = None;
+                    self.schedule(at);
+                }
+            }
+            Order::Drain { who, for_ms } => {
+                for at in self.here(&who) {
+                    let Some(life) = &mut self.lives[at] else { continue };
+                    if !life.member.is_up() || life.back_at.is_some() {
+                        continue;
+                    }
+                    life.drains_for = Span::from_millis(for_ms);
+                    let ask = life.member.asker.ask(now());
+                    self.counts.drains[0] += 1;
+                    self.send(at, &Frame::AskOut { ask, anyway: None });
+                    self.schedule(at);
+                }
+            }
+            Order::Daemon { place, at } => {
+                self.setup.daemons.iter_mut().filter(|d| d.place == place).for_each(|d| d.at = at);
+            }
+            Order::Cut { region, place, cut } => {
+                if cut {
+                    self.cut.insert((region, place));
+                } else {
+                    self.cut.remove(&(region, place));
+                }
+                for at in 0..self.lives.len() {
+                    self.pump(at);
+                    self.schedule(at);
+                }
+            }
+            Order::Evidence { each } => self.each = each,
+            Order::Wants { who, of, wants } => {
+                let whom = if who.is_empty() { (0..self.lives.len()).collect() } else { self.here(&who) };
+                for at in whom {
+                    if let Some(life) = &mut self.lives[at] {
+                        life.wants = of.iter().map(|of| (*of, wants)).collect();
+                    }
+                }
+            }
+            Order::Sums { at_ns } => {
+                let until = Moment::from_nanos(at_ns);
+                std::thread::sleep(Duration::from_nanos(until.since(now()).nanos()));
+                let late_us = now().since(until).nanos() / 1000;
+                return Some(Said::Sums { at_ns, late_us, sums: self.sums() });
+            }
+            Order::Mark => return Some(Said::Mark(Box::new(self.mark()))),
+            Order::Stall { ms } => std::thread::sleep(Duration::from_millis(ms)),
+        }
+        None
+    }
+
+    fn poll_for(&self) -> Span {
+        let now = now();
+        self.timers.first().map_or(LOOK, |(next, _)| next.since(now)).min(LOOK)
+    }
+}
+
+fn say(said: &Said) -> bool {
+    let line = serde_json::to_string(said).expect("what is said has no form that cannot be written");
+    let mut out = std::io::stdout().lock();
+    writeln!(out, "{line}").and_then(|()| out.flush()).is_ok()
+}
+
+/// Runs hollow members as its standard input says, until that ends.
+///
+/// # Errors
+/// What the system says, or a setup that can't be read.
+pub fn serve() -> Result<(), String> {
+    let named = |e: std::io::Error| format!("hollow: {e}");
+    let mut poll = Poll::new().map_err(named)?;
+    let waker = Waker::new(poll.registry(), WAKER).map_err(named)?;
+    let (setups, setup) = channel();
+    let (sender, orders): (_, Receiver<Order>) = channel();
+    std::thread::spawn(move || {
+        let mut first = true;
+        let read = children::told(|line: Value| {
+            if std::mem::take(&mut first) {
+                return setups.send(serde_json::from_value(line)).is_ok();
+            }
+            match serde_json::from_value(line) {
+                Ok(order) => sender.send(order).is_ok() && waker.wake().is_ok(),
+                Err(why) => {
+                    eprintln!("hollow: {why}");
+                    false
+                }
+            }
+        });
+        if let Err(why) = read {
+            eprintln!("hollow: {why}");
+        }
+        // Danger: one whose starter was killed would go on for ever.
+        std::process::exit(0);
+    });
+    let setup = setup.recv().map_err(|e| format!("hollow: {e}"))?;
+    let setup: Setup = setup.map_err(|e| format!("hollow: {e}"))?;
+    let mut hollow = Hollow::new(setup, poll.registry().try_clone().map_err(named)?);
+    say(&Said::Ready);
+    let (mut events, mut wants_at) = (Events::with_capacity(EVENTS), now() + WANTS_EVERY);
+    loop {
+        let wait = hollow.poll_for().min(wants_at.since(now()));
+        match poll.poll(&mut events, Some(Duration::from_nanos(wait.nanos()))) {
+            Err(e) if e.kind() != ErrorKind::Interrupted => return Err(named(e)),
+            _ => {}
+        }
+        let began = now();
+        // What is due goes first: answers that wait must not make a beat late.
+        loop {
+            let Some((next, at)) = hollow.timers.first().copied() else { break };
+            if next > now() {
+                break;
+            }
+            hollow.due(at as usize);
+            if hollow.next[at as usize] == Some(next) {
+                // Danger: one that stays due for ever would keep the loop for itself.
+                hollow.timers.remove(&(next, at));
+                hollow.next[at as usize] = None;
+                let later = next + Span::from_millis(1);
+                hollow.timers.insert((later, at));
+                hollow.next[at as usize] = Some(later);
+            }
+        }
+        for event in &events {
+            match event.token() {
+                WAKER => {}
+                Token(token) if token % 2 == 0 => {
+                    hollow.pump(token / 2);
+                    hollow.schedule(token / 2);
+                }
+                Token(token) => hollow.watch(token / 2),
+            }
+        }
+        if now() >= wants_at {
+            hollow.spend(WANTS_EVERY.secs());
+            wants_at = wants_at + WANTS_EVERY;
+        }
+        while let Ok(order) = orders.try_recv() {
+            if let Some(said) = hollow.order(order) {
+                say(&said);
+            }
+        }
+        if !hollow.acts.is_empty() {
+            say(&Said::Acts(std::mem::take(&mut hollow.acts)));
+        }
+        let turn = now().since(began).nanos() / 1000;
+        hollow.counts.turn_worst_us = hollow.counts.turn_worst_us.max(turn);
+    }
+}
