Scale run: the drawn fleet, and lines, bends and percentiles over sizes

Change: scale/shape.rs (services, places, daemons, paths between regions; errors by key), scale/fit.rs.

--- a/crates/lab/src/scale.rs
+++ b/crates/lab/src/scale.rs
@@ -5,12 +5,14 @@
 use rustix::time::{ClockId, clock_gettime};
 
 pub mod children;
+pub mod fit;
 pub mod hollow;
 pub mod lists;
 pub mod machine;
 pub mod report;
 pub mod run;
 pub mod scenario;
+pub mod shape;
 
 /// The machine's clock since its start: the same for all processes on it.
 pub fn now() -> Moment {
