--- a/crates/lab/src/scale.rs
+++ b/crates/lab/src/scale.rs
@@ -9,6 +9,7 @@
 pub mod hollow;
 pub mod lists;
 pub mod machine;
+pub mod referee;
 pub mod report;
 pub mod run;
 pub mod scenario;
--- a/crates/lab/src/scale/fit.rs
+++ b/crates/lab/src/scale/fit.rs
@@ -1,6 +1,8 @@
 //! What figures over sizes say: a line with its residual, whether they bend, what the line gives at another size, and
 //! percentiles.
 
+use serde::Serialize;
+
 /// So far a curve must leave its line, relative to the mean, to be told as a bend: less is of no use to anybody, and the
 /// noise of exact sums is less.
 const BEND_LEAST: f64 = 0.01;
@@ -18,7 +20,7 @@
 }
 
 /// A straight line by least squares.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
 pub struct Line {
     pub points: usize,
     /// At size nought, and more for each further one.
@@ -27,15 +29,18 @@
     /// Root mean square of what the line leaves, in the values' unit; and relative to their mean.
     pub residual: f64,
     pub relative: f64,
+    #[serde(skip)]
     mean_size: f64,
     /// Sum of the squares of the sizes' distances from their mean, and of what the line leaves.
+    #[serde(skip)]
     spread: f64,
+    #[serde(skip)]
     left: f64,
 }
 
 /// What a line gives at a size: nineteen of twenty further runs lie from low to high, if the line holds there and runs
 /// differ there as much as where it was measured. Without end where two points made the line.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
 pub struct Estimate {
     pub value: f64,
     pub low: f64,
@@ -43,7 +48,7 @@
 }
 
 /// Whether the values leave their line by a curve.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
 pub struct Bend {
     /// The term of the square, in the values' unit by size squared: above nought they rise ever faster.
     pub square: f64,
@@ -57,7 +62,7 @@
     pub bent: bool,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 pub struct Percentiles {
     pub count: usize,
     pub p50: u64,
