--- a/crates/lab/src/scale.rs
+++ b/crates/lab/src/scale.rs
@@ -5,6 +5,7 @@
 use rustix::time::{ClockId, clock_gettime};
 
 pub mod children;
+pub mod faults;
 pub mod fit;
 pub mod hollow;
 pub mod lists;
