Scale run: the drawn shape, regions with a delay, the referee, faults, lines over the sizes

Members, daemons and lists stand as the shape draws them; ways between regions have a delay and a loss, in the loop of the hollow members and in the rig's links. Each fleet is judged by the referee; the schedule of faults is carried out at the largest size. A size that does not fit is refused before the start.

--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -370,11 +370,14 @@
     let (folder, base) = (scale::run::folder(), include_str!("../../../examples/sidecar.json"));
     let place = scale::run::Place { lab: &lab, daemon: &daemon, sidecar: &sidecar, folder: &folder, base };
     let played = scale::run::play(&scenario, asked.seed, &place)?;
-    print!("{}", scale::report::text(&played));
+    print!("{}", played.text());
     if let Some(out) = &asked.out {
-        write(out, &serde_json::to_string(&played).map_err(|e| e.to_string())?)?;
+        write(out, &played.json().to_string())?;
+    }
+    if let Some(svg) = &asked.svg {
+        write(svg, &played.svg()?)?;
     }
-    Ok(played.broken.is_empty() && played.void.is_empty())
+    Ok(played.kept())
 }
 
 fn measure_once(asked: Measure) -> Result<bool, String> {
--- a/crates/lab/src/rig/links.rs
+++ b/crates/lab/src/rig/links.rs
@@ -4,16 +4,20 @@
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant};
 
+use oorandom::Rand64;
 use socket2::SockRef;
 
 /// Bytes that a proxy reads at a time: a slow link paces by pieces of this size at the most.
 const PIECE: usize = 16 * 1024;
 /// Longest that a proxy waits for the process behind it: on the loopback a connect is answered at once or refused.
 const CONNECT: Duration = Duration::from_secs(2);
+/// What a lost packet costs a stream of which little is under way: the least retransmission timeout of common systems.
+const RETRANSMISSION: Duration = Duration::from_millis(200);
 
 /// How one direction of a link stands.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -51,6 +55,8 @@
     open: Vec<(u64, TcpStream, TcpStream)>,
     next: u64,
     over: bool,
+    /// How long all takes in one direction, and what share of the pieces a lost packet holds up.
+    late: (Duration, f64),
 }
 
 struct Shared {
@@ -96,6 +102,12 @@
         self.shared.lock().leads_to = Some(at);
     }
 
+    /// Connections that come from now on are over a path of this delay in one direction, on which this share of the pieces
+    /// waits for a packet to be sent again, and all behind them.
+    pub fn delays(&self, delay: Duration, loss: f64) {
+        self.shared.lock().late = (delay, loss);
+    }
+
     pub fn stand(&self, standing: Standing) {
         self.shared.lock().standing = standing;
         self.shared.changed.notify_all();
@@ -134,9 +146,9 @@
 
 fn accept(listener: &TcpListener, shared: &Arc<Shared>) {
     for before in listener.incoming() {
-        let (standing, leads_to, over) = {
+        let (standing, leads_to, over, late) = {
             let inner = shared.lock();
-            (inner.standing, inner.leads_to, inner.over)
+            (inner.standing, inner.leads_to, inner.over, inner.late)
         };
         if over {
             return;
@@ -160,7 +172,14 @@
         let [(one, two), (three, four)] = ends;
         for (from, to, way) in [(one, two, 0), (three, four, 1)] {
             let shared = shared.clone();
-            thread::spawn(move || carry(from, to, way, number, &shared));
+            if late.0.is_zero() {
+                thread::spawn(move || carry(from, to, way, number, &shared));
+            } else {
+                let (pieces, come) = channel();
+                let Ok(own) = from.try_clone() else { continue };
+                thread::spawn(move || collect(own, late, 2 * number + way as u64, &pieces));
+                thread::spawn(move || deliver(&from, to, way, number, &shared, &come));
+            }
         }
     }
 }
@@ -203,7 +222,11 @@
             break;
         }
     }
-    // The end of a connection is held back like its bytes: one that cannot be heard cannot say that it ends.
+    end(&from, &to, way, number, shared);
+}
+
+/// The end of a connection is held back like its bytes: one that cannot be heard cannot say that it ends.
+fn end(from: &TcpStream, to: &TcpStream, way: usize, number: u64, shared: &Shared) {
     if pace(shared, way, number, 0).is_some() {
         let _ = to.shutdown(Shutdown::Both);
         let _ = from.shutdown(Shutdown::Both);
@@ -212,6 +235,49 @@
     }
 }
 
+/// Reads what is to go over a path with a delay, and says when each piece arrives.
+fn collect(
+    mut from: TcpStream,
+    (delay, loss): (Duration, f64),
+    seed: u64,
+    pieces: &Sender<(Instant, Vec<u8>)>,
+) {
+    let (mut chance, mut last) = (Rand64::new(u128::from(seed)), Instant::now());
+    let mut piece = vec![0; PIECE];
+    loop {
+        let length = match from.read(&mut piece) {
+            Ok(0) | Err(_) => break,
+            Ok(length) => length,
+        };
+        let lost = chance.rand_float() < loss;
+        let again = if lost { RETRANSMISSION + 2 * delay } else { Duration::ZERO };
+        last = last.max(Instant::now() + delay + again);
+        if pieces.send((last, piece[..length].to_vec())).is_err() {
+            break;
+        }
+    }
+}
+
+fn deliver(
+    from: &TcpStream,
+    mut to: TcpStream,
+    way: usize,
+    number: u64,
+    shared: &Shared,
+    come: &Receiver<(Instant, Vec<u8>)>,
+) {
+    while let Ok((at, piece)) = come.recv() {
+        thread::sleep(at.saturating_duration_since(Instant::now()));
+        let Some(time) = pace(shared, way, number, piece.len()) else { break };
+        thread::sleep(time);
+        shared.bytes[way].fetch_add(piece.len() as u64, Ordering::SeqCst);
+        if to.write_all(&piece).is_err() {
+            break;
+        }
+    }
+    end(from, &to, way, number, shared);
+}
+
 /// Tries until a connection is there, or this long.
 ///
 /// # Errors
--- a/crates/lab/src/scale.rs
+++ b/crates/lab/src/scale.rs
@@ -5,6 +5,7 @@
 use rustix::time::{ClockId, clock_gettime};
 
 pub mod children;
+pub mod clients;
 pub mod faults;
 pub mod fit;
 pub mod hollow;
@@ -15,6 +16,7 @@
 pub mod run;
 pub mod scenario;
 pub mod shape;
+pub mod world;
 
 /// The machine's clock since its start: the same for all processes on it.
 pub fn now() -> Moment {
--- a/crates/lab/src/scale/hollow.rs
+++ b/crates/lab/src/scale/hollow.rs
@@ -2,6 +2,7 @@
 //! list, and no data path. Some hundreds share this loop. It measures how late it was itself: a run in which it was is void.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io::{ErrorKind, Read, Write};
 use std::net::SocketAddr;
 use std::sync::mpsc::{Receiver, channel};
@@ -36,6 +37,8 @@
 const RETRANSMISSION: Span = Span::from_millis(200);
 /// Longest wait of the loop where nothing is due.
 const LOOK: Span = Span::from_millis(1000);
+/// Until a timer that is due and moves nothing is looked at again.
+const AGAIN: Span = Span::from_millis(1);
 /// Rows of lateness, each twice as late as the one before, the first up to a microsecond.
 pub const LATENESS: usize = 32;
 
@@ -47,6 +50,12 @@
     pub zone: u32,
     pub region: u32,
     pub rack: u32,
+    /// The daemons in the order in which it asks them.
+    pub daemons: Vec<u16>,
+    /// A real sidecar, which no process of these plays.
+    pub real: bool,
+    /// The list that it watches: that of its own service.
+    pub list: String,
 }
 
 /// The way from one region to another.
@@ -68,10 +77,9 @@
     pub daemons: Vec<Daemon>,
     /// From a member's region to a daemon's, and back.
     pub paths: Vec<Vec<Path>>,
-    /// All members of the fleet; those of this process are in the range.
+    /// All members of the fleet; those of this process are named by their place among them.
     pub members: Vec<Spec>,
-    pub from: usize,
-    pub to: usize,
+    pub mine: Vec<u32>,
 }
 
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
@@ -112,6 +120,8 @@
     pub incarnation: u64,
     pub at_ns: u64,
     pub version: Version,
+    /// A digest of the settings' text.
+    pub text: u64,
 }
 
 /// Bytes and frames over connections to one daemon, from here and back.
@@ -145,6 +155,10 @@
     pub booked: BTreeMap<u32, u64>,
     pub heard_own: BTreeMap<u32, u64>,
     pub heard_all: u64,
+    /// Of these, what hollow members booked: what real sidecars book beside them is not among what is booked here.
+    pub heard_hollow: u64,
+    /// Their ages together when they were said, in milliseconds.
+    pub heard_age_ms: u64,
     pub dials: u64,
     pub drains: [u64; 3],
 }
@@ -152,8 +166,18 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Said {
     Ready,
+    /// These started then, by the moment that is their incarnation, too.
+    Raised(Vec<(u32, u64)>),
+    Dropped {
+        at_ns: u64,
+        who: Vec<u32>,
+    },
     Acts(Vec<Acts>),
-    Sums { at_ns: u64, late_us: u64, sums: Vec<(Thing, u64)> },
+    Sums {
+        at_ns: u64,
+        late_us: u64,
+        sums: Vec<(Thing, u64)>,
+    },
     Mark(Box<Counts>),
 }
 
@@ -221,11 +245,14 @@
     timers: BTreeSet<(Moment, u32)>,
     next: Vec<Option<Moment>>,
     cut: BTreeSet<(u32, u16)>,
+    /// By the marks of hollow members' names.
     service_of: HashMap<u32, u32>,
     marks: HashMap<u32, Vec<u32>>,
     each: u32,
     counts: Counts,
-    acts: Vec<Acts>,
+    said: Vec<Said>,
+    /// The text that was taken last, and its digest.
+    text: (String, u64),
     piece: Vec<u8>,
 }
 
@@ -255,15 +282,17 @@
 
 impl Hollow {
     fn new(setup: Setup, registry: Registry) -> Hollow {
-        let count = setup.to - setup.from;
+        let count = setup.mine.len();
         let mut marks: HashMap<u32, Vec<u32>> = HashMap::new();
         let mut service_of = HashMap::new();
         for spec in &setup.members {
             let mark = ids::mark(&spec.name);
-            service_of.insert(mark, spec.service);
+            if !spec.real {
+                service_of.insert(mark, spec.service);
+            }
             marks.entry(spec.service).or_default().push(ids::mark(&format!("{}-endpoint", spec.name)));
         }
-        let chance = Rand64::new(u128::from(setup.seed) << 32 | setup.from as u128);
+        let chance = Rand64::new(u128::from(setup.seed));
         let counts = Counts { lateness: vec![0; LATENESS], ..Counts::default() };
         Hollow {
             registry,
@@ -276,30 +305,31 @@
             marks,
             each: 0,
             counts,
-            acts: Vec::new(),
+            said: Vec::new(),
+            text: (String::new(), digest("")),
             piece: vec![0; READ_MOST],
             setup,
         }
     }
 
     fn spec(&self, at: usize) -> &Spec {
-        &self.setup.members[self.setup.from + at]
+        &self.setup.members[self.setup.mine[at] as usize]
     }
 
     /// Those of the named ones that are here.
     fn here(&self, who: &[u32]) -> Vec<usize> {
-        let (from, to) = (self.setup.from, self.setup.to);
-        who.iter().map(|who| *who as usize).filter(|who| (from..to).contains(who)).map(|who| who - from).collect()
+        who.iter().filter_map(|who| self.setup.mine.iter().position(|mine| mine == who)).collect()
     }
 
-    fn raise(&mut self, at: usize) {
+    /// Its incarnation.
+    fn raise(&mut self, at: usize) -> u64 {
         let now = now();
         let spec = self.spec(at).clone();
         // Danger: one that is raised again within a clock's step would be its own twin.
         let incarnation = now.nanos();
         let setup = member::Setup {
             name: spec.name,
-            daemons: self.setup.daemons.iter().map(|daemon| daemon.place).collect(),
+            daemons: spec.daemons,
             beat: Span::from_millis(self.setup.beat_ms),
             incarnation,
             process: self.chance.rand_u64(),
@@ -322,6 +352,7 @@
             wants: Vec::new(),
         });
         self.schedule(at);
+        incarnation
     }
 
     fn schedule(&mut self, at: usize) {
@@ -361,7 +392,7 @@
             self.counts.late += u64::from(late > self.setup.late_us);
             self.counts.late_worst_us = self.counts.late_worst_us.max(late);
             if self.each > 0 && life.member.is_up() {
-                let service = self.setup.members[self.setup.from + at].service;
+                let service = self.setup.members[self.setup.mine[at] as usize].service;
                 let marks = &self.marks[&service];
                 for _ in 0..self.each {
                     let endpoint = marks[self.chance.rand_range(0..marks.len() as u64) as usize];
@@ -564,19 +595,32 @@
                 Do::Dial(place) => self.dial(at, place),
                 Do::Close => self.close(at),
                 Do::Send(report) => self.send(at, &Frame::Report(*report)),
-                Do::Take(version, _) => {
-                    let member = (self.setup.from + at) as u32;
+                Do::Take(version, settings) => {
                     let Some(life) = &mut self.lives[at] else { return };
                     life.member.acts_on(version);
                     let (incarnation, at_ns) = (life.incarnation, now().nanos());
-                    self.acts.push(Acts { member, incarnation, at_ns, version });
+                    // The same for hundreds: the digest is found once.
+                    if self.text.0 != settings {
+                        self.text = (settings.clone(), digest(&settings));
+                    }
+                    let acts =
+                        Acts { member: self.setup.mine[at], incarnation, at_ns, version, text: self.text.1 };
+                    match self.said.last_mut() {
+                        Some(Said::Acts(rows)) => rows.push(acts),
+                        _ => self.said.push(Said::Acts(vec![acts])),
+                    }
                 }
                 Do::Hear(passed) => {
                     let own = self.spec(at).service;
                     let of = |writer: &u32| self.service_of.get(writer) == Some(&own);
                     let from_own = passed.iter().filter(|passed| of(&passed.writer)).count() as u64;
                     *self.counts.heard_own.entry(own).or_default() += from_own;
+                    let hollow = |writer: &u32| self.service_of.contains_key(writer);
+                    self.counts.heard_hollow +=
+                        passed.iter().filter(|passed| hollow(&passed.writer)).count() as u64;
                     self.counts.heard_all += passed.len() as u64;
+                    self.counts.heard_age_ms +=
+                        passed.iter().map(|passed| u64::from(passed.seen.age_ms)).sum::<u64>();
                 }
                 Do::Outs(_) => {
                     if let Some(life) = &mut self.lives[at] {
@@ -596,7 +640,7 @@
 
     /// Its watch on the list is to be looked at.
     fn watch(&mut self, at: usize) {
-        let service = format!("s{}", self.spec(at).service);
+        let service = self.spec(at).list.clone();
         let Some(life) = &mut self.lives[at] else { return };
         let Some(watch) = &mut life.watch else { return };
         let mut works = true;
@@ -678,21 +722,26 @@
         counts
     }
 
-    /// Carries an order out; what is to be said of it.
-    fn order(&mut self, order: Order) -> Option<Said> {
+    /// Carries an order out.
+    fn order(&mut self, order: Order) {
         match order {
             Order::Raise(who) => {
+                let mut rows = Vec::new();
                 for at in self.here(&who) {
                     if self.lives[at].is_none() {
-                        self.raise(at);
+                        rows.push((self.setup.mine[at], self.raise(at)));
                     }
                 }
+                self.said.push(Said::Raised(rows));
             }
             Order::Drop(who) => {
-                for at in self.here(&who) {
+                let here = self.here(&who);
+                let who = here.iter().map(|at| self.setup.mine[*at]).collect();
+                for at in here {
                     self.lives[at] = None;
                     self.schedule(at);
                 }
+                self.said.push(Said::Dropped { at_ns: now().nanos(), who });
             }
             Order::Drain { who, for_ms } => {
                 for at in self.here(&who) {
@@ -734,12 +783,30 @@
                 let until = Moment::from_nanos(at_ns);
                 std::thread::sleep(Duration::from_nanos(until.since(now()).nanos()));
                 let late_us = now().since(until).nanos() / 1000;
-                return Some(Said::Sums { at_ns, late_us, sums: self.sums() });
+                let sums = self.sums();
+                self.said.push(Said::Sums { at_ns, late_us, sums });
+            }
+            Order::Mark => {
+                let counts = self.mark();
+                self.said.push(Said::Mark(Box::new(counts)));
             }
-            Order::Mark => return Some(Said::Mark(Box::new(self.mark()))),
             Order::Stall { ms } => std::thread::sleep(Duration::from_millis(ms)),
         }
-        None
+    }
+
+    /// All members whose time has come.
+    fn all_due(&mut self) {
+        while let Some((next, at)) = self.timers.first().copied().filter(|(next, _)| *next <= now()) {
+            let at = at as usize;
+            self.due(at);
+            if self.next[at] == Some(next) {
+                // Danger: one that stays due for ever would keep the loop for itself.
+                let later = now() + AGAIN;
+                self.timers.remove(&(next, at as u32));
+                self.timers.insert((later, at as u32));
+                self.next[at] = Some(later);
+            }
+        }
     }
 
     fn poll_for(&self) -> Span {
@@ -748,6 +815,13 @@
     }
 }
 
+/// Of a text, for comparing.
+pub fn digest(text: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    text.hash(&mut hasher);
+    hasher.finish()
+}
+
 fn say(said: &Said) -> bool {
     let line = serde_json::to_string(said).expect("what is said has no form that cannot be written");
     let mut out = std::io::stdout().lock();
@@ -796,22 +870,7 @@
             _ => {}
         }
         let began = now();
-        // What is due goes first: answers that wait must not make a beat late.
-        loop {
-            let Some((next, at)) = hollow.timers.first().copied() else { break };
-            if next > now() {
-                break;
-            }
-            hollow.due(at as usize);
-            if hollow.next[at as usize] == Some(next) {
-                // Danger: one that stays due for ever would keep the loop for itself.
-                hollow.timers.remove(&(next, at));
-                hollow.next[at as usize] = None;
-                let later = next + Span::from_millis(1);
-                hollow.timers.insert((later, at));
-                hollow.next[at as usize] = Some(later);
-            }
-        }
+        hollow.all_due();
         for event in &events {
             match event.token() {
                 WAKER => {}
@@ -821,19 +880,17 @@
                 }
                 Token(token) => hollow.watch(token / 2),
             }
+            // Answers that wait must not make a beat late.
+            hollow.all_due();
         }
         if now() >= wants_at {
             hollow.spend(WANTS_EVERY.secs());
             wants_at = wants_at + WANTS_EVERY;
         }
         while let Ok(order) = orders.try_recv() {
-            if let Some(said) = hollow.order(order) {
-                say(&said);
-            }
-        }
-        if !hollow.acts.is_empty() {
-            say(&Said::Acts(std::mem::take(&mut hollow.acts)));
+            hollow.order(order);
         }
+        std::mem::take(&mut hollow.said).iter().all(say);
         let turn = now().since(began).nanos() / 1000;
         hollow.counts.turn_worst_us = hollow.counts.turn_worst_us.max(turn);
     }
--- a/crates/lab/src/scale/lists.rs
+++ b/crates/lab/src/scale/lists.rs
@@ -246,7 +246,8 @@
         }
         if now() >= beat {
             beat = now() + BEAT;
-            let all: Vec<usize> = lists.watchers.iter().filter(|(_, w)| w.service.is_some()).map(|(k, _)| *k).collect();
+            let all: Vec<usize> =
+                lists.watchers.iter().filter(|(_, w)| w.service.is_some()).map(|(k, _)| *k).collect();
             for key in all {
                 lists.send(key, b"1\r\n\n\r\n");
             }
--- a/crates/lab/src/scale/machine.rs
+++ b/crates/lab/src/scale/machine.rs
@@ -28,14 +28,25 @@
     Some(Taken { cpu_ns, rss: bytes("VmRSS:"), hwm: bytes("VmHWM:") })
 }
 
-/// Memory of this machine, in bytes, and of it what can be had now.
-pub fn memory() -> (u64, u64) {
-    let text = fs::read_to_string("/proc/meminfo").unwrap_or_default();
-    let bytes = |key: &str| field(&text, key).unwrap_or(0) * 1024;
-    (bytes("MemTotal:"), bytes("MemAvailable:"))
+/// What a run must fit into.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Machine {
+    /// In bytes: all, and what can be had now.
+    pub memory: u64,
+    pub available: u64,
+    /// That a process may have.
+    pub open_files: u64,
 }
 
-/// Files that a process may have open.
-pub fn open_files() -> u64 {
-    rustix::process::getrlimit(rustix::process::Resource::Nofile).current.unwrap_or(u64::MAX)
+impl Machine {
+    pub fn here() -> Machine {
+        let text = fs::read_to_string("/proc/meminfo").unwrap_or_default();
+        let bytes = |key: &str| field(&text, key).unwrap_or(0) * 1024;
+        let files = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
+        Machine {
+            memory: bytes("MemTotal:"),
+            available: bytes("MemAvailable:"),
+            open_files: files.unwrap_or(u64::MAX),
+        }
+    }
 }
--- a/crates/lab/src/scale/scenario.rs
+++ b/crates/lab/src/scale/scenario.rs
@@ -1,22 +1,38 @@
-//! What a scale run is to be, from its file.
+//! What a scale run is to be, from its file, and whether it fits on this machine.
 
 use std::fs;
 use std::path::Path;
 
+use appledyke_fleet::budgets::Thing;
+use appledyke_fleet::state::SETTINGS_MOST;
 use serde::Deserialize;
 
-/// Sizes and counts that a run may have: what a machine holds is checked beside.
-const MEMBERS_MOST: usize = 20_000;
+use super::machine::Machine;
+use super::{faults, referee, shape};
+
 const ROUNDS_MOST: usize = 20;
 const PHASE_MOST_MS: u64 = 600_000;
+/// Settings that are well have about so many bytes at the least.
+const CHANGE_LEAST: usize = 256;
+/// Processes of a run at the most, this one among them.
+const PROCESSES_MOST: usize = 200;
+/// The part of the machine's memory that a run may take.
+const MEMORY_PART: f64 = 0.5;
+/// Memory that is counted with: for each process; for each member, in its process and in all daemons; and that many times the
+/// largest settings, which a member's buffer has grown to.
+const MB_A_PROCESS: f64 = 16.0;
+const MB_A_MEMBER: f64 = 0.3;
+const SETTINGS_TIMES: f64 = 1.5;
+/// Open files of a member in its process, in the daemon that leads and at the list's service, and some of each process; in
+/// this process, of each daemon and real sidecar.
+const FILES_A_MEMBER: u64 = 2;
+const FILES_A_PROCESS: u64 = 64;
+const FILES_A_REAL: u64 = 40;
 
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Scenario {
     pub name: String,
-    /// Real ones.
-    pub daemons: u16,
-    pub sidecars: usize,
     /// Members in all, the real sidecars among them.
     pub sizes: Vec<usize>,
     /// Each size is run so often.
@@ -28,10 +44,22 @@
     pub election_ms: u64,
     pub daemon_beat_ms: u64,
     pub lease_ms: u64,
-    /// A hollow beat that is made so much after it was due makes a run void.
-    pub late_ms: u64,
+    /// The size that figures are worked out for from their lines.
+    pub target: usize,
+    pub shape: shape::Numbers,
     pub phases: Phases,
-    pub limits: Limits,
+    /// Played at the largest size, once all has been measured; none if it is left out.
+    pub faults: Option<faults::Terms>,
+    /// Between two changes of the settings while faults are played, and their size.
+    #[serde(default = "fault_put_every_ms")]
+    pub fault_put_every_ms: u64,
+    #[serde(default = "fault_put_bytes")]
+    pub fault_put_bytes: usize,
+    #[serde(default)]
+    pub limits: referee::Limits,
+    /// The first hollow process stands still for so long in each fleet: a flaw, to see the run void.
+    #[serde(default)]
+    pub stall_ms: u64,
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -39,6 +67,8 @@
 pub struct Phases {
     pub settle_ms: u64,
     pub idle_ms: u64,
+    /// What is heard may be as old as records are kept: before that a share would be of an earlier rate.
+    pub evidence_settle_ms: u64,
     pub evidence_ms: u64,
     /// Records that each member books a beat.
     pub evidence_each: u32,
@@ -49,18 +79,11 @@
     pub change_bytes: Vec<usize>,
 }
 
-/// The targets, and what else must hold.
-#[derive(Clone, Copy, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Limits {
-    /// From committed until all act on it.
-    pub in_force_ms: u64,
-    /// What control costs a sidecar: parts of a core, bytes of memory in millions, bytes a second.
-    pub sidecar_cores: f64,
-    pub sidecar_mb: f64,
-    pub sidecar_bytes: f64,
-    /// Share of the requests through real sidecars that must be served.
-    pub served: f64,
+fn fault_put_every_ms() -> u64 {
+    2000
+}
+fn fault_put_bytes() -> usize {
+    4096
 }
 
 impl Scenario {
@@ -78,37 +101,46 @@
         let reader = toml::Deserializer::parse(text).map_err(|e| e.message().to_string())?;
         let read: Scenario = serde_path_to_error::deserialize(reader)
             .map_err(|e| format!("{}: {}", e.path(), e.inner().message()))?;
-        if ![1, 3, 5, 7, 9].contains(&read.daemons) {
-            return Err(format!("daemons: expected an odd number up to 9, not {}", read.daemons));
-        }
-        if read.sizes.is_empty() {
+        read.check()?;
+        Ok(read)
+    }
+
+    fn check(&self) -> Result<(), String> {
+        if self.sizes.is_empty() {
             return Err("sizes: expected at least one".to_string());
         }
-        for (at, size) in read.sizes.iter().enumerate() {
-            if *size <= read.sidecars || *size > MEMBERS_MOST {
-                let least = read.sidecars + 1;
-                return Err(format!("sizes[{at}]: expected {least} to {MEMBERS_MOST}, not {size}"));
+        for (at, size) in self.sizes.iter().enumerate() {
+            if *size <= self.shape.real {
+                let least = self.shape.real + 1;
+                return Err(format!("sizes[{at}]: expected {least} or more, not {size}"));
+            }
+            let shape =
+                shape::Shape::draw(&self.shape.at(*size), 1).map_err(|e| format!("sizes[{at}]: {e}"))?;
+            if let Some(terms) = self.faults.as_ref().filter(|_| Some(size) == self.sizes.iter().max()) {
+                faults::Schedule::draw(terms, &shape, 1)?;
             }
         }
-        if !(1..=ROUNDS_MOST).contains(&read.rounds) {
-            return Err(format!("rounds: expected 1 to {ROUNDS_MOST}, not {}", read.rounds));
+        if !(1..=ROUNDS_MOST).contains(&self.rounds) {
+            return Err(format!("rounds: expected 1 to {ROUNDS_MOST}, not {}", self.rounds));
         }
         for (key, value) in [
-            ("per_process", read.per_process as u64),
-            ("beat_ms", read.beat_ms),
-            ("election_ms", read.election_ms),
-            ("daemon_beat_ms", read.daemon_beat_ms),
-            ("lease_ms", read.lease_ms),
-            ("late_ms", read.late_ms),
+            ("per_process", self.per_process as u64),
+            ("beat_ms", self.beat_ms),
+            ("election_ms", self.election_ms),
+            ("daemon_beat_ms", self.daemon_beat_ms),
+            ("lease_ms", self.lease_ms),
+            ("target", self.target as u64),
+            ("fault_put_every_ms", self.fault_put_every_ms),
         ] {
             if value == 0 {
                 return Err(format!("{key}: expected a positive whole number, not 0"));
             }
         }
-        let phases = &read.phases;
+        let phases = &self.phases;
         for (key, value) in [
             ("settle_ms", phases.settle_ms),
             ("idle_ms", phases.idle_ms),
+            ("evidence_settle_ms", phases.evidence_settle_ms),
             ("evidence_ms", phases.evidence_ms),
             ("budgets_ms", phases.budgets_ms),
         ] {
@@ -116,15 +148,73 @@
                 return Err(format!("phases.{key}: expected {PHASE_MOST_MS} at the most, not {value}"));
             }
         }
-        if phases.budgets > appledyke_fleet::budgets::Thing::ALL.len() {
-            return Err(format!("phases.budgets: expected 0 to 6, not {}", phases.budgets));
+        let most = Thing::ALL.len();
+        if phases.budgets > most {
+            return Err(format!("phases.budgets: expected 0 to {most}, not {}", phases.budgets));
         }
-        let most = appledyke_fleet::state::SETTINGS_MOST;
-        for (at, bytes) in phases.change_bytes.iter().enumerate() {
-            if !(256..=most).contains(bytes) {
-                return Err(format!("phases.change_bytes[{at}]: expected 256 to {most}, not {bytes}"));
+        let named = phases.change_bytes.iter().enumerate();
+        let sizes = named.map(|(at, bytes)| (format!("phases.change_bytes[{at}]"), *bytes));
+        for (key, bytes) in sizes.chain([("fault_put_bytes".to_string(), self.fault_put_bytes)]) {
+            if !(CHANGE_LEAST..=SETTINGS_MOST).contains(&bytes) {
+                return Err(format!("{key}: expected {CHANGE_LEAST} to {SETTINGS_MOST}, not {bytes}"));
             }
         }
-        Ok(read)
+        self.limits.check()
+    }
+
+    /// Processes of a run at this size.
+    pub fn processes(&self, size: usize) -> usize {
+        // Beside the real ones this one and the list's service.
+        self.shape.daemons + self.shape.real + (size - self.shape.real).div_ceil(self.per_process) + 2
+    }
+
+    fn mb(&self, size: usize) -> f64 {
+        let settings = self.phases.change_bytes.iter().max().copied().unwrap_or(0);
+        let each = MB_A_MEMBER + SETTINGS_TIMES * settings as f64 / 1e6;
+        self.processes(size) as f64 * MB_A_PROCESS + size as f64 * each
+    }
+
+    /// Files that the process which has most of them has open: one of hollow members, the leader, or this one.
+    fn files(&self, size: usize) -> u64 {
+        let hollow = FILES_A_MEMBER * self.per_process.min(size) as u64;
+        let real = FILES_A_REAL * (self.shape.real + self.shape.daemons * self.shape.daemons) as u64;
+        FILES_A_PROCESS + hollow.max(size as u64).max(real)
+    }
+
+    fn fits(&self, size: usize, machine: &Machine) -> Result<(), String> {
+        let processes = self.processes(size);
+        if processes >= PROCESSES_MOST {
+            return Err(format!("{processes} processes, and fewer than {PROCESSES_MOST} may be"));
+        }
+        let (mb, half) = (self.mb(size), machine.memory as f64 * MEMORY_PART / 1e6);
+        let free = machine.available as f64 / 1e6;
+        if mb > half.min(free) {
+            return Err(format!(
+                "some {mb:.0} MB of memory, of which half of this machine's is {half:.0} and {free:.0} are free"
+            ));
+        }
+        let files = self.files(size);
+        if files > machine.open_files {
+            return Err(format!("{files} open files in a process, which may have {}", machine.open_files));
+        }
+        Ok(())
+    }
+
+    /// # Errors
+    /// The first size that this machine does not hold, why, and which would do.
+    pub fn check_fits(&self, machine: &Machine) -> Result<(), String> {
+        for (at, size) in self.sizes.iter().enumerate() {
+            if let Err(why) = self.fits(*size, machine) {
+                let least = self.shape.real + 1;
+                let (mut low, mut high) = (least - 1, *size);
+                while high - low > 1 {
+                    let middle = low + (high - low) / 2;
+                    if self.fits(middle, machine).is_ok() { low = middle } else { high = middle }
+                }
+                let would = if low < least { "none would do".to_string() } else { format!("{low} would do") };
+                return Err(format!("sizes[{at}]: {size} members need {why}; {would}"));
+            }
+        }
+        Ok(())
     }
 }
