--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -272,6 +272,12 @@
     /// a file for the drawing
     #[argh(option)]
     svg: Option<PathBuf>,
+    /// sizes in place of the scenario's, by commas
+    #[argh(option)]
+    sizes: Option<String>,
+    /// how often each size is run, in place of the scenario's
+    #[argh(option)]
+    rounds: Option<usize>,
 }
 
 /// runs hollow members, as its standard input says: a part of a scale run
@@ -365,6 +371,7 @@
 
 fn scale_once(asked: Scale) -> Result<bool, String> {
     let scenario = scale::scenario::Scenario::read(&asked.scenario)?;
+    let scenario = scenario.with(asked.sizes.as_deref(), asked.rounds)?;
     let lab = std::env::current_exe().map_err(|e| format!("this program: {e}"))?;
     let (daemon, sidecar) = (beside("appledyke-daemon")?, beside("appledyke-sidecar")?);
     let (folder, base) = (scale::run::folder(), include_str!("../../../examples/sidecar.json"));
--- a/crates/lab/src/scale/run.rs
+++ b/crates/lab/src/scale/run.rs
@@ -29,17 +29,20 @@
 /// Between two looks at what real sidecars act on: a look is a connection, and costs them.
 const REAL_EVERY: Duration = Duration::from_millis(100);
 /// What a member wants of each budget while nothing moves, and what one that moves wants then.
-const WANTS: u64 = 10;
-const WANTS_MORE: u64 = 30;
-/// Of the whole there is so much for each member: what a real sidecar's clients want is well within its part.
-const WHOLE_EACH: u64 = 40;
-const ALONE: u64 = 10;
+const WANTS: u64 = 50;
+const WANTS_MORE: u64 = 70;
+/// Of the whole there is so much for each member, and so much each may use alone: more than a real sidecar's clients want,
+/// since a part that rises with a sudden wish takes some beats.
+const WHOLE_EACH: u64 = 100;
+const ALONE: u64 = 40;
+/// While faults are played a member asks to go out at each move, and is back after so long.
+const DRAINS_FOR: Duration = Duration::from_millis(1500);
 /// What moves does so at each of these, a tenth of the members each time.
 const MOVES_EVERY: Duration = Duration::from_secs(1);
 const MOVES_PART: u32 = 10;
 /// Between two requests of a client; one for each sidecar while figures are taken, more while faults are played.
 const PAUSE: Duration = Duration::from_millis(200);
-const FAULT_CLIENTS: usize = 8;
+const FAULT_CLIENTS: usize = 6;
 /// The settings that come with budgets, and the change in which a leader is killed, in bytes; and when in it.
 const BUDGETS_BYTES: usize = 1024;
 const KILLED_BYTES: usize = 64 * 1024;
@@ -50,11 +53,20 @@
     times.get(((times.len() as f64 - 1.0) * part).round() as usize).copied().unwrap_or(0.0)
 }
 
+/// Settings that an operator put: their text's digest and length, when they were asked for and when committed.
+struct Put {
+    version: Version,
+    text: u64,
+    bytes: usize,
+    began: Moment,
+    at: Moment,
+}
+
 /// An operator beside the run, who puts settings for as long as faults are played.
 struct Operator {
     over: Arc<AtomicBool>,
     at_once: Sender<usize>,
-    committed: Receiver<(Version, u64, Moment)>,
+    committed: Receiver<Put>,
     thread: thread::JoinHandle<()>,
 }
 
@@ -75,8 +87,8 @@
                 let write = a_put(number, &text, &budgets);
                 // Danger: a write given up while its fate is open would be one that nobody waits for.
                 while !mine.load(Ordering::Relaxed) {
-                    if let Ok((version, _, at)) = commit(&doors, &write, &mut leader, PATIENCE) {
-                        let _ = told.send((version, digest(&text), at));
+                    if let Ok((version, began, at)) = commit(&doors, &write, &mut leader, PATIENCE) {
+                        let _ = told.send(Put { version, text: digest(&text), bytes, began, at });
                         break;
                     }
                 }
@@ -415,7 +427,7 @@
         let before = self.world.sample()?;
         let begin = now();
         let (mut step, mut next_move, mut next_sum, mut next_look) = (0, begin, begin, begin);
-        let mut killed = None;
+        let (mut killed, mut puts) = (None, Vec::new());
         let mut actions = schedule.actions.iter().peekable();
         let mut latest = Version::default();
         loop {
@@ -425,13 +437,16 @@
                 self.strike(&action.what, &operator, &mut killed, &schedule.faults[action.fault].members)?;
             }
             let world = &mut self.world;
-            for (version, text, at) in operator.committed.try_iter() {
-                world.committed(version, text, at);
-                latest = version;
+            for put in operator.committed.try_iter() {
+                world.committed(put.version, put.text, put.at);
+                latest = put.version;
+                puts.push(put);
             }
             world.hear();
             if at >= next_move {
                 moves(world, &rows, step)?;
+                let who = vec![step % world.shape.members.len() as u32];
+                world.tell(&Order::Drain { who, for_ms: DRAINS_FOR.as_millis() as u64 })?;
                 (step, next_move) = (step + 1, at + Span::from_nanos(MOVES_EVERY.as_nanos() as u64));
             }
             if at >= next_sum {
@@ -451,9 +466,10 @@
         operator.over.store(true, Ordering::Relaxed);
         operator.thread.join().map_err(|_| "the operator of the run ended early")?;
         let after = self.world.sample()?;
-        for (version, text, at) in operator.committed.try_iter() {
-            self.world.committed(version, text, at);
-            latest = version;
+        for put in operator.committed.try_iter() {
+            self.world.committed(put.version, put.text, put.at);
+            latest = put.version;
+            puts.push(put);
         }
         self.requests("faults", clients.stop());
         for fault in &schedule.faults {
@@ -478,7 +494,26 @@
             }
             thread::sleep(REAL_EVERY);
         }
-        Ok(schedule.said())
+        let mut said = schedule.said();
+        let took = |put: &Put| put.at.since(put.began).nanos() as f64 / 1e6;
+        let mut all: Vec<f64> = puts.iter().map(took).collect();
+        said.push(format!(
+            "{} changes, committed after {:.0} ms (p50), {:.0} (last)",
+            puts.len(),
+            quantile(&mut all, 0.5),
+            quantile(&mut all, 1.0)
+        ));
+        for put in puts.iter().filter(|put| put.bytes == KILLED_BYTES) {
+            let (bytes, took) = (put.bytes, took(put));
+            said.push(format!("its leader killed in the middle, the change of {bytes} bytes was committed after {took:.0} ms"));
+        }
+        let sum = |at: usize| -> u64 {
+            let more = after.counts.iter().zip(&before.counts);
+            more.map(|(after, before)| after.drains[at] - before.drains[at]).sum()
+        };
+        let [asked, out, refused] = [0, 1, 2].map(sum);
+        said.push(format!("{asked} members asked to go out: {out} went, {refused} were refused or not answered"));
+        Ok(said)
     }
 
     fn strike(
--- a/crates/lab/src/scale/scenario.rs
+++ b/crates/lab/src/scale/scenario.rs
@@ -105,6 +105,22 @@
         Ok(read)
     }
 
+    /// With other sizes, by commas, and other rounds.
+    ///
+    /// # Errors
+    /// The option that is at fault.
+    pub fn with(mut self, sizes: Option<&str>, rounds: Option<usize>) -> Result<Scenario, String> {
+        if let Some(sizes) = sizes {
+            let read = |size: &str| {
+                size.parse().map_err(|_| format!("--sizes: expected whole numbers, not '{size}'"))
+            };
+            self.sizes = sizes.split(',').map(read).collect::<Result<_, _>>()?;
+        }
+        self.rounds = rounds.unwrap_or(self.rounds);
+        self.check().map_err(|why| format!("--sizes, --rounds: {why}"))?;
+        Ok(self)
+    }
+
     fn check(&self) -> Result<(), String> {
         if self.sizes.is_empty() {
             return Err("sizes: expected at least one".to_string());
