--- a/crates/lab/tests/scale_referee.rs
+++ b/crates/lab/tests/scale_referee.rs
@@ -315,6 +315,14 @@
         // It passes over to a later one: that is in force too.
         r.committed(ms(30_000), settings(4), Some(&[5]));
         r.acts(ms(30_010), 5, 1, settings(4));
+        // It goes after the change, and never returns: no fault of anybody's.
+        r.committed(ms(20_000), settings(5), Some(&[6, 7]));
+        r.acts(ms(20_010), 6, 1, settings(5));
+        r.away(ms(20_100), 7);
+        // Restarted in its place, with nobody told that it was away: from its new incarnation.
+        r.committed(ms(20_000), settings(6), Some(&[8]));
+        r.back(ms(39_000), 8, 2);
+        r.acts(ms(39_020), 8, 2, settings(6));
     });
     assert!(judgement.kept() && judgement.unjudged.is_empty(), "{judgement:?}");
     let change = &judgement.changes[2];
@@ -325,6 +333,8 @@
         (5, 1, 1, 0, 1)
     );
     assert_eq!(change.last_member.as_deref(), Some("m05"));
+    assert_eq!(judgement.changes[4].away, 1);
+    assert_eq!(judgement.changes[5].in_force.map(|figures| figures.last), Some(20_000_000));
 }
 
 #[test]
