Members and their standing lie below outs, releases and state

Cause: the three used one another in a circle, and scopes are to know members too. Change: Member, Standing and the bounds of their texts stand in crates/fleet/src/members.rs; nothing else differs.

--- a/crates/daemon/benches/apply.rs
+++ b/crates/daemon/benches/apply.rs
@@ -4,7 +4,8 @@
 
 use appledyke_consensus::{Batch, Content, Entry, Position};
 use appledyke_daemon::folder::Folder;
-use appledyke_fleet::state::{Command, Fleet, Standing, What, Write, WriteId};
+use appledyke_fleet::members::Standing;
+use appledyke_fleet::state::{Command, Fleet, What, Write, WriteId};
 use criterion::{Criterion, criterion_group, criterion_main};
 
 fn put(number: u64) -> Command {
--- a/crates/daemon/src/serve/members.rs
+++ b/crates/daemon/src/serve/members.rs
@@ -6,7 +6,8 @@
 use appledyke_fleet::budgets::{Holder, Thing};
 use appledyke_fleet::divide::Divider;
 use appledyke_fleet::limits::Grant;
-use appledyke_fleet::state::{Command, Fleet, Standing};
+use appledyke_fleet::members::Standing;
+use appledyke_fleet::state::{Command, Fleet};
 use appledyke_fleet::talk::{Frame, Report, Told};
 use appledyke_sidecar::net::slots::Key;
 
--- a/crates/daemon/tests/members.rs
+++ b/crates/daemon/tests/members.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use appledyke_fleet::Version;
-use appledyke_fleet::state::{Standing, What};
+use appledyke_fleet::members::Standing;
+use appledyke_fleet::state::What;
 use appledyke_fleet::talk::{Ask, Reply};
 use appledyke_lab::rig::fleet::{Daemons, PATIENCE, Shape};
 use appledyke_lab::rig::links::Standing as Link;
--- a/crates/daemon/tests/releases.rs
+++ b/crates/daemon/tests/releases.rs
@@ -7,9 +7,10 @@
 use std::time::Duration;
 
 use appledyke_fleet::health::{Figures, Must};
+use appledyke_fleet::members::Standing;
 use appledyke_fleet::outs::{Amount, Group};
 use appledyke_fleet::releases::{Action, Course, FORMAT, GoesBack, Moves, Order, Plan, Release, Side, Stage};
-use appledyke_fleet::state::{Standing, What};
+use appledyke_fleet::state::What;
 use appledyke_fleet::talk::{Ask, MemberRow, Reply};
 use appledyke_lab::rig::fleet::{Daemons, PATIENCE, Shape};
 use appledyke_lab::rig::links::{Link, Standing as Way};
--- a/crates/fleet/src/heard.rs
+++ b/crates/fleet/src/heard.rs
@@ -6,7 +6,8 @@
 
 use crate::budgets::Stamp;
 use crate::health::Figures;
-use crate::state::{Command, Fleet, GROUPS_MOST, Standing, Version};
+use crate::members::{GROUPS_MOST, Standing};
+use crate::state::{Command, Fleet, Version};
 use crate::talk::Report;
 
 /// After which a proposal that has not shown is made again: several elections.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,10 +9,12 @@
 pub mod heard;
 pub mod limits;
 pub mod member;
+pub mod members;
 pub mod outs;
 pub mod releases;
 pub mod runner;
 pub mod state;
 pub mod talk;
 
-pub use state::{Answer, Command, Fleet, Refusal, Standing, Version, What, Write, WriteId};
+pub use members::Standing;
+pub use state::{Answer, Command, Fleet, Refusal, Version, What, Write, WriteId};
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -11,9 +11,10 @@
 use crate::evidence::{self, KEPT, Known, Passed, Seen};
 use crate::health::Figures;
 use crate::limits::Limits;
+use crate::members::Standing;
 use crate::outs::Asker;
 use crate::runner::FRESH;
-use crate::state::{Standing, Version};
+use crate::state::Version;
 use crate::talk::{Report, Told};
 
 /// Beats without an answer until another daemon is asked: one may be lost with an election.
--- a/crates/fleet/src/outs.rs
+++ b/crates/fleet/src/outs.rs
@@ -7,7 +7,7 @@
 use appledyke::units::{Moment, Span};
 use serde::{Deserialize, Serialize};
 
-use crate::state::{Member, Standing};
+use crate::members::{Member, Standing};
 
 /// How long an operator waits for the fleet's word: the caller of the second address waits a little longer.
 pub const ANSWER_IN: Span = Span::from_millis(1000);
@@ -41,11 +41,13 @@
     /// The key that is at fault, and what would do.
     pub fn check(&self) -> Result<(), String> {
         let key = |name: &str| format!("groups.{}.{name}", self.name);
-        if self.name.is_empty() || self.name.len() > crate::state::TEXT_MOST {
+        if self.name.is_empty() || self.name.len() > crate::members::TEXT_MOST {
             return Err("groups.name: expected a name".to_string());
         }
         for (at, name) in self.endpoints.iter().enumerate() {
-            if name.is_empty() || name.len() > crate::state::TEXT_MOST || self.endpoints[..at].contains(name)
+            if name.is_empty()
+                || name.len() > crate::members::TEXT_MOST
+                || self.endpoints[..at].contains(name)
             {
                 return Err(format!("{}: expected names, each once, not '{name}'", key("endpoints")));
             }
--- a/crates/fleet/src/releases.rs
+++ b/crates/fleet/src/releases.rs
@@ -8,8 +8,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::health::{Figures, Must};
+use crate::members::{Member, Standing, TEXT_MOST};
 use crate::outs::{self, Group, NotNow};
-use crate::state::{Member, Standing, TEXT_MOST};
 
 /// The version of a release's file.
 pub const FORMAT: u32 = 1;
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -8,6 +8,7 @@
 use twox_hash::XxHash64;
 
 use crate::budgets::{Budget, Budgets, Change, Stamp};
+use crate::members::{GROUPS_MOST, Member, Standing, TEXT_MOST};
 use crate::outs::{self, Group, NotNow};
 use crate::releases::{Around, Declined, Order, Releases};
 
@@ -17,12 +18,8 @@
 const DONE_MOST: usize = 256;
 /// Bytes that settings may have: a frame and an entry must hold them.
 pub const SETTINGS_MOST: usize = 512 * 1024;
-/// Bytes that a name, a person or a reason may have.
-pub const TEXT_MOST: usize = 256;
 /// Endpoints that may be out of service at once: each is told to each member.
 const ENDPOINTS_MOST: usize = 1000;
-/// Groups that a member may belong to: its zone, tier and pool, and some.
-pub const GROUPS_MOST: usize = 8;
 /// Members that are kept at the most, the gone among them: several times the largest fleet.
 const MEMBERS_MOST: usize = 20_000;
 
@@ -76,33 +73,6 @@
     pub what: What,
 }
 
-/// How a member stands.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub enum Standing {
-    Joining,
-    Serving,
-    /// It turns clients away by an operator's word, and may take them again.
-    Drained,
-    Leaving,
-    /// Not heard for a lease.
-    Silent,
-    /// It has said that it ends, or an operator or a long silence has said so for it.
-    Gone,
-}
-
-impl Standing {
-    pub fn name(self) -> &'static str {
-        match self {
-            Standing::Joining => "joining",
-            Standing::Serving => "serving",
-            Standing::Drained => "drained",
-            Standing::Leaving => "leaving",
-            Standing::Silent => "silent",
-            Standing::Gone => "gone",
-        }
-    }
-}
-
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Command {
     Write(Write),
@@ -194,17 +164,6 @@
     pub back_to: Option<Version>,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Member {
-    pub incarnation: u64,
-    pub standing: Standing,
-    pub groups: Vec<String>,
-    /// The ask by which it may be out.
-    pub out: Option<u64>,
-    /// A release has sent it out.
-    pub sent: bool,
-}
-
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Fleet {
     applied: Index,
--- a/crates/fleet/src/talk.rs
+++ b/crates/fleet/src/talk.rs
@@ -8,8 +8,9 @@
 use crate::evidence::{Passed, Seen};
 use crate::health::Figures;
 use crate::limits::{Grant, Use};
+use crate::members::Standing;
 use crate::releases::{Order, Release, Work};
-use crate::state::{Standing, Version, Write, Written};
+use crate::state::{Version, Write, Written};
 
 /// The version of all frames. Processes of two versions do not talk to one another.
 pub const VERSION: u16 = 2;
--- a/crates/fleet/tests/permissions.rs
+++ b/crates/fleet/tests/permissions.rs
@@ -6,8 +6,9 @@
 
 use appledyke::units::{Moment, Span};
 use appledyke_fleet::heard::{Heard, Terms};
+use appledyke_fleet::members::Standing;
 use appledyke_fleet::outs::{Amount, Asker, Group, is_out};
-use appledyke_fleet::state::{Answer, Command, Fleet, Standing, What, Write, WriteId};
+use appledyke_fleet::state::{Answer, Command, Fleet, What, Write, WriteId};
 use appledyke_fleet::talk::Report;
 use oorandom::Rand64;
 
--- a/crates/fleet/tests/releases.rs
+++ b/crates/fleet/tests/releases.rs
@@ -7,10 +7,11 @@
 use appledyke_fleet::budgets::Stamp;
 use appledyke_fleet::health::{Figures, Must};
 use appledyke_fleet::heard::{Heard, Terms};
+use appledyke_fleet::members::Standing;
 use appledyke_fleet::outs::{Amount, Group};
 use appledyke_fleet::releases::{Course, FORMAT, GoesBack, Moves, Order, Plan, Side, Stage};
 use appledyke_fleet::runner::{FRESH, Runner};
-use appledyke_fleet::state::{Answer, Command, Fleet, Standing, Version, What, Write, WriteId};
+use appledyke_fleet::state::{Answer, Command, Fleet, Version, What, Write, WriteId};
 use appledyke_fleet::talk::Report;
 use oorandom::Rand64;
 
@@ -159,7 +160,7 @@
         let sends = matches!(command, Command::Release(Order::Send { .. }));
         // Counted anew, by the members' own state in the log.
         let out = |fleet: &Fleet| {
-            let out = |m: &&appledyke_fleet::state::Member| m.standing != Standing::Serving || m.sent;
+            let out = |m: &&appledyke_fleet::members::Member| m.standing != Standing::Serving || m.sent;
             fleet.members().values().filter(out).count()
         };
         let before = out(&self.fleet);
--- a/crates/lab/src/releases.rs
+++ b/crates/lab/src/releases.rs
@@ -4,10 +4,11 @@
 use appledyke::units::{Moment, Span};
 use appledyke_fleet::health::{Figures, Must};
 use appledyke_fleet::heard::{Heard, Terms};
+use appledyke_fleet::members::Standing;
 use appledyke_fleet::outs::{Amount, Group};
 use appledyke_fleet::releases::{Course, FORMAT, GoesBack, Moves, Order, Plan, Side, Stage};
 use appledyke_fleet::runner::Runner;
-use appledyke_fleet::state::{Command, Fleet, Standing, What, Write, WriteId};
+use appledyke_fleet::state::{Command, Fleet, What, Write, WriteId};
 use appledyke_fleet::talk::Report;
 use oorandom::Rand64;
 use serde::Serialize;
--- a/crates/lab/src/rig/holders.rs
+++ b/crates/lab/src/rig/holders.rs
@@ -12,7 +12,7 @@
 use appledyke::units::Moment;
 use appledyke_fleet::budgets::Thing;
 use appledyke_fleet::limits::Limits;
-use appledyke_fleet::state::Standing;
+use appledyke_fleet::members::Standing;
 use appledyke_fleet::talk::{Frame, Frames, Report, Told, Who};
 
 use super::fleet::FLEET;
--- a/crates/lab/src/rig/measure.rs
+++ b/crates/lab/src/rig/measure.rs
@@ -5,7 +5,8 @@
 use std::time::{Duration, Instant};
 
 use appledyke_fleet::budgets::{Budget, Thing};
-use appledyke_fleet::state::{Standing as Member, What};
+use appledyke_fleet::members::Standing as Member;
+use appledyke_fleet::state::What;
 use appledyke_fleet::talk::{Ask, Reply};
 use serde_json::{Map, Value, json};
 
--- a/crates/lab/src/scale/hollow.rs
+++ b/crates/lab/src/scale/hollow.rs
@@ -14,7 +14,7 @@
 use appledyke_fleet::budgets::Thing;
 use appledyke_fleet::limits::Limits;
 use appledyke_fleet::member::{self, Do, Member};
-use appledyke_fleet::state::Standing;
+use appledyke_fleet::members::Standing;
 use appledyke_fleet::talk::{Frame, Frames, Who, greeted};
 use mio::net::TcpStream;
 use mio::{Events, Interest, Poll, Registry, Token, Waker};
--- a/crates/lab/src/scale/world.rs
+++ b/crates/lab/src/scale/world.rs
@@ -8,7 +8,8 @@
 use appledyke::units::{Moment, Span};
 use appledyke_fleet::Version;
 use appledyke_fleet::budgets::{Budget, Thing};
-use appledyke_fleet::state::{Standing as Member, What, Write, WriteId};
+use appledyke_fleet::members::Standing as Member;
+use appledyke_fleet::state::{What, Write, WriteId};
 use appledyke_fleet::talk::{Ask, Reply};
 use serde_json::json;
 
--- a/crates/sidecar/src/fleet.rs
+++ b/crates/sidecar/src/fleet.rs
@@ -13,7 +13,7 @@
 use appledyke_fleet::evidence::Passed;
 use appledyke_fleet::limits::Limits;
 use appledyke_fleet::member::{Do, Member, Setup};
-use appledyke_fleet::state::Standing;
+use appledyke_fleet::members::Standing;
 use appledyke_fleet::talk::{Frame, Frames, Who, greeted};
 use serde_json::{Value, json};
 
--- a/crates/sidecar/src/sidecar/process.rs
+++ b/crates/sidecar/src/sidecar/process.rs
@@ -2,7 +2,7 @@
 
 use appledyke_fleet::Version;
 use appledyke_fleet::evidence::{self, Passed};
-use appledyke_fleet::state::Standing as Member;
+use appledyke_fleet::members::Standing as Member;
 
 use super::*;
 
