A reset is no end: an answer with no length that is reset is not whole, on either side

Seen, forced on sockets: an answer with no length of which some bytes and a reset came in one turn was passed on as whole, with its last chunk, while it passed or once it had been held for 0.5 s.

Cause: the machine tells a reset once, at a read or write, and an end from then on. Connection::fill gave the bytes and the error; Body::next went on with the bytes and took the next read, Ok(0), for the end (net/body.rs, ends_here). Servers::ready began an answer that it knew to be reset. On the clients' side Clients::end_pass ended an answer that broke off by a plain close, which a client that reads no chunks (HTTP/1.0) can't tell from its end; so did the end of the process.

Change: a connection that has failed a read or a write never tells an end afterwards; an answer of no length that is known to be reset is not begun, and another endpoint may give it; while an answer that only an end ends passes to a client, its connection resets at close (SO_LINGER 0), whatever closes it, up to the end of the sending.

Tests crossings edges: three, each seen to fail on the text before, and with its guard taken out: the line of Connection::fill that turns Ok(0) into a reset; the arm of Servers::ready; reset_at_close.

--- a/crates/sidecar/src/net/body.rs
+++ b/crates/sidecar/src/net/body.rs
@@ -78,6 +78,11 @@
         self.at == At::Done
     }
 
+    /// Only the connection's end ends it.
+    pub fn lasts_to_end(&self) -> bool {
+        self.at == At::ToEnd
+    }
+
     /// The connection has ended and all that it brought is done with: whether the body is whole by that.
     pub fn ends_here(&mut self) -> bool {
         if self.at == At::ToEnd {
--- a/crates/sidecar/src/net/clients.rs
+++ b/crates/sidecar/src/net/clients.rs
@@ -565,6 +565,10 @@
         let unknown = if chunks { Length::Chunked } else { Length::ToEnd };
         let length = length.map_or(unknown, Length::Known);
         let keep = client.keeps(frame) && !self.parting && length != Length::ToEnd;
+        // Danger: broken off, by whatever ends this process too, an answer that only an end ends would pass for whole.
+        if length == Length::ToEnd {
+            client.connection.reset_at_close();
+        }
         self.head.clear();
         head(&mut self.head, length, keep);
         client.connection.consume(frame.end);
--- a/crates/sidecar/src/net/connection.rs
+++ b/crates/sidecar/src/net/connection.rs
@@ -2,10 +2,12 @@
 
 use std::io::{self, ErrorKind, IoSlice, Read, Write};
 use std::net::{Shutdown, SocketAddr};
+use std::time::Duration;
 
 use appledyke::Outcome;
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Registry, Token};
+use socket2::SockRef;
 
 /// Bytes read at a time: most messages come in one piece.
 const READ_STEP: usize = 4096;
@@ -64,6 +66,11 @@
     /// Reading stopped at the limit, so no event will tell of what is left.
     pub full: bool,
     finished: bool,
+    /// A read or a write has failed. Danger: the machine tells a reset once and an end from then on, so what only the
+    /// connection's end ends would pass for whole.
+    broken: bool,
+    /// Its close is a reset, whoever closes it.
+    resets: bool,
 }
 
 /// The next connection that waits at a listener.
@@ -96,6 +103,8 @@
             ended: false,
             full: false,
             finished: false,
+            broken: false,
+            resets: false,
         })
     }
 
@@ -116,6 +125,11 @@
         }
     }
 
+    fn breaks(&mut self, error: io::Error) -> io::Error {
+        self.broken = true;
+        error
+    }
+
     /// Reads until the socket would block, the other side ends or `most` bytes stand unread.
     pub fn fill(&mut self, most: usize) -> io::Result<()> {
         while !self.ended && self.input.len() < most {
@@ -126,11 +140,12 @@
             let read = self.stream.read(&mut self.input[len..]);
             self.input.truncate(len + *read.as_ref().unwrap_or(&0));
             match read {
+                Ok(0) if self.broken => return Err(ErrorKind::ConnectionReset.into()),
                 Ok(0) => self.ended = true,
                 Ok(_) => {}
                 Err(e) if e.kind() == ErrorKind::WouldBlock => break,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) => return Err(e),
+                Err(e) => return Err(self.breaks(e)),
             }
         }
         self.full = self.input.len() >= most;
@@ -145,7 +160,7 @@
             match self.stream.write_vectored(&slices) {
                 Ok(n) => taken = n,
                 Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {}
-                Err(e) => return Err(e),
+                Err(e) => return Err(self.breaks(e)),
             }
         }
         self.queue(parts, taken);
@@ -173,7 +188,7 @@
                 Ok(n) => self.sent += n,
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) => return Err(e),
+                Err(e) => return Err(self.breaks(e)),
             }
         }
         (self.unsent, self.sent) = (Vec::new(), 0);
@@ -206,10 +221,24 @@
     /// so one that answered every event with another would keep the loop turning until the peer closes.
     pub fn finish(&mut self) {
         if !std::mem::replace(&mut self.finished, true) {
+            if std::mem::take(&mut self.resets) {
+                self.linger(None);
+            }
             let _ = self.stream.shutdown(Shutdown::Write);
         }
     }
 
+    /// From now on, until the sending is ended, its close is a reset, also where the process ends.
+    pub fn reset_at_close(&mut self) {
+        self.resets = true;
+        self.linger(Some(Duration::ZERO));
+    }
+
+    fn linger(&self, most: Option<Duration>) {
+        // A machine without the option closes it as any other.
+        let _ = SockRef::from(&self.stream).set_linger(most);
+    }
+
     pub fn close(mut self, registry: &Registry) {
         // A socket that cannot be deregistered is closed with its drop all the same.
         let _ = registry.deregister(&mut self.stream);
--- a/crates/sidecar/src/net/servers.rs
+++ b/crates/sidecar/src/net/servers.rs
@@ -356,6 +356,10 @@
         let late = link.held_since.is_some_and(|since| turn.now.since(since) >= HELD_MOST);
         // What was read before the connection broke still counts.
         let ending = match http::answer(&mut link.connection.input, ended, late) {
+            // Danger: a reset is no end, and once it is begun no other endpoint can answer.
+            Ok((Read::Long(_, body), ..)) if read_on.is_err() && body.lasts_to_end() => {
+                Ending::Broken { whole }
+            }
             Ok((read @ (Read::Whole(_) | Read::Long(..)), status, turned_away)) => {
                 let works = !ended && read_on.is_ok() && written.is_ok();
                 let (frame, long) = match read {
--- a/crates/sidecar/tests/crossings.rs
+++ b/crates/sidecar/tests/crossings.rs
@@ -5,6 +5,8 @@
 
 #[path = "crossings/clients.rs"]
 mod clients;
+#[path = "crossings/edges.rs"]
+mod edges;
 #[path = "crossings/leaving.rs"]
 mod leaving;
 #[path = "crossings/lists.rs"]
