A connect that comes up in the turn in which its time is over carries nothing

Cause: a turn takes events before what falls due. One that came late heard that a connect was up (net/servers.rs, ready) and wrote its attempt, though the time of its connect, and with it that of the client, of the group's memory or of a drain, was over by then.

Change: ready looks at the connect's time before it writes. On sockets it can't be forced by a process that stands still: the wait is interrupted then, and a turn without events comes first. So the test sets the time: servers::tests::a_connect_that_comes_up_in_the_turn_in_which_its_time_is_over_carries_nothing, seen to fail without the look.

--- a/crates/sidecar/src/net/servers.rs
+++ b/crates/sidecar/src/net/servers.rs
@@ -334,6 +334,13 @@
             return None;
         };
         if !link.up {
+            // Danger: after a standstill it is heard of before its time is looked at, and would carry what nobody waits
+            // for any more, or its endpoint may not be sent any more.
+            if link.deadline.is_some_and(|at| at <= turn.now) {
+                let over = turn.now >= carried.give_up;
+                let ending = if over { Ending::GivenUp { whole: false } } else { Ending::NeverUp };
+                return self.end(key, ending, turn);
+            }
             match link.connection.is_up() {
                 Ok(true) => link.up = true,
                 Ok(false) => return None,
@@ -600,6 +607,27 @@
         assert_eq!(turn.deadlines.next(), Some(turn.now + Span::from_millis(4000) * IDLE_SHARE));
     }
 
+    /// Danger: a turn that comes late hears that a connect is up before it looks at the time, and would write what nobody
+    /// waits for any more, its group may have forgotten, or its endpoint may not be sent any more.
+    #[test]
+    fn a_connect_that_comes_up_in_the_turn_in_which_its_time_is_over_carries_nothing() {
+        for (give_up, ending) in [(100, Ending::GivenUp { whole: false }), (2000, Ending::NeverUp)] {
+            let (listener, mut poll, mut turn, mut servers) = before_one();
+            let carried = Carried { req: 0, write_out: 0, give_up: turn.now + Span::from_millis(give_up) };
+            let key =
+                servers.send(0, carried, Message { head: HEAD, body: b"", coming: None }, &mut turn).unwrap();
+            let (mut peer, _) = listener.accept().unwrap();
+            let mut events = mio::Events::with_capacity(8);
+            while events.is_empty() {
+                poll.poll(&mut events, None).unwrap();
+            }
+            turn.now = turn.now + Span::from_millis(200);
+            let ended = servers.ready(key, &mut turn).expect("its time is over");
+            assert_eq!((ended.ending, ended.ending.outcome()), (ending, Outcome::RefusedConnection));
+            assert_eq!(std::io::Read::read(&mut peer, &mut [0]).unwrap(), 0);
+        }
+    }
+
     /// Danger: what comes late behind an answer passes for the answer to the next req on its connection.
     #[test]
     fn a_connection_that_has_just_been_answered_is_used_last() {
