A flood on one connection leaves others their turns, and all of it is answered

Seen, forced on sockets: a client that sent requests without end, each answered at once (no time left), kept the sidecar in one turn for as long as it went on; another client had no answer within 10 s. And 3000 requests that are answered without an endpoint (404), there at once: those behind the first 76 KB were left until something else came.

Cause: Sidecar::decide looked again at the connections that had been answered until none had more, the last one first. Clients::ready read as much as a message may have, and where answers of its own were given nobody looked again at what was left in the socket, of which no event tells.

Change: at most 256 looks that find something in a turn, in order; the next turn follows at once. A connection that was read up to the limit is looked at again.

Tests: crossings edges (a flood), seen to fail before and without the bound; clients::tests::many_requests_that_are_there_at_once_are_all_answered_whoever_answers_them, seen to fail without the second look.

--- a/crates/sidecar/src/net/clients.rs
+++ b/crates/sidecar/src/net/clients.rs
@@ -395,7 +395,10 @@
             Stage::Waiting { .. } if client.coming.is_some() => return Said::More,
             Stage::Closing if client.connection.all_sent() => client.connection.finish(),
             Stage::Reading if client.connection.all_sent() && !client.connection.input.is_empty() => {
-                return self.read_req(key, terms, turn);
+                let said = self.read_req(key, terms, turn);
+                // Danger: no event tells of what is left behind that much, and no answer of an endpoint either.
+                let left = self.slots.get(key).is_some_and(|c| c.reading() && c.connection.full);
+                return if left && matches!(said, Said::Nothing) { Said::Brought } else { said };
             }
             _ => {}
         }
@@ -830,4 +833,37 @@
         assert!(matches!(clients.ready(key, &terms, &mut turn), Said::Nothing));
         assert!(turn.deadlines.next().is_some_and(|at| at.since(turn.now) <= LEAVE_IDLE));
     }
+
+    /// Danger: what stands behind as much as is read at a time brings no event, and was left there where all before it was
+    /// answered without an endpoint.
+    #[test]
+    fn many_requests_that_are_there_at_once_are_all_answered_whoever_answers_them() {
+        let mut poll = mio::Poll::new().unwrap();
+        let registry = poll.registry().try_clone().unwrap();
+        let mut turn = Turn { now: Moment::from_nanos(1), registry, deadlines: Default::default(), room: 8 };
+        let mut clients = Clients::listen("127.0.0.1:0".parse().unwrap(), false, &mut turn).unwrap();
+        // Connections have it from their listener.
+        socket2::SockRef::from(clients.listener.as_ref().unwrap()).set_recv_buffer_size(1 << 20).unwrap();
+        let mut peer = std::net::TcpStream::connect(clients.address().unwrap()).unwrap();
+        const MANY: usize = 3000;
+        let requests = "GET /none HTTP/1.1\r\nX-Txn: 1\r\n\r\n".repeat(MANY);
+        assert!(requests.len() > http::MESSAGE_MOST);
+        io::Write::write_all(&mut peer, requests.as_bytes()).unwrap();
+        peer.set_nonblocking(true).unwrap();
+        while clients.count() == 0 {
+            clients.accept(&mut turn);
+        }
+        let (key, _) = clients.slots.iter().next().unwrap();
+        let terms = crate::launch::plain_terms("view", &[]);
+        let (mut events, mut answers) = (mio::Events::with_capacity(8), String::new());
+        let mut again = false;
+        while answers.matches("HTTP/1.1 404 ").count() < MANY {
+            if !again {
+                poll.poll(&mut events, Some(std::time::Duration::from_secs(2))).unwrap();
+                assert!(!events.is_empty(), "nothing tells of the rest");
+            }
+            again = matches!(clients.ready(key, &terms, &mut turn), Said::Brought);
+            let _ = io::Read::read_to_string(&mut peer, &mut answers);
+        }
+    }
 }
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -38,6 +38,9 @@
 
 /// Events taken from one poll.
 const EVENTS: usize = 512;
+/// Reqs that may have come already and are looked at in one turn, before others have theirs: well over what a turn
+/// brings, and some milliseconds.
+const LOOKS_MOST: usize = 256;
 /// Time in which last answers go out.
 const LEAVE_LAST: Span = Span::from_millis(150);
 /// Time in which long answers that have begun may go on.
@@ -235,7 +238,8 @@
         loop {
             let wait =
                 self.turn.deadlines.next().map(|at| Duration::from_nanos(at.since(self.clock.now()).nanos()));
-            let wait = if self.pass_again.is_empty() { wait } else { Some(Duration::ZERO) };
+            let at_once = !(self.pass_again.is_empty() && self.look_again.is_empty());
+            let wait = if at_once { Some(Duration::ZERO) } else { wait };
             match self.poll.poll(&mut events, wait) {
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 other => other.map_err(|e| format!("poll: {e}"))?,
@@ -380,12 +384,18 @@
     }
 
     fn decide(&mut self) {
+        let mut looks = 0;
         loop {
             while let Some(decision) = self.choice.next_decision(self.turn.now) {
                 self.carry_out(decision);
             }
-            let Some(key) = self.look_again.pop() else { return };
+            // Danger: a client that asks again at once, and is answered at once, would keep all others waiting.
+            if self.look_again.is_empty() || looks == LOOKS_MOST {
+                return;
+            }
+            let key = self.look_again.remove(0);
             if self.clients.has_more(key) {
+                looks += 1;
                 self.client_ready(key);
             }
         }
--- a/crates/sidecar/tests/crossings/edges.rs
+++ b/crates/sidecar/tests/crossings/edges.rs
@@ -2,8 +2,8 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::mpsc::{Receiver, channel};
-use std::time::Duration;
+use std::sync::mpsc::{Receiver, TryRecvError, channel};
+use std::time::{Duration, Instant};
 
 use crate::stand_ins::{
     Client, Endpoint, Sidecar, configuration, connections, entry, list, list_of, message, ok, until,
@@ -141,3 +141,48 @@
         assert!(answer.ends_with("menu"), "late {late}: {answer}");
     }
 }
+
+/// Danger: one that asks again at once, and is answered at once, had the turn for itself for as long as it went on.
+#[test]
+fn a_flood_on_one_connection_keeps_no_other_client_waiting() {
+    let endpoint = Endpoint::start(|_| ok("menu"));
+    let sidecar = Sidecar::before(&[endpoint.at]);
+    let mut flood = connect(&sidecar);
+    let mut answers = flood.try_clone().unwrap();
+    let (over, go_on) = channel::<()>();
+    let write = std::thread::spawn(move || {
+        let mut number = 0;
+        while go_on.try_recv() == Err(TryRecvError::Empty) {
+            // With no time left, each is answered at once.
+            let request = |id| format!("GET /view/1 HTTP/1.1\r\nX-Txn: f{id}\r\nX-Remaining-Ms: 0\r\n\r\n");
+            let requests: String = (number..number + 100).map(request).collect();
+            number += 100;
+            if flood.write_all(requests.as_bytes()).is_err() {
+                break;
+            }
+        }
+        let _ = flood.shutdown(std::net::Shutdown::Both);
+    });
+    let read = std::thread::spawn(move || {
+        let (mut bytes, mut buffer) = (0, vec![0; 1 << 20]);
+        while let Ok(n @ 1..) = answers.read(&mut buffer) {
+            bytes += n;
+        }
+        bytes
+    });
+    std::thread::sleep(Duration::from_millis(300));
+    let mut took = Duration::ZERO;
+    for _ in 0..5 {
+        let mut other = Client::connect(&sidecar);
+        let begun = Instant::now();
+        other.view();
+        assert_eq!(other.status(), "200");
+        took = took.max(begun.elapsed());
+    }
+    assert!(!write.is_finished(), "it goes on meanwhile");
+    drop(over);
+    write.join().unwrap();
+    assert!(read.join().unwrap() > 0);
+    assert!(took < Duration::from_secs(1), "{took:?}");
+    assert!(sidecar.memory() < 64 << 20, "{} bytes", sidecar.memory());
+}
