--- a/crates/sidecar/src/net/servers.rs
+++ b/crates/sidecar/src/net/servers.rs
@@ -628,6 +628,43 @@
         }
     }
 
+    /// Danger: a connection whose long answer outlasts its endpoint's index would carry the next request to another
+    /// endpoint than the one that now has the index.
+    #[test]
+    fn a_connection_whose_index_is_used_again_while_its_answer_passes_is_closed() {
+        let other = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        for (successor, stays) in [(None, true), (Some(other.local_addr().unwrap()), false)] {
+            let (listener, mut poll, mut turn, mut servers) = before_one();
+            let carried = Carried { req: 0, write_out: 0, give_up: turn.now + Span::from_millis(2000) };
+            let key =
+                servers.send(0, carried, Message { head: HEAD, body: b"", coming: None }, &mut turn).unwrap();
+            let (mut peer, _) = listener.accept().unwrap();
+            let long = format!("HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n{}", "x".repeat(1000));
+            std::io::Write::write_all(&mut peer, long.as_bytes()).unwrap();
+            let mut events = mio::Events::with_capacity(8);
+            let ended = loop {
+                poll.poll(&mut events, None).unwrap();
+                if let Some(ended) = servers.ready(key, &mut turn) {
+                    break ended;
+                }
+            };
+            servers.pass(key, ended.answer.unwrap(), ended.long.unwrap(), (key, 0, End::Satisfied));
+            servers.forget(0, &mut turn);
+            servers.place(0, successor.unwrap_or(listener.local_addr().unwrap()), None, &mut turn);
+            std::io::Write::write_all(&mut peer, &[b'x'; 69_000]).unwrap();
+            loop {
+                match servers.piece(key, &mut turn) {
+                    Piece::Data(range) => servers.taken(key, range.end),
+                    Piece::End => break,
+                    Piece::Later => poll.poll(&mut events, None).unwrap(),
+                    _ => panic!("it passes"),
+                }
+            }
+            servers.passed(key, &mut turn);
+            assert_eq!(servers.has_idle(0), stays, "{successor:?}");
+        }
+    }
+
     /// Danger: what comes late behind an answer passes for the answer to the next req on its connection.
     #[test]
     fn a_connection_that_has_just_been_answered_is_used_last() {
--- a/crates/sidecar/tests/crossings/edges.rs
+++ b/crates/sidecar/tests/crossings/edges.rs
@@ -186,3 +186,122 @@
     assert!(took < Duration::from_secs(1), "{took:?}");
     assert!(sidecar.memory() < 64 << 20, "{} bytes", sidecar.memory());
 }
+
+/// Danger: small writes that the machine still holds back go with a reset.
+#[test]
+fn small_writes_are_not_held_back() {
+    let sidecar = Sidecar::before(&[Endpoint::start(|_| ok("menu")).at]);
+    let mut client = Client::connect(&sidecar);
+    // A client that asks and hears by turns acknowledges late: what waits for that takes 40 ms.
+    let mut asked = |times: usize| {
+        let begun = Instant::now();
+        client.send("GET /healthz HTTP/1.1\r\n\r\n".repeat(times));
+        (0..times).for_each(|_| assert_eq!(client.status(), "200"));
+        begun.elapsed()
+    };
+    (0..30).for_each(|_| assert!(asked(1) > Duration::ZERO));
+    let least = (0..20).map(|_| asked(2)).min().unwrap();
+    assert!(least < Duration::from_millis(20), "{least:?}");
+}
+
+/// Danger: closed over what is unread, a connection is reset, and what of its last answer is on its way is lost.
+#[test]
+fn the_last_answer_comes_whole_whatever_its_client_sends_behind() {
+    let body = "x".repeat(60_000);
+    let (at, requests) = endpoint();
+    let sidecar = Sidecar::asked_before(&[at]);
+    // One that takes little at a time: most of its answer waits at the sidecar's end.
+    let client = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    client.set_recv_buffer_size(4096).unwrap();
+    client.connect(&sidecar.at.into()).unwrap();
+    let mut client = TcpStream::from(client);
+    client.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+    client.write_all(b"GET /view/1 HTTP/1.1\r\nX-Txn: 7a01\r\nConnection: close\r\n\r\n").unwrap();
+    let (_, mut stream) = next(&requests);
+    // More than is read at a time.
+    client.set_write_timeout(Some(Duration::from_millis(100))).unwrap();
+    let _ = client.write_all("GET /view/1 HTTP/1.1\r\nX-Txn: 77\r\n\r\n".repeat(20_000).as_bytes());
+    stream.write_all(ok(&body).unwrap().as_bytes()).unwrap();
+    sidecar.until_open(0);
+    let (answer, ended) = all_of(&mut client);
+    assert!(answer.starts_with("HTTP/1.1 200 ") && answer.ends_with(&body), "{} bytes", answer.len());
+    assert!(ended);
+    // What was read behind it is not taken.
+    assert_eq!(sidecar.figure("sidecar_upstream_requests"), 1);
+}
+
+/// Danger: a request that is read after the end of our sending, and sent on, has its effect and no answer.
+#[test]
+fn a_request_in_the_turn_of_the_last_answer_is_not_sent_on() {
+    let (at, requests) = endpoint();
+    let sidecar = Sidecar::asked_before(&[at]);
+    let mut client = Client::connect(&sidecar);
+    client.view();
+    let (_, mut stream) = next(&requests);
+    // From soon on connections close with their next answer.
+    assert!(sidecar.told("drain\n").starts_with("200 "));
+    let mut other = Client::connect(&sidecar);
+    until("connections close", || {
+        other.send("GET /healthz HTTP/1.1\r\n\r\n");
+        other.answer().contains("Connection: close")
+    });
+    sidecar.in_one_turn(|| {
+        stream.write_all(ok("menu").unwrap().as_bytes()).unwrap();
+        client.view();
+    });
+    let answer = client.answer();
+    assert!(answer.ends_with("menu") && answer.contains("Connection: close"), "{answer}");
+    assert!(client.closed());
+    sidecar.until_open(0);
+    assert_eq!(sidecar.figure("sidecar_upstream_requests"), 1);
+    assert!(requests.try_recv().is_err());
+}
+
+/// Danger: half a line that came on an idle connection becomes the head of the next answer on it.
+#[test]
+fn half_a_line_in_the_turn_of_a_request_costs_its_connection_and_not_the_request() {
+    let (at, requests) = endpoint();
+    let sidecar = Sidecar::before(&[at]);
+    let mut client = Client::connect(&sidecar);
+    client.view();
+    let (_, mut first) = next(&requests);
+    first.write_all(ok("first").unwrap().as_bytes()).unwrap();
+    assert!(client.answer().ends_with("first"));
+    sidecar.in_one_turn(|| {
+        client.view();
+        first.write_all(b"HTTP/1.1 5").unwrap();
+    });
+    let (request, mut second) = next(&requests);
+    assert!(request.starts_with("GET /view/1"), "{request}");
+    second.write_all(ok("second").unwrap().as_bytes()).unwrap();
+    assert!(client.answer().ends_with("second"));
+    // Nothing was written to the first.
+    first.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+    assert_eq!(first.read(&mut [0]).unwrap_or(0), 0);
+}
+
+/// Danger: requests behind the one that a client waits for are sent on for nobody once it has gone.
+#[test]
+fn a_flood_whose_client_goes_in_the_turn_of_an_answer_sends_nothing_more() {
+    for reset in [false, true] {
+        let (at, requests) = endpoint();
+        let sidecar = Sidecar::asked_before(&[at]);
+        let mut client = Client::connect(&sidecar);
+        client.view();
+        let (_, mut stream) = next(&requests);
+        (0..50).for_each(|_| client.view());
+        let from = client.port();
+        sidecar.in_one_turn(|| {
+            stream.write_all(ok("menu").unwrap().as_bytes()).unwrap();
+            if reset {
+                client.reset()
+            } else {
+                drop(client)
+            }
+            until("it has left", || connections(Some(sidecar.at.port()), from, "01") == 0);
+        });
+        sidecar.until_open(0);
+        assert_eq!(sidecar.figure("sidecar_upstream_requests"), 1, "reset: {reset}");
+        assert!(requests.try_recv().is_err(), "reset: {reset}");
+    }
+}
