A chunk's line or trailers that never end are no answer, and another endpoint gives one

Seen, forced on sockets: an answer whose first chunk's line, or whose trailers, never ended was begun at the client once the buffer was full, and broken off at the next look: the client had a failed answer where another endpoint could have answered.

Cause: net/http.rs, chunks: what is not whole was taken for a body that is only long, whatever it was that did not end; the bounds of a line and of trailers stood in net/body.rs alone.

Change: the same bounds hold where an answer is looked at before it is begun.

--- a/crates/sidecar/src/net/body.rs
+++ b/crates/sidecar/src/net/body.rs
@@ -8,8 +8,8 @@
 use super::http::{Bad, LONG_MOST, MESSAGE_MOST};
 
 /// Bytes that the line before a chunk may have, and all trailers together: several times what is usual.
-const LINE_MOST: usize = 1024;
-const TRAILERS_MOST: usize = 8192;
+pub const LINE_MOST: usize = 1024;
+pub const TRAILERS_MOST: usize = 8192;
 
 /// Where in its framing a body is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/sidecar/src/net/http.rs
+++ b/crates/sidecar/src/net/http.rs
@@ -5,7 +5,7 @@
 use appledyke::units::Span;
 use httparse::{EMPTY_HEADER, Header, Request, Response, Status};
 
-use super::body::Body;
+use super::body::{Body, LINE_MOST, TRAILERS_MOST};
 
 /// Bytes that a head may have, and a body that is held whole.
 pub const HEAD_MOST: usize = 8192;
@@ -133,11 +133,17 @@
     loop {
         let (line, size) = match httparse::parse_chunk_size(&buffer[at..]).map_err(|_| MALFORMED)? {
             Status::Complete(chunk) => chunk,
+            // Danger: what never ends would pass for long, and no other endpoint could answer any more.
+            Status::Partial if buffer.len() - at > LINE_MOST => return Err(MALFORMED),
             Status::Partial => return Ok(Chunked::Partial),
         };
         at += line;
         if size == 0 {
-            return Ok(trailer_end(buffer, at).map_or(Chunked::Partial, |end| Chunked::Whole(found, end)));
+            return match trailer_end(buffer, at) {
+                Some(end) => Ok(Chunked::Whole(found, end)),
+                None if buffer.len() - at > TRAILERS_MOST => Err(MALFORMED),
+                None => Ok(Chunked::Partial),
+            };
         }
         total += size.min(LONG_MOST + 1);
         if total > LONG_MOST {
