The test of a time to leave that is long over waits until the word to leave was heard

Seen: one run of the sidecar's tests at a load of 45 on 8 cores: half a request was answered 408 in place of 503. Cause: the test, which stopped the process right after SIGTERM; stopped before it has heard that, it wakes to half a request that has been silent for 2 s. Forced: with SIGTERM sent while it stands still for 2.2 s the same 408. That is the right answer there, as nothing was told yet.

Change: the process is stopped once it says that it leaves. As strict as before.

--- a/crates/sidecar/tests/crossings/leaving.rs
+++ b/crates/sidecar/tests/crossings/leaving.rs
@@ -1,6 +1,6 @@
 //! SIGTERM, and what can cross with it.
 
-use crate::stand_ins::{Client, Endpoint, Sidecar, asked, configuration, entry, list, list_of, ok};
+use crate::stand_ins::{Client, Endpoint, Sidecar, asked, configuration, entry, list, list_of, ok, until};
 
 const HALF: &str = "POST /order/1 HTTP/1.1\r\nX-Txn: 5a\r\nIdempotency-Key: 5\r\nContent-Length: 4\r\n\r\nso";
 
@@ -73,6 +73,8 @@
     assert_eq!(whole.status(), "200");
     half.send(HALF);
     sidecar.signal("-TERM");
+    // Danger: stopped before it has heard that, it wakes to half a request whose own time is over, and leaves later.
+    until("it leaves", || sidecar.told("ready\n").contains("leaving"));
     sidecar.in_one_turn(|| {
         std::thread::sleep(std::time::Duration::from_millis(1500));
         whole.view();
