A client whose end can't be seen behind what it sent is sent nothing further

A client that sends more than a message's room and the machine's own takes unread, and goes: its end never comes here, no event tells of it, and 0.1 s and more after the close its request was sent on (1 MB behind a request whose attempt broke). Before an attempt begins for a client with more unread than is taken, for 20 ms or longer, 16 kB more are read: the end, if it stands there, or nothing more, and the client is there; else it can't be told from one that has left, and is answered 503 (first attempt) or 502. After an answer such a client's next request waits for the next poll, which tells that nobody took the answer.

Tests for further crossings: a further attempt's connect, a connect that comes up in a long turn, a pipelined request, a half close, cancelling off.

--- a/crates/sidecar/src/net/clients.rs
+++ b/crates/sidecar/src/net/clients.rs
@@ -45,6 +45,8 @@
 const FRESH: Span = Span::from_millis(1000);
 /// Buffers that are read and thrown away at one event, of a connection that is being closed.
 const DISCARD_TURNS: usize = 64;
+/// Bytes that are read beyond a message to find whether a client's end stands behind them.
+const SIGHT_MORE: usize = 16 * 1024;
 /// Connections that may wait to be taken, as many as with a listener that is not shared.
 const BACKLOG: i32 = 1024;
 /// Until accepting is tried again where there was no room.
@@ -80,6 +82,8 @@
     leave_given: bool,
     /// What is still to come of the req that it waits for, behind the head, where that is long.
     coming: Option<Body>,
+    /// Since when, with this req, more stands unread than is taken from it.
+    full_since: Option<Moment>,
     /// How much had come at the last look at a body, and by when there must be more.
     seen: usize,
     body_until: Option<Moment>,
@@ -119,6 +123,14 @@
     },
 }
 
+/// Whether a client that waits for an answer is there.
+pub enum Sight {
+    Here,
+    Left,
+    /// More stands unread, for longer than asked about, than this side may read to know.
+    Unknown,
+}
+
 /// Until when more of a body must have come, now that so many bytes have.
 fn body_until(until: Option<Moment>, bytes: usize, now: Moment) -> Moment {
     let most = now + BODY_SILENT;
@@ -270,6 +282,7 @@
                     timed: false,
                     leave_given: false,
                     coming: None,
+                    full_since: None,
                     seen: 0,
                     body_until: None,
                     since: turn.now,
@@ -342,7 +355,7 @@
         let Some(client) = self.slots.get_mut(key) else { return };
         (client.stage, client.timed, client.leave_given, client.since) =
             (Stage::Reading, false, false, turn.now);
-        (client.coming, client.seen, client.body_until) = (None, 0, None);
+        (client.coming, client.full_since, client.seen, client.body_until) = (None, None, 0, None);
         self.time_out(key, turn.now + IDLE_MOST, turn);
     }
 
@@ -357,6 +370,29 @@
         self.slots.get_mut(key).into_iter().for_each(|client| client.connection.ended = true);
     }
 
+    /// Whether a client is there for whom an attempt is about to begin. Danger: its end may stand behind so much that the
+    /// machine takes no more of it, and is told by no event. A long req is read on as it goes, up to its client's end.
+    pub fn sight(&mut self, key: Key, within: Span, now: Moment) -> Sight {
+        let Some(client) = self.slots.get_mut(key) else { return Sight::Left };
+        let since = client.full_since.filter(|_| client.coming.is_none());
+        if since.is_none_or(|since| now.since(since) < within) {
+            return Sight::Here;
+        }
+        let most = http::MESSAGE_MOST + SIGHT_MORE;
+        let works = client.connection.fill(most).is_ok();
+        match () {
+            _ if !works || client.connection.ended => Sight::Left,
+            _ if client.connection.input.len() >= most => Sight::Unknown,
+            // All that came has been read, so its end would have been told.
+            _ => Sight::Here,
+        }
+    }
+
+    /// Whether more stands unread than is taken from it.
+    pub fn is_full(&self, key: Key) -> bool {
+        self.slots.get(key).is_some_and(|client| client.connection.full)
+    }
+
     /// Reads and writes what a connection is ready for, and says what it brought. To be called again after an
     /// answer, as the next req may have come already.
     pub fn ready(&mut self, key: Key, terms: &Terms, turn: &mut Turn) -> Said {
@@ -364,6 +400,7 @@
         let unsent = client.connection.unsent();
         let works = client.connection.flush().is_ok() && client.connection.fill(http::MESSAGE_MOST).is_ok();
         let moved = client.connection.unsent() < unsent;
+        client.full_since = client.connection.full.then(|| client.full_since.unwrap_or(turn.now));
         if matches!(client.stage, Stage::Closing) {
             // Nothing is owed for what comes now. Danger: what is left unread brings no event, and a client that is
             // still sending would not get to read its answer.
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -24,7 +24,7 @@
 use crate::handover::{self, Latest};
 use crate::launch::{Fixed, Kept, Launch, Winner};
 use crate::net::body::{Body, Piece};
-use crate::net::clients::{Clients, Said};
+use crate::net::clients::{Clients, Said, Sight};
 use crate::net::connection::Ending;
 use crate::net::deadlines::{Deadlines, Due};
 use crate::net::http::{Frame, Length};
--- a/crates/sidecar/src/sidecar/reqs.rs
+++ b/crates/sidecar/src/sidecar/reqs.rs
@@ -130,7 +130,7 @@
                 Piece::End => {
                     self.clients.end_pass(client, true, &mut self.turn);
                     self.servers.passed(link, &mut self.turn);
-                    self.look_again.push(client);
+                    self.take_next(client);
                     return self.count(method, end);
                 }
                 Piece::Later => return,
@@ -234,7 +234,7 @@
             let length = Length::Known(body.len() as u64);
             let write = |out: &mut Vec<u8>, keep| http::relayed_head(out, head, length, keep);
             self.clients.answer(client, write, body, &mut self.turn);
-            self.look_again.push(client);
+            self.take_next(client);
         }
     }
 
@@ -249,9 +249,36 @@
         begun
     }
 
+    /// A client has its answer, and its next req may have come already. Danger: the end of one that has left may stand behind
+    /// more than is read; that the machine finds nobody there for the answer is told with the next poll, and waited for.
+    fn take_next(&mut self, client: Key) {
+        if self.clients.is_full(client) {
+            self.later.push(Peer::Client(client));
+        } else {
+            self.look_again.push(client);
+        }
+    }
+
+    /// An attempt is about to begin for this req, whose client may have left unseen.
+    fn look_for_client(&mut self, req: usize) {
+        let Some((first, client)) = self.req(req).map(|r| (r.write_outs.is_empty(), r.client)) else {
+            return;
+        };
+        let Some(client) = client else { return };
+        match self.clients.sight(client, LOOK_MOST, self.clock.now()) {
+            Sight::Here => {}
+            Sight::Left => self.client_leaves(client),
+            Sight::Unknown => {
+                self.answer(req, if first { 503 } else { 502 }, None);
+                self.hangup(req);
+            }
+        }
+    }
+
     pub(super) fn carry_out(&mut self, decision: Decision) {
-        if matches!(decision, Decision::Send { .. }) {
+        if let Decision::Send { req, .. } = decision {
             self.look();
+            self.look_for_client(req);
         }
         let (now, turn) = (self.turn.now, &mut self.turn);
         match decision {
@@ -358,6 +385,6 @@
         self.count(method, if status == 503 { End::Nacked } else { End::Failed });
         let head = |out: &mut Vec<u8>, keep| http::own_answer(out, status, come_back, keep);
         self.clients.answer(client, head, b"", &mut self.turn);
-        self.look_again.push(client);
+        self.take_next(client);
     }
 }
--- a/crates/sidecar/tests/crossings/clients.rs
+++ b/crates/sidecar/tests/crossings/clients.rs
@@ -1,7 +1,9 @@
 //! Clients that leave, and what can cross with that: a req whose client has left is not sent on.
 
+use std::fs::{File, OpenOptions};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::Command;
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex};
@@ -11,7 +13,7 @@
 
 use crate::stand_ins::{
     Client, Endpoint, OPEN, Sidecar, asked, configuration, connecting, connections, entry, full, list,
-    list_of, message, ok, sent_late, until,
+    list_of, message, ok, queued, sent_late, until,
 };
 
 /// Tries at a crossing that the machine's own pace may prevent, before that is a failure.
@@ -66,6 +68,38 @@
     let _ = watch.write_all(format!("{:x}\r\n{line}\n\r\n", line.len() + 1).as_bytes());
 }
 
+/// A turn of the loop that stands still over the process's file: that is a pipe, and ends when the test says so.
+struct Held {
+    path: PathBuf,
+    text: Vec<u8>,
+    pipe: Option<File>,
+}
+
+impl Held {
+    /// The next word to read the file again, of which this is the text, begins such a turn.
+    fn prepare(sidecar: &Sidecar, text: &[u8]) -> Held {
+        let (path, text) = (sidecar.file.clone(), text.to_vec());
+        std::fs::remove_file(&path).unwrap();
+        assert!(Command::new("mkfifo").arg(&path).status().unwrap().success());
+        Held { path, text, pipe: None }
+    }
+
+    /// Waits until it has begun: the pipe opens once the process reads at its other end.
+    fn begun(self) -> Held {
+        let pipe = OpenOptions::new().write(true).open(&self.path).unwrap();
+        Held { pipe: Some(pipe), ..self }
+    }
+
+    fn end(self) {
+        self.pipe.expect("it has begun").write_all(&self.text).unwrap();
+    }
+}
+
+/// Bytes that stand unread at this machine's ends of connections to this port.
+fn unread(port: u16) -> usize {
+    queued(|_, to| to == port)
+}
+
 /// Before these, with budgets that no busy machine uses up: nothing is over while a test makes its crossing.
 fn patient(list: SocketAddr, known: &[String], connect_ms: u64) -> String {
     let text = asked(&configuration(list, 1024, &list_of(1, true, known)));
@@ -111,19 +145,34 @@
     (at, reqs, may)
 }
 
+/// What a test waits to let break: the endpoint's end of an attempt.
+struct Attempt {
+    at: SocketAddr,
+    may: Sender<()>,
+}
+
+impl Attempt {
+    /// Breaks it, and waits until the machine has told the sidecar's end of it, if that is still there.
+    fn breaks(&self) {
+        self.may.send(()).unwrap();
+        until("it is broken", || connections(None, self.at.port(), "01") == 0);
+    }
+}
+
 /// A sidecar that has sent a req to an endpoint, which may break, beside one that serves.
-fn sent(client: impl FnOnce(&mut Client)) -> (Sidecar, Client, Sender<()>, Endpoint) {
+fn sent(cancel: bool, client: impl FnOnce(&mut Client)) -> (Sidecar, Client, Attempt, Endpoint) {
     let (bad, reqs, may) = breaking();
     let good = Endpoint::start(|_| ok("menu"));
     let service = Service::start();
-    let sidecar = Sidecar::start(&patient(service.at, &[entry("bad", bad, 0, "up")], 200));
+    let text = patient(service.at, &[entry("bad", bad, 0, "up")], 200);
+    let sidecar = Sidecar::start(&text.replace("\"cancel\":true", &format!("\"cancel\":{cancel}")));
     let mut waits = Client::connect(&sidecar);
     client(&mut waits);
     reqs.recv_timeout(Duration::from_secs(10)).expect("it is sent");
     // Only now is there another that it could be sent to.
     service.tell(&list_of(2, false, &[entry("good", good.at, 1, "up")]));
     until("both are listed", || sidecar.figure("sidecar_members") == 2);
-    (sidecar, waits, may, good)
+    (sidecar, waits, Attempt { at: bad, may }, good)
 }
 
 /// Lets a client leave, and waits until the machine has told the sidecar's end of it.
@@ -133,32 +182,51 @@
     until("it has left", || connections(Some(sidecar.at.port()), from, "01") == 0);
 }
 
-/// Danger: sent on after its client has left, a req takes a place and has its effect for nobody.
+/// Danger: sent on after its client has left, a req takes a place and has its effect for nobody; also where the settings
+/// allow no cancelling, and however it leaves: who ends its sending has gone.
 #[test]
 fn a_req_whose_client_leaves_as_its_write_out_breaks_is_not_sent_on() {
-    let (sidecar, waits, may, good) = sent(Client::view);
-    sidecar.in_one_turn(|| {
+    for cancel in [true, false] {
+        for way in [drop, Client::reset, Client::end_sending] {
+            let (sidecar, waits, attempt, good) = sent(cancel, Client::view);
+            sidecar.in_one_turn(|| {
+                leave(&sidecar, waits, way);
+                attempt.breaks();
+            });
+            sidecar.until_open(0);
+            assert_eq!(good.reqs.try_iter().count(), 0);
+        }
+        // One that stays is sent on.
+        let (sidecar, mut waits, attempt, good) = sent(cancel, Client::view);
+        sidecar.in_one_turn(|| attempt.breaks());
+        assert_eq!(waits.status(), "200");
+        assert_eq!(good.reqs.try_iter().count(), 1);
+    }
+}
+
+/// Danger: where the first attempt cannot be cancelled it goes on after its client has left, and its end is another turn's.
+#[test]
+fn a_request_whose_client_left_some_turns_before_its_attempt_breaks_is_not_sent_on() {
+    for cancel in [true, false] {
+        let (sidecar, waits, attempt, good) = sent(cancel, Client::view);
         leave(&sidecar, waits, drop);
-        may.send(()).unwrap();
-    });
-    sidecar.until_open(0);
-    assert_eq!(good.reqs.try_iter().count(), 0);
-    // One that stays is sent on.
-    let (sidecar, mut waits, may, good) = sent(Client::view);
-    sidecar.in_one_turn(|| may.send(()).unwrap());
-    assert_eq!(waits.status(), "200");
-    assert_eq!(good.reqs.try_iter().count(), 1);
+        sidecar.until_open(0);
+        attempt.breaks();
+        // Answered in the turn in which the break is heard, and in one after that.
+        (0..2).for_each(|_| sidecar.until_open(0));
+        assert_eq!(good.reqs.try_iter().count(), 0);
+    }
 }
 
 /// Danger: where nothing more is read no event tells of bytes, and the end behind them was not seen.
 #[test]
 fn a_client_that_leaves_behind_more_than_is_read_has_left() {
-    let (sidecar, mut waits, may, good) = sent(Client::view);
+    let (sidecar, mut waits, attempt, good) = sent(true, Client::view);
     let more = "GET /view/1 HTTP/1.1\r\nX-Txn: 77\r\n\r\n";
     // More than a message may have, and less than the machine's own buffers take besides.
     assert!(waits.flood(more, 90_000) >= 90_000);
     leave(&sidecar, waits, drop);
-    may.send(()).unwrap();
+    attempt.breaks();
     sidecar.until_open(0);
     assert_eq!(good.reqs.try_iter().count(), 0);
 }
@@ -166,11 +234,11 @@
 /// The same with a reset in place of an end.
 #[test]
 fn a_client_that_resets_behind_more_than_is_read_has_left() {
-    let (sidecar, mut waits, may, good) = sent(Client::view);
+    let (sidecar, mut waits, attempt, good) = sent(true, Client::view);
     let more = "GET /view/1 HTTP/1.1\r\nX-Txn: 77\r\n\r\n";
     assert!(waits.flood(more, 90_000) >= 90_000);
     leave(&sidecar, waits, Client::reset);
-    may.send(()).unwrap();
+    attempt.breaks();
     sidecar.until_open(0);
     assert_eq!(good.reqs.try_iter().count(), 0);
 }
@@ -236,6 +304,82 @@
     assert_eq!(text, "");
 }
 
+/// Danger: the same where the connect comes up only after a turn has begun that takes long.
+#[test]
+fn a_request_whose_connect_comes_up_in_a_long_turn_in_which_its_client_leaves_is_not_written() {
+    let (listener, fillers) = full();
+    let at = listener.local_addr().unwrap();
+    let sidecar = Sidecar::start(&patient(list().0, &[entry("late", at, 0, "up")], 300_000));
+    let before = connecting(at.port());
+    let client = views(&sidecar, "leaves");
+    until("a connect", || connecting(at.port()) > before);
+    let text = std::fs::read(&sidecar.file).unwrap();
+    let first = Held::prepare(&sidecar, &text);
+    sidecar.signal("-HUP");
+    let first = first.begun();
+    // In the turn after this one the word to read the file again comes first, and then the connect.
+    let again = Held::prepare(&sidecar, &text);
+    sidecar.signal("-HUP");
+    fillers.iter().for_each(|_| drop(listener.accept().unwrap()));
+    until("it is up", || connections(None, at.port(), "01") == 1);
+    first.end();
+    let again = again.begun();
+    leave(&sidecar, client, drop);
+    std::thread::sleep(GONE);
+    again.end();
+    sidecar.until_open(0);
+    let (mut late, _) = listener.accept().unwrap();
+    let mut text = String::new();
+    late.read_to_string(&mut text).unwrap();
+    assert_eq!(text, "");
+}
+
+/// Danger: a further attempt that waits for its connect is as much to be held back as a first one.
+#[test]
+fn a_request_whose_client_leaves_while_its_further_attempt_connects_is_not_sent() {
+    let (bad, reqs, may) = breaking();
+    let ((listener, fillers), service) = (full(), Service::start());
+    let at = listener.local_addr().unwrap();
+    let sidecar = Sidecar::start(&patient(service.at, &[entry("bad", bad, 0, "up")], 300_000));
+    let client = views(&sidecar, "leaves");
+    reqs.recv_timeout(Duration::from_secs(10)).expect("it is sent");
+    service.tell(&list_of(2, false, &[entry("late", at, 1, "up")]));
+    until("both are listed", || sidecar.figure("sidecar_members") == 2);
+    let before = connecting(at.port());
+    may.send(()).unwrap();
+    until("a connect", || connecting(at.port()) > before);
+    drop(client);
+    sidecar.until_open(0);
+    let sent = sent_late(&listener, &fillers, before);
+    assert!(sent.iter().all(String::is_empty), "{sent:?}");
+}
+
+/// Danger: with the answer to its first request, the next one of a client that has left would be taken up and sent.
+#[test]
+fn a_pipelined_request_whose_client_leaves_as_the_one_before_is_answered_is_not_sent() {
+    let (go, wait) = channel::<()>();
+    let wait = Arc::new(Mutex::new(wait));
+    let endpoint = Endpoint::start(move |_| wait.lock().unwrap().recv().ok().and_then(|()| ok("menu")));
+    let sidecar = Sidecar::start(&patient(list().0, &[entry("e0", endpoint.at, 0, "up")], 200));
+    let mut client = views(&sidecar, "first");
+    client.send("GET /view/next HTTP/1.1\r\nX-Txn: next\r\n\r\n");
+    assert!(endpoint.next().starts_with("GET /view/first"));
+    sidecar.in_one_turn(|| {
+        let to = endpoint.at.port();
+        let read = unread(to);
+        go.send(()).unwrap();
+        until("the answer is there", || unread(to) > read);
+        leave(&sidecar, client, drop);
+    });
+    sidecar.until_open(0);
+    // One that comes after it is the next that is sent.
+    let mut other = views(&sidecar, "other");
+    go.send(()).unwrap();
+    assert_eq!(other.status(), "200");
+    let sent: Vec<_> = endpoint.reqs.try_iter().filter(|text| text != "end").collect();
+    assert!(sent.len() == 1 && sent[0].starts_with("GET /view/other"), "{sent:?}");
+}
+
 /// Danger: a wait that a signal cuts short has heard nothing. What fell due meanwhile was decided on all the same, and an
 /// attempt that had run out was repeated for a client that had long left. Any stop and signal does it, and a stop shows it.
 #[test]
@@ -301,20 +445,49 @@
     let client = views(&sidecar, "leaves");
     sidecar.until_open(1);
     service.beat();
-    let text = std::fs::read(&sidecar.file).unwrap();
-    std::fs::remove_file(&sidecar.file).unwrap();
-    assert!(Command::new("mkfifo").arg(&sidecar.file).status().unwrap().success());
+    let turn = Held::prepare(&sidecar, &std::fs::read(&sidecar.file).unwrap());
     sidecar.in_one_turn(|| {
         sidecar.signal("-HUP");
         service.tell(&list_of(2, false, &[entry("good", good.local_addr().unwrap(), 1, "up")]));
     });
-    // It opens once the process reads at the other end, in the turn.
-    let mut pipe = std::fs::OpenOptions::new().write(true).open(&sidecar.file).unwrap();
+    let turn = turn.begun();
     leave(&sidecar, client, drop);
     std::thread::sleep(GONE);
-    pipe.write_all(&text).unwrap();
-    drop(pipe);
+    turn.end();
     sidecar.until_open(0);
     assert_eq!(sidecar.figure("sidecar_members"), 1);
     assert!(nobody_came(&good), "sent on for nobody");
 }
+
+/// Danger: a client's end that stands behind more than this machine takes unread never comes here, and what can't be told
+/// from one that has left is sent nothing further. It is told so, if it is there after all.
+#[test]
+fn a_client_that_may_have_left_behind_more_than_the_machine_takes_is_sent_nothing_further() {
+    let more = "GET /view/1 HTTP/1.1\r\nX-Txn: 77\r\n\r\n";
+    for leaves in [true, false] {
+        let (sidecar, mut waits, attempt, good) = sent(true, Client::view);
+        assert!(waits.flood(more, 1_000_000) >= 300_000);
+        let stays = if leaves {
+            drop(waits);
+            None
+        } else {
+            Some(waits)
+        };
+        std::thread::sleep(GONE);
+        attempt.breaks();
+        if let Some(mut waits) = stays {
+            assert_eq!(waits.status(), "502");
+            continue;
+        }
+        sidecar.until_open(0);
+        assert_eq!(good.reqs.try_iter().count(), 0);
+    }
+    // One of which all has come here is known to be there.
+    let (sidecar, mut waits, attempt, good) = sent(true, Client::view);
+    assert!(waits.flood(more, 90_000) >= 90_000);
+    until("all has come", || queued(|own, other| own == sidecar.at.port() && other == waits.port()) > 0);
+    std::thread::sleep(GONE);
+    attempt.breaks();
+    assert_eq!(waits.status(), "200");
+    assert!(good.next().starts_with("GET /view/1"));
+}
--- a/crates/sidecar/tests/stand_ins/mod.rs
+++ b/crates/sidecar/tests/stand_ins/mod.rs
@@ -358,6 +358,12 @@
         socket2::SockRef::from(self.0.get_ref()).set_linger(Some(Duration::ZERO)).unwrap();
     }
 
+    /// Ends its sending alone, and stays.
+    pub fn end_sending(self) {
+        self.0.get_ref().shutdown(std::net::Shutdown::Write).unwrap();
+        std::mem::forget(self);
+    }
+
     /// The next answer; what came of it if the connection ended before.
     pub fn answer(&mut self) -> String {
         message(&mut self.0)
@@ -412,22 +418,18 @@
     let at = listener.local_addr().unwrap();
     let filler = TcpStream::connect(at).unwrap();
     // The machine's table tells of a listener how many wait there.
-    until("it is full", || queued(at.port()) == 1);
+    until("it is full", || queued(|own, other| (own, other) == (at.port(), 0)) == 1);
     (listener, vec![filler])
 }
 
-/// What stands unread at sockets from or to this port by the machine's table, and unsent: in bytes, and at a listener the
-/// connections that wait to be accepted.
-fn queued(port: u16) -> usize {
+/// What stands unread at the ends of connections for which this holds of their own port and the other's, by the machine's
+/// table: bytes, and at a listener, whose other port is 0, the connections that wait to be accepted.
+pub fn queued(counts: impl Fn(u16, u16) -> bool) -> usize {
     let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
-    let queues = table.lines().skip(1).filter_map(|line| {
-        let words: Vec<_> = line.split_whitespace().collect();
-        let there = words[1..3].iter().any(|end| end.ends_with(&format!(":{port:04X}")));
-        let (unsent, unread) = words[4].split_once(':').unwrap();
-        let number = |text| usize::from_str_radix(text, 16).unwrap();
-        there.then(|| number(unsent) + number(unread))
-    });
-    queues.sum()
+    let number = |text: &str| usize::from_str_radix(text.rsplit(':').next().unwrap(), 16).unwrap();
+    let lines = table.lines().skip(1).map(|line| line.split_whitespace().collect::<Vec<_>>());
+    let counted = lines.filter(|words| counts(number(words[1]) as u16, number(words[2]) as u16));
+    counted.map(|words| number(words[4])).sum()
 }
 
 /// How many connects to this port are under way.
