--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -83,7 +83,7 @@
     kept: Kept,
     fixed: Fixed,
     poll: Poll,
-    /// Events that came within a turn, to be handled in the next, and when it was last looked for such.
+    /// Events that came within a turn, to be handled in the next. All that had come by this moment is known.
     later: Vec<Peer>,
     looked: Moment,
     signals: Signals,
@@ -249,8 +249,10 @@
         // One poll brings all that there is: no connection has more than one event in it.
         let mut events = Events::with_capacity(self.fixed.connections + EVENTS_MORE);
         loop {
+            // Danger: a process may stand still on its way back from the poll, and what that has told is old by then.
+            self.looked = self.clock.now();
             let wait =
-                self.turn.deadlines.next().map(|at| Duration::from_nanos(at.since(self.clock.now()).nanos()));
+                self.turn.deadlines.next().map(|at| Duration::from_nanos(at.since(self.looked).nanos()));
             let at_once =
                 !(self.pass_again.is_empty() && self.look_again.is_empty() && self.later.is_empty());
             match self.poll.poll(&mut events, if at_once { Some(Duration::ZERO) } else { wait }) {
@@ -260,7 +262,6 @@
                 other => other.map_err(|e| format!("poll: {e}"))?,
             }
             self.turn.now = self.clock.now();
-            self.looked = self.turn.now;
             // Danger: who is on call waits a second at the most, however much else a turn brings.
             let came: Vec<Peer> =
                 self.later.drain(..).chain(events.iter().map(|event| Peer::of(event.token()))).collect();
@@ -322,11 +323,11 @@
         }
     }
 
-    /// An attempt is about to begin: hears which clients have left meanwhile if the last look is too old. What else has
-    /// come waits for the next turn.
-    fn look(&mut self) {
+    /// An attempt is about to begin whose client was there at this moment: hears which clients have left meanwhile if that,
+    /// or the last look, is too old. What else has come waits for the next turn.
+    fn look(&mut self, there: Moment) {
         let now = self.clock.now();
-        if now.since(self.looked) < LOOK_MOST {
+        if now.since(there.max(self.looked)) < LOOK_MOST {
             return;
         }
         let mut events = Events::with_capacity(self.fixed.connections + EVENTS_MORE);
--- a/crates/sidecar/src/sidecar/reqs.rs
+++ b/crates/sidecar/src/sidecar/reqs.rs
@@ -67,7 +67,7 @@
         }
         // What waits for its connect is written as soon as that is up.
         if self.servers.unwritten(key) {
-            self.look();
+            self.look(self.looked);
         }
         let ended = self.servers.ready(key, &mut self.turn);
         self.ended(key, ended);
@@ -261,6 +261,9 @@
 
     /// An attempt is about to begin for this req, whose client may have left unseen.
     fn look_for_client(&mut self, req: usize) {
+        // What has come in this turn was read in it.
+        let Some(since) = self.req(req).map(|r| r.since) else { return };
+        self.look(if since == self.turn.now { since } else { self.looked });
         let Some((first, client)) = self.req(req).map(|r| (r.write_outs.is_empty(), r.client)) else {
             return;
         };
@@ -277,7 +280,6 @@
 
     pub(super) fn carry_out(&mut self, decision: Decision) {
         if let Decision::Send { req, .. } = decision {
-            self.look();
             self.look_for_client(req);
         }
         let (now, turn) = (self.turn.now, &mut self.turn);
