The test of the time told holds on a loaded machine

Seen: one of four runs beside other work failed, as a connect that is not taken is tried again after 1 and 3 s, and the attempt had 2 s. The budgets are 20 s now; what is asserted is the same.

--- a/crates/sidecar/tests/crossings/time_left.rs
+++ b/crates/sidecar/tests/crossings/time_left.rs
@@ -13,11 +13,14 @@
     let (listener, fillers) = full();
     let at = listener.local_addr().unwrap();
     let text = asked(&configuration(list().0, 1024, &list_of(1, true, &[entry("late", at, 0, "up")])));
-    let sidecar =
-        Sidecar::start(&text.replace("\"connectTimeoutNs\":200000000", "\"connectTimeoutNs\":3000000000"));
+    // Long against what a loaded machine takes: a connect is tried again after 1, 3 and 7 s.
+    let text = text.replace("\"connectTimeoutNs\":200000000", "\"connectTimeoutNs\":20000000000");
+    let text = text.replace("\"latencyBudgetNs\":2000000000", "\"latencyBudgetNs\":20000000000");
+    let sidecar = Sidecar::start(&text.replace("\"deadlineNs\":3000000000", "\"deadlineNs\":30000000000"));
     let before = connecting(at.port());
     let mut client = Client::connect(&sidecar);
-    client.order();
+    let lines = "X-Remaining-Ms: 20000\r\nIdempotency-Key: k\r\nContent-Length: 4";
+    client.send(format!("POST /order/1 HTTP/1.1\r\nX-Txn: a\r\n{lines}\r\n\r\nsoup"));
     until("a connect", || connecting(at.port()) > before);
     let asked = Instant::now();
     until("much of its time has passed", || asked.elapsed().as_millis() > 500);
@@ -27,6 +30,6 @@
     let (head, body) = sent.split_once("\r\n\r\n").expect("a whole head");
     let told = head.lines().filter_map(|line| line.strip_prefix("X-Remaining-Ms: "));
     let told: Vec<u128> = told.map(|told| told.parse().unwrap()).collect();
-    assert!(matches!(told[..], [told] if told + waited <= 2000), "{told:?} told after {waited} of 2000");
+    assert!(matches!(told[..], [told] if told + waited <= 20000), "{told:?} told after {waited} of 20000");
     assert_eq!(body, "soup");
 }
