Lab: chains of calls fourteen deep, and what keeps attempts from multiplying

Cause: the fleet ahead calls up to 14 deep; three attempts at each tier multiply, and nothing showed what the throttle, the deadline passed down and budgets do against it. Change: the laboratory's tiers go to 16; a scenario says whether deadlines are passed down and whether each tier has budgets; policies that try again plainly or by a purse, and the module with its throttle passed everywhere or all but at one tier; appledyke-lab chain plays all of them against four ways of failing by half.

--- a/crates/lab/src/emulate.rs
+++ b/crates/lab/src/emulate.rs
@@ -646,7 +646,10 @@
         // Apart from the ids of clients, which are drawn from all numbers.
         let id = self.chance.rand_u64() ^ self.ids;
         let m = &self.scenario.method[method];
-        let left = deadline.since(self.now()).nanos() / 1_000_000;
+        let left = match self.scenario.deadline_passed {
+            true => deadline.since(self.now()).nanos() / 1_000_000,
+            false => m.deadline_ms,
+        };
         let text = wire::request(&m.name, m.effect == Effect::Retryable, id, id, left);
         let token = self.token();
         match Wire::open(self.sidecars[tier + 1][number].at, self.poll.registry(), token) {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,6 +2,7 @@
 //! of the four rules, plain policies to compare with, and reports. What it says is simulated.
 
 pub mod added;
+pub mod chain;
 pub mod emulate;
 pub mod faults;
 pub mod load;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -11,7 +11,7 @@
 use appledyke_lab::report::{Outcomes, paired};
 use appledyke_lab::rig::processes::beside;
 use appledyke_lab::scenario::Scenario;
-use appledyke_lab::{added, emulate, load, rig, scale, scenario, simulate, sweep};
+use appledyke_lab::{added, chain, emulate, load, rig, scale, scenario, simulate, sweep};
 use argh::FromArgs;
 
 /// A laboratory for appledyke: plays fleets and their faults in virtual time.
@@ -38,6 +38,7 @@
     Scale(Scale),
     Hollow(Hollow),
     Lists(Lists),
+    Chain(Chain),
 }
 
 /// plays a scenario once and tells what it came to
@@ -206,6 +207,14 @@
     /// a file for the result, as JSON
     #[argh(option)]
     out: Option<PathBuf>,
+/// plays calls many tiers deep in virtual time, the lowest failing by half, and tells how attempts multiply
+#[argh(subcommand, name = "chain")]
+struct Chain {
+    /// how many tiers call one another
+    #[argh(option, default = "14")]
+    tiers: usize,
+    /// threads; all cores if not said
+    workers: Option<usize>,
 }
 
 /// reads a scenario, and names the key that is at fault
@@ -306,6 +315,10 @@
         Command::Scale(asked) => scale_once(asked),
         Command::Hollow(_) => scale::hollow::serve().map(|()| true),
         Command::Lists(_) => scale::lists::serve().map(|()| true),
+        Command::Chain(asked) => {
+            let workers = asked.workers.unwrap_or_else(cores);
+            chain::table(asked.tiers, asked.seed, workers).map(|text| print!("{text}")).map(|()| true)
+        }
         Command::Check(asked) => Scenario::read(&asked.scenario).map(|_| true),
     };
     match done {
--- a/crates/lab/src/policy.rs
+++ b/crates/lab/src/policy.rs
@@ -10,6 +10,12 @@
 use appledyke::{Ask, Decision, Entry, Outcome, Standing};
 use oorandom::Rand64;
 
+/// The module's: what an arrival pays for, and the most that is saved up.
+const PURSE_SHARE: f64 = 0.2;
+const PURSE_MOST: f64 = 10.0;
+/// Time left of one that is never sent: any would do.
+const WHOLE: Span = Span::from_millis(1000);
+
 /// An entry of a list as it reaches an instance.
 #[derive(Clone, Copy, Debug)]
 pub struct Listed {
@@ -74,6 +80,15 @@
     Module,
     Random,
     LeastOfTwo,
+    /// Draws an endpoint at random and tries as often as the terms allow, whatever the method bears; or only as long as a purse
+    /// as the module's has something left.
+    Tries,
+    TriesByPurse,
+    /// The module with all that comes taken for work within work, which passes its throttle and its bound, and fills no purse.
+    Unthrottled,
+    /// The module at the sidecars before the first tier, or before the last; at all others it passes its throttle as above.
+    AtTop,
+    AtLowest,
     /// Deliberately bad, each against one rule.
     Bad(Flaw),
 }
@@ -93,21 +108,48 @@
             "module" => Ok(Which::Module),
             "random" => Ok(Which::Random),
             "least-of-two" => Ok(Which::LeastOfTwo),
-            other => Err(format!("policy: unknown '{other}'; module, random and least-of-two are known")),
+            "tries" => Ok(Which::Tries),
+            "tries-by-purse" => Ok(Which::TriesByPurse),
+            "unthrottled" => Ok(Which::Unthrottled),
+            "at-top" => Ok(Which::AtTop),
+            "at-lowest" => Ok(Which::AtLowest),
+            other => Err(format!(
+                "policy: unknown '{other}'; module, random, least-of-two, tries, tries-by-purse, unthrottled, at-top and \
+                 at-lowest are known"
+            )),
         }
     }
 }
 
 impl Which {
+    /// What it is for a sidecar before this tier of so many.
+    pub fn at(self, tier: usize, tiers: usize) -> Which {
+        let here = match self {
+            Which::AtTop => tier == 0,
+            Which::AtLowest => tier + 1 == tiers,
+            other => return other,
+        };
+        if here { Which::Module } else { Which::Unthrottled }
+    }
+
     pub fn make(self, now: Moment, terms: Terms, seed: u64) -> Box<dyn Policy> {
         match self {
             Which::Module => Box::new(Choice::new(now, terms, seed)),
+            Which::Unthrottled => {
+                let mut choice = Choice::new(now, terms, seed);
+                // One with a key, and from then on those without are work within work. It goes before it is looked at.
+                choice.arrival(now, 0, Ask { left: WHOLE, key: Some(0), ..Ask::default() });
+                choice.hangup(0);
+                while choice.next_decision(now).is_some() {}
+                Box::new(choice)
+            }
             other => Box::new(Plain {
                 which: other,
                 terms,
                 chance: Rand64::new(u128::from(seed)),
                 endpoints: Vec::new(),
                 reqs: Vec::new(),
+                purse: PURSE_MOST,
                 out: VecDeque::new(),
             }),
         }
@@ -121,6 +163,7 @@
     chance: Rand64,
     endpoints: Vec<Option<(Listed, i64)>>,
     reqs: Vec<Option<PlainReq>>,
+    purse: f64,
     out: VecDeque<Decision>,
 }
 
@@ -185,6 +228,7 @@
     fn arrival(&mut self, now: Moment, req: usize, method: usize, left: Span) {
         self.reqs.resize_with(self.reqs.len().max(req + 1), || None);
         self.reqs[req] = Some(PlainReq { method, deadline: now + left, sent_to: Vec::new() });
+        self.purse = (self.purse + PURSE_SHARE).min(PURSE_MOST);
         if !self.send(req) {
             self.end(req, true);
         }
@@ -199,8 +243,13 @@
         if closed {
             return self.forget(req);
         }
-        let again = self.flawed(Flaw::RepeatsWhatMayHaveRun) && now < deadline;
-        if again && tries < self.terms.most_write_outs && self.send(req) {
+        let again = match self.which {
+            Which::Bad(Flaw::RepeatsWhatMayHaveRun) | Which::Tries => true,
+            Which::TriesByPurse => self.purse >= 1.0,
+            _ => false,
+        };
+        if again && now < deadline && tries < self.terms.most_write_outs && self.send(req) {
+            self.purse -= 1.0;
             return;
         }
         let harmless = self.terms.methods[method].effect == Effect::Retryable || outcome.never_ran();
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -11,6 +11,8 @@
 
 /// A fleet larger than this is a slip of the pen: it would take hours.
 const MOST_MACHINES: usize = 20_000;
+/// Tiers that call one another: deeper than any chain of calls that is known.
+const MOST_TIERS: f64 = 16.0;
 /// Longest run, in virtual milliseconds: a day.
 const MOST_LENGTH_MS: u64 = 86_400_000;
 
@@ -24,6 +26,9 @@
     pub warm_up_ms: u64,
     #[serde(default = "one")]
     pub zones: usize,
+    /// Whether a call to the next tier has the time left of the one that makes it; else its method's whole deadline anew.
+    #[serde(default = "yes")]
+    pub deadline_passed: bool,
     pub load: Load,
     pub method: Vec<Method>,
     pub tier: Vec<Tier>,
@@ -36,7 +41,7 @@
     /// What sidecars hear of one another by daemons.
     #[serde(default)]
     pub fleet: FleetTerms,
-    /// Budgets that the first tier's sidecars share.
+    /// Budgets that the first tier's sidecars share, or those of each tier for themselves.
     #[serde(default)]
     pub budgets: Budgets,
     #[serde(default)]
@@ -63,13 +68,15 @@
     pub beat_ms: u64,
     /// From a proposal to its entry's effect.
     pub commit_ms: f64,
+    /// Each tier is a fleet of its own with these budgets; else only the first has them.
+    pub each_tier: bool,
     pub row: Vec<Budget>,
 }
 
 impl Default for Budgets {
     fn default() -> Budgets {
         // A commit's millisecond is what real daemons take on one machine.
-        Budgets { by: By::Cut, instances: 1, beat_ms: 500, commit_ms: 1.0, row: Vec::new() }
+        Budgets { by: By::Cut, instances: 1, beat_ms: 500, commit_ms: 1.0, each_tier: false, row: Vec::new() }
     }
 }
 
@@ -313,6 +320,10 @@
     1
 }
 
+fn yes() -> bool {
+    true
+}
+
 fn three() -> usize {
     3
 }
@@ -389,7 +400,7 @@
         }
         let shares = self.method.iter().map(|m| m.share).sum::<f64>();
         within("method.share, all of them together".into(), shares, 0.999, 1.001)?;
-        within("tier".into(), self.tier.len() as f64, 1.0, 8.0)?;
+        within("tier".into(), self.tier.len() as f64, 1.0, MOST_TIERS)?;
         for (at, t) in self.tier.iter().enumerate() {
             let key = |name: &str| format!("tier.{at}.{name}");
             let (least, most) = if at == 0 { (1.0, MOST_MACHINES as f64) } else { (0.0, 0.0) };
@@ -451,6 +462,22 @@
         Ok(grown)
     }
 
+    /// How many tiers have budgets.
+    pub fn tiers_with_budgets(&self) -> usize {
+        match self.budgets.row.is_empty() {
+            true => 0,
+            false if self.budgets.each_tier => self.tier.len(),
+            false => 1,
+        }
+    }
+
+    /// Until when the last call of a client's may have time left, since it came.
+    pub fn longest(&self) -> Span {
+        let longest = self.method.iter().map(|m| m.deadline_ms).max().unwrap_or(0);
+        let times = if self.deadline_passed { 1 } else { self.tier.len() as u64 };
+        Span::from_millis(longest.saturating_mul(times))
+    }
+
     /// How many there are of what a fault may strike.
     pub fn things(&self, fault: &Fault) -> usize {
         match fault.kind {
--- a/crates/lab/src/shares.rs
+++ b/crates/lab/src/shares.rs
@@ -42,12 +42,9 @@
 }
 
 impl Shares {
-    /// None where the scenario has no budgets.
-    pub fn new(scenario: &Scenario) -> Option<Shares> {
+    /// For a tier; sidecars are known by their numbers among those of all tiers.
+    pub fn new(scenario: &Scenario, sidecars: usize) -> Shares {
         let terms = &scenario.budgets;
-        if terms.row.is_empty() {
-            return None;
-        }
         let part = |row: &Budget| match terms.by {
             By::Cut => (row.whole / terms.instances, row.window_ms),
             By::Parts => (row.alone, row.window_ms),
@@ -56,9 +53,9 @@
         agreed.state(&terms.row);
         let spent = |row: &Budget| Spent { budget: *row, window: VecDeque::new(), most: 0, all: 0 };
         let alone: BTreeMap<_, _> = terms.row.iter().map(|row| (row.of, part(row))).collect();
-        Some(Shares {
+        Shares {
             by: terms.by,
-            limits: vec![Limits::new(&alone); scenario.tier[0].sidecars],
+            limits: vec![Limits::new(&alone); sidecars],
             alone,
             agreed,
             divider: Divider::new(Moment::default(), 0),
@@ -68,7 +65,7 @@
             spent: terms.row.iter().map(spent).collect(),
             warm: at_ms(scenario.warm_up_ms),
             over: at_ms(scenario.length_ms),
-        })
+        }
     }
 
     pub fn divides(&self) -> bool {
--- a/crates/lab/src/simulate.rs
+++ b/crates/lab/src/simulate.rs
@@ -104,10 +104,12 @@
         life: u32,
     },
     Granted {
+        tier: usize,
         at: usize,
     },
     Divides,
     Divided {
+        tier: usize,
         at: usize,
     },
 }
@@ -270,7 +272,8 @@
     evidence: Evidence,
     sequences: Vec<u64>,
     cursors: Vec<Cursor>,
-    shares: Option<Shares>,
+    /// Of the tiers that have budgets, from the first on.
+    shares: Vec<Shares>,
 }
 
 /// Plays a scenario with a policy and a seed.
@@ -334,9 +337,11 @@
             evidence: Evidence::default(),
             sequences: Vec::new(),
             cursors: Vec::new(),
-            shares: Shares::new(scenario),
+            shares: Vec::new(),
         };
         world.sequences = vec![0; world.nodes.len()];
+        let tiers = 0..scenario.tiers_with_budgets();
+        world.shares = tiers.map(|_| Shares::new(scenario, world.nodes.len())).collect();
         world.cursors = vec![Cursor::default(); world.nodes.len()];
         (0..world.nodes.len()).for_each(|node| world.start(node));
         for at in 0..world.turns.len() {
@@ -354,7 +359,7 @@
             world.schedule(Moment::from_nanos(0), Event::Arrives);
         }
         world.schedule(Moment::from_nanos(0), Event::Look);
-        if world.shares.as_ref().is_some_and(Shares::divides) {
+        if world.shares.first().is_some_and(Shares::divides) {
             world.schedule(Moment::from_nanos(0), Event::Divides);
         }
         world
@@ -375,8 +380,7 @@
 
     pub fn run(&mut self) {
         // Nobody comes any more after the length; who is there is seen to the end.
-        let longest = self.scenario.method.iter().map(|m| m.deadline_ms).max().unwrap_or(0);
-        let end = at_ms(self.scenario.length_ms + longest) + self.referee.slack() * 2.0;
+        let end = at_ms(self.scenario.length_ms) + self.scenario.longest() + self.referee.slack() * 2.0;
         while let Some(Reverse((at, _, event))) = self.queue.pop() {
             if at > end {
                 break;
@@ -390,7 +394,7 @@
         }
         self.referee.ends(end);
         self.tally.judged(&self.referee);
-        self.tally.uses = self.shares.as_ref().map(Shares::uses).unwrap_or_default();
+        self.tally.uses = self.shares.first().map(Shares::uses).unwrap_or_default();
     }
 
     fn happens(&mut self, event: Event) {
@@ -428,15 +432,15 @@
             Event::Hears { node, life } => self.hears(node, life),
             Event::Look => self.look(),
             Event::Reports { node, life } => self.reports(node, life),
-            Event::Granted { at } => {
-                let Some(shares) = &mut self.shares else { return };
+            Event::Granted { tier, at } => {
+                let shares = &mut self.shares[tier];
                 let (node, life) = (shares.answers[at].node, shares.answers[at].life);
                 if self.nodes[node].life == life {
                     shares.answered(at);
                 }
             }
             Event::Divides => self.divides(),
-            Event::Divided { at } => self.shares.iter_mut().for_each(|shares| shares.applies(at)),
+            Event::Divided { tier, at } => self.shares[tier].applies(at),
         }
     }
 
@@ -596,9 +600,10 @@
         let tier = self.nodes[node].tier;
         let terms = self.scenario.terms(tier);
         let seed = self.chance.rand_u64();
-        self.nodes[node].policy = Some(self.which.make(self.now, terms, seed));
+        self.nodes[node].policy =
+            Some(self.which.at(tier, self.scenario.tier.len()).make(self.now, terms, seed));
         self.nodes[node].away = None;
-        if let Some(shares) = self.shares.as_mut().filter(|_| tier == 0) {
+        if let Some(shares) = self.shares.get_mut(tier) {
             shares.starts(node);
             if shares.divides() {
                 // They do not all report in the same moment.
@@ -637,17 +642,19 @@
             return;
         }
         let (now, hop) = (self.now, self.hop());
-        let Some(shares) = &mut self.shares else { return };
+        let tier = self.nodes[node].tier;
+        let Some(shares) = self.shares.get_mut(tier) else { return };
         let at = shares.report(now, node, life);
-        self.soon(hop * 2.0, Event::Granted { at });
+        self.soon(hop * 2.0, Event::Granted { tier, at });
         let beat = Span::from_millis(self.scenario.budgets.beat_ms);
         self.soon(beat, Event::Reports { node, life });
     }
 
     fn divides(&mut self) {
-        let Some(shares) = &mut self.shares else { return };
-        for at in shares.divide(self.now) {
-            self.soon(millis(self.scenario.budgets.commit_ms), Event::Divided { at });
+        for tier in 0..self.shares.len() {
+            for at in self.shares[tier].divide(self.now) {
+                self.soon(millis(self.scenario.budgets.commit_ms), Event::Divided { tier, at });
+            }
         }
         if self.now < at_ms(self.scenario.length_ms) {
             self.soon(DIVIDES_EVERY, Event::Divides);
@@ -844,7 +851,7 @@
             lost: false,
             holds_connection: false,
         });
-        if let Some(shares) = self.shares.as_mut().filter(|_| n.tier == 0) {
+        if let Some(shares) = self.shares.get_mut(n.tier) {
             let started = self.endpoints[endpoint].started;
             let cold =
                 started.is_some_and(|at| self.now.since(at) < Span::from_millis(self.scenario.rules.cold_ms));
@@ -1050,6 +1057,8 @@
             let (method, deadline) = (j.method, j.deadline);
             self.effects += 1;
             let effect = self.effects;
+            let anew = self.now + Span::from_millis(self.scenario.method[method].deadline_ms);
+            let deadline = if self.scenario.deadline_passed { deadline } else { anew };
             if self.nodes[node].policy.is_some() && deadline > self.now {
                 self.arrival(node, From::Job(job), method, effect, deadline);
                 return;
