Idle clients leave descriptors to the list, endpoints, operators and settings

Cause, each read and then forced: RLIMIT_NOFILE was never read, so clients filled what the process may open; EMFILE at a call to the list counted as its service's failure (waits up to 5 s); callers of the second address for whom none was free waited for the next caller; at the clients' accept nothing idle went; SIGHUP was lost; a look at other processes took this one for alone.

Change: the lower of limits.sockets and the process's own limit holds; where none is free, one idle connection goes and what was tried is tried again, at once or after 0.1 s.

--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -207,13 +207,20 @@
     /// a file for the result, as JSON
     #[argh(option)]
     out: Option<PathBuf>,
+}
+
 /// plays calls many tiers deep in virtual time, the lowest failing by half, and tells how attempts multiply
+#[derive(FromArgs)]
 #[argh(subcommand, name = "chain")]
 struct Chain {
     /// how many tiers call one another
     #[argh(option, default = "14")]
     tiers: usize,
+    /// the seed of all chance
+    #[argh(option, default = "1")]
+    seed: u64,
     /// threads; all cores if not said
+    #[argh(option)]
     workers: Option<usize>,
 }
 
--- a/crates/sidecar/src/launch.rs
+++ b/crates/sidecar/src/launch.rs
@@ -396,6 +396,17 @@
                  connections, leave {connections}; at least {CONNECTIONS_LEAST} are needed"
             ));
         }
+        // Danger: counted past what the process itself may open, idle clients would fill that, and nothing be left for the
+        // list, the endpoints and the operators. What it lacks below the least is made free as it is needed.
+        let own = rlimit::Resource::NOFILE.get_soft().ok().and_then(|most| usize::try_from(most).ok());
+        let own = own.unwrap_or(usize::MAX);
+        let within = own.saturating_sub(kept).max(CONNECTIONS_LEAST);
+        if within < connections {
+            unmet.push(format!(
+                "limits.sockets: {sockets}, and this process may open {own} (RLIMIT_NOFILE): connections for {within}"
+            ));
+        }
+        let connections = connections.min(within);
         if !file["known"].is_null() {
             let known = &file["known"];
             list::version(known)
--- a/crates/sidecar/src/net/clients.rs
+++ b/crates/sidecar/src/net/clients.rs
@@ -147,6 +147,8 @@
     most: usize,
     /// Connections may be waiting that could not be taken.
     pub held_back: bool,
+    /// There was no descriptor for one.
+    pub lacks_descriptor: bool,
     accept_at: Option<Moment>,
     /// New clients are to go elsewhere, but those that come are served.
     away: bool,
@@ -228,6 +230,7 @@
             open: HashSet::new(),
             most: most(turn.room as usize),
             held_back: false,
+            lacks_descriptor: false,
             accept_at: None,
             away: false,
             parting: false,
@@ -254,7 +257,9 @@
     /// have brought something after all are returned.
     pub fn accept(&mut self, turn: &mut Turn) -> Vec<Key> {
         let mut brought = Vec::new();
-        self.held_back = false;
+        (self.held_back, self.lacks_descriptor) = (false, false);
+        // Danger: where the machine has none left, others take what is freed here, and all would go for nothing.
+        let mut may_make = true;
         loop {
             // One more than the most may come in, as only then it is known that room is needed.
             let full = turn.room < 0 || self.slots.len() > self.most;
@@ -267,12 +272,18 @@
                 Ok(Some(stream)) => stream,
                 Ok(None) => break,
                 Err(e) => {
+                    self.lacks_descriptor = connection::lacks_descriptor(&e);
+                    let make = self.lacks_descriptor && std::mem::take(&mut may_make);
+                    if make && self.make_room(turn, &mut brought) {
+                        continue;
+                    }
                     log::warn!("accept: {e}");
                     self.hold_back(turn);
                     break;
                 }
             };
-            self.last_accept = turn.now;
+            (self.last_accept, may_make) = (turn.now, true);
+            self.lacks_descriptor = false;
             let added = self.slots.insert_with(|key| {
                 let connection = Connection::take(stream, &turn.registry, Peer::Client(key).token())?;
                 let stage = Stage::Reading;
--- a/crates/sidecar/src/net/connection.rs
+++ b/crates/sidecar/src/net/connection.rs
@@ -86,6 +86,12 @@
     }
 }
 
+/// Whether the process or the machine has no descriptor left for what was tried. Whoever closes one may try again at
+/// once; no event tells when another does.
+pub fn lacks_descriptor(e: &io::Error) -> bool {
+    matches!(e.raw_os_error(), Some(libc::EMFILE | libc::ENFILE))
+}
+
 impl Connection {
     pub fn open(to: SocketAddr, registry: &Registry, token: Token) -> io::Result<Connection> {
         Connection::take(TcpStream::connect(to)?, registry, token)
--- a/crates/sidecar/src/net/deadlines.rs
+++ b/crates/sidecar/src/net/deadlines.rs
@@ -19,6 +19,10 @@
     /// A look at which other processes serve this address.
     Others,
     Operator(Key),
+    /// Callers wait at the operators' listener, and there was no descriptor for them.
+    Operators,
+    /// The file is to be read again, and there was no descriptor for it.
+    Settings,
     /// This process is to say how it stands, or to ask another daemon.
     Fleet,
 }
--- a/crates/sidecar/src/net/list.rs
+++ b/crates/sidecar/src/net/list.rs
@@ -7,11 +7,11 @@
 use oorandom::Rand64;
 use serde_json::{Value, json};
 
-use super::Turn;
-use super::connection::Connection;
+use super::connection::{self, Connection};
 use super::deadlines::Due;
 use super::http;
 use super::slots::{Key, Peer, Slots};
+use super::{DESCRIPTOR_AGAIN, Turn};
 
 /// In which a call must be connected, and in which its first line must come: calls wait in turn, but one that
 /// was lost is to be made again before what it would have told is overdue.
@@ -146,6 +146,8 @@
     open: Option<Key>,
     wanted: bool,
     deadline: Option<Moment>,
+    /// There was no descriptor for a call that might be made.
+    pub lacks_descriptor: bool,
     failures: i32,
     /// The last watch fell silent, and none has been heard since.
     fell_silent: bool,
@@ -176,6 +178,7 @@
             open: None,
             wanted: false,
             deadline: None,
+            lacks_descriptor: false,
             failures: 0,
             fell_silent: false,
             pushed,
@@ -193,7 +196,7 @@
 
     /// Opens a watch if it may be opened now; else it waits as after a first failure, which it is not.
     fn open_if(&mut self, may: impl FnOnce() -> bool, turn: &mut Turn) -> bool {
-        if may() {
+        if self.lacks_descriptor || may() {
             return self.open(turn);
         }
         let wait = RETRY_FIRST * (0.5 + self.chance.rand_float() / 2.0);
@@ -218,7 +221,13 @@
         }
     }
 
+    /// Makes the call that there was no descriptor for. Returns whether it failed at once.
+    pub fn call_again(&mut self, turn: &mut Turn) -> bool {
+        self.open(turn)
+    }
+
     fn open(&mut self, turn: &mut Turn) -> bool {
+        self.lacks_descriptor = false;
         let (at, call) = (self.at, http::watch_call(self.at, self.version));
         let opened = self.watches.insert_with(|key| {
             let mut connection = Connection::open(at, &turn.registry, Peer::List(key).token())?;
@@ -240,6 +249,13 @@
                 turn.deadlines.shift(Due::List, &mut self.deadline, Some(turn.now + CONNECT_IN));
                 false
             }
+            // Danger: taken for a failure of its service, each would make the wait for the next call longer.
+            Err(e) if connection::lacks_descriptor(&e) => {
+                log::warn!("list at {at}: {e}");
+                self.lacks_descriptor = true;
+                turn.deadlines.shift(Due::List, &mut self.deadline, Some(turn.now + DESCRIPTOR_AGAIN));
+                false
+            }
             Err(e) => self.fail(&e.to_string(), turn),
         }
     }
--- a/crates/sidecar/src/net/mod.rs
+++ b/crates/sidecar/src/net/mod.rs
@@ -10,6 +10,9 @@
 pub mod servers;
 pub mod slots;
 
+/// Until what there was no descriptor for is tried again, where none could be made free.
+pub const DESCRIPTOR_AGAIN: appledyke::units::Span = appledyke::units::Span::from_millis(100);
+
 /// The loop's present turn: its time, and where every peer hangs its sockets and deadlines.
 pub struct Turn {
     pub now: appledyke::units::Moment,
--- a/crates/sidecar/src/net/operator.rs
+++ b/crates/sidecar/src/net/operator.rs
@@ -7,10 +7,10 @@
 use mio::Interest;
 use mio::net::TcpListener;
 
-use super::Turn;
 use super::connection::{self, Connection};
 use super::deadlines::Due;
 use super::slots::{Key, Peer, Slots};
+use super::{DESCRIPTOR_AGAIN, Turn};
 
 /// Bytes that a line may have: several times the longest call.
 const LINE_MOST: usize = 128;
@@ -47,6 +47,7 @@
 pub struct Operators {
     listener: TcpListener,
     slots: Slots<Caller>,
+    accept_at: Option<Moment>,
 }
 
 /// What the bytes say that a connection has brought: nothing yet, a call, or what is wrong with them.
@@ -82,21 +83,30 @@
     pub fn listen(at: SocketAddr, turn: &mut Turn) -> io::Result<Operators> {
         let mut listener = TcpListener::bind(at)?;
         turn.registry.register(&mut listener, Peer::Operators.token(), Interest::READABLE)?;
-        Ok(Operators { listener, slots: Slots::default() })
+        Ok(Operators { listener, slots: Slots::default(), accept_at: None })
     }
 
     pub fn address(&self) -> io::Result<SocketAddr> {
         self.listener.local_addr()
     }
 
-    /// Takes all callers that wait.
-    pub fn accept(&mut self, turn: &mut Turn) {
+    /// Takes all callers that wait. Returns how many, and whether there was no descriptor for one more.
+    pub fn accept(&mut self, turn: &mut Turn) -> (usize, bool) {
+        let mut taken = 0;
+        turn.deadlines.shift(Due::Operators, &mut self.accept_at, None);
         loop {
             let stream = match connection::accept(&self.listener) {
                 Ok(Some(stream)) => stream,
-                Ok(None) => return,
-                Err(e) => return log::warn!("operator: accept: {e}"),
+                Ok(None) => return (taken, false),
+                Err(e) => {
+                    log::warn!("operator: accept: {e}");
+                    // Danger: who waits to be taken brings no further event, and would wait for the next caller.
+                    let again = turn.now + DESCRIPTOR_AGAIN;
+                    turn.deadlines.shift(Due::Operators, &mut self.accept_at, Some(again));
+                    return (taken, connection::lacks_descriptor(&e));
+                }
             };
+            taken += 1;
             // Danger: callers that connect and say nothing would keep out one that has something to ask.
             let oldest = self.slots.iter().min_by_key(|(_, c)| (!c.answered, c.since)).map(|(key, _)| key);
             if let Some(oldest) = oldest.filter(|_| self.slots.len() >= CALLERS_MOST) {
--- a/crates/sidecar/src/net/servers.rs
+++ b/crates/sidecar/src/net/servers.rs
@@ -8,7 +8,7 @@
 
 use super::Turn;
 use super::body::{Body, Piece};
-use super::connection::{Connection, Ending};
+use super::connection::{self, Connection, Ending};
 use super::deadlines::Due;
 use super::http::{self, Frame, Length, Read};
 use super::slots::{Key, Peer, Slots};
@@ -284,35 +284,51 @@
         if full || turn.room <= 0 && !self.make_room(turn) {
             return Err(Ending::NoRoom);
         }
-        let opened = self.links.insert_with(|key| {
+        let mut opened = self.open(endpoint, to, carried, coming, body, turn);
+        if opened.as_ref().is_err_and(connection::lacks_descriptor) && self.make_room(turn) {
+            opened = self.open(endpoint, to, carried, coming, body, turn);
+        }
+        // What fails at once is the machine's: a refusal comes as an event.
+        let key = opened.map_err(|e| {
+            log::warn!("connect {to}: {e}");
+            Ending::NoRoom
+        })?;
+        turn.room -= 1;
+        let link = self.links.get_mut(key).expect("just added");
+        let until = carried.give_up.min(turn.now + self.connect_timeout);
+        turn.deadlines.shift(Due::Server(key), &mut link.deadline, Some(until));
+        Ok(key)
+    }
+
+    /// A new connection, with what is to go out on it once it is up.
+    fn open(
+        &mut self,
+        endpoint: usize,
+        to: SocketAddr,
+        carried: Carried,
+        coming: Option<Length>,
+        body: &[u8],
+        turn: &Turn,
+    ) -> std::io::Result<Key> {
+        let head = &self.head;
+        self.links.insert_with(|key| {
             let mut connection = Connection::open(to, &turn.registry, Peer::Server(key).token())?;
-            connection.queue(&[&self.head, body], 0);
-            let carries = Some(carried);
+            connection.queue(&[head, body], 0);
             Ok(Link {
                 connection,
                 endpoint,
                 to,
                 up: false,
-                carries,
+                carries: Some(carried),
                 deadline: None,
-                head_ends: Some(self.head.len()),
+                head_ends: Some(head.len()),
                 counted: false,
-                sent: now,
+                sent: turn.now,
                 coming,
                 held_since: None,
                 passes: None,
             })
-        });
-        // What fails at once is the machine's: a refusal comes as an event.
-        let key = opened.map_err(|e: std::io::Error| {
-            log::warn!("connect {to}: {e}");
-            Ending::NoRoom
-        })?;
-        turn.room -= 1;
-        let link = self.links.get_mut(key).expect("just added");
-        let until = carried.give_up.min(turn.now + self.connect_timeout);
-        turn.deadlines.shift(Due::Server(key), &mut link.deadline, Some(until));
-        Ok(key)
+        })
     }
 
     /// Closes the connection that has been idle for longest.
--- a/crates/sidecar/src/presence.rs
+++ b/crates/sidecar/src/presence.rs
@@ -5,6 +5,8 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
+use crate::net::connection::lacks_descriptor;
+
 /// The end of the name of a file in which a process tells the others at its address something.
 const WORD: &str = "word";
 
@@ -110,9 +112,17 @@
     }
 
     /// Looks who else is there, and clears away what dead processes have left.
-    pub fn others(&self) -> Others {
+    ///
+    /// # Errors
+    /// There is no descriptor to look with, and so nothing is known.
+    pub fn others(&self) -> std::io::Result<Others> {
         let mut others = Others::default();
-        let Ok(entries) = fs::read_dir(&self.folder) else { return others };
+        let entries = match fs::read_dir(&self.folder) {
+            Ok(entries) => entries,
+            // Danger: who takes itself for alone says no to the health check of an address that another serves.
+            Err(e) if lacks_descriptor(&e) => return Err(e),
+            Err(_) => return Ok(others),
+        };
         for entry in entries.flatten() {
             let name = entry.file_name().to_string_lossy().into_owned();
             let Some((process, standing)) = name.rsplit_once('.') else { continue };
@@ -120,7 +130,11 @@
             if !process.starts_with(&self.prefix) || process == self.own {
                 continue;
             }
-            let Ok(file) = File::open(entry.path()) else { continue };
+            let file = match File::open(entry.path()) {
+                Ok(file) => file,
+                Err(e) if lacks_descriptor(&e) => return Err(e),
+                Err(_) => continue,
+            };
             match file.try_lock() {
                 Err(TryLockError::WouldBlock) => {
                     others.names.push(process.to_string());
@@ -133,7 +147,7 @@
                 Err(TryLockError::Error(e)) => log::warn!("presence: {name}: {e}"),
             }
         }
-        others
+        Ok(others)
     }
 }
 
@@ -154,16 +168,17 @@
         fs::create_dir_all(&folder).unwrap();
         let at = "127.0.0.1:5000".parse().unwrap();
         let first = Presence::announce(&folder, at, 1).unwrap();
-        assert_eq!(first.others(), Others::default());
+        assert_eq!(first.others().unwrap(), Others::default());
         let mut second = Presence::announce(&folder, at, 2).unwrap();
         let _elsewhere = Presence::announce(&folder, "127.0.0.1:5001".parse().unwrap(), 3).unwrap();
-        let seen = |presence: &Presence| (presence.others().alive(), presence.others().ready);
+        let seen =
+            |presence: &Presence| (presence.others().unwrap().alive(), presence.others().unwrap().ready);
         assert_eq!(seen(&first), (1, 0));
         second.stands(Standing::Ready);
         assert_eq!((seen(&first), seen(&second)), ((1, 1), (1, 0)));
         second.leave_word("hot");
         assert_eq!(
-            (first.words(&first.others()), second.words(&second.others())),
+            (first.words(&first.others().unwrap()), second.words(&second.others().unwrap())),
             (vec!["hot".into()], vec![])
         );
         second.stands(Standing::Leaving);
@@ -173,7 +188,7 @@
         drop(second);
         File::create(&left).unwrap();
         File::create(&word).unwrap();
-        assert_eq!(first.others(), Others::default());
+        assert_eq!(first.others().unwrap(), Others::default());
         assert!(!left.exists() && !word.exists());
         drop(first);
         assert!(Presence::announce(&folder.join("absent"), at, 1).is_err());
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -129,6 +129,8 @@
     /// When it is looked next for other processes, and how far draining or leaving has come.
     others_at: Option<Moment>,
     away_at: Option<Moment>,
+    /// When its file is read again, for which there was no descriptor.
+    read_at: Option<Moment>,
 }
 
 /// An endpoint's entry as the fleet has it: one that is out of service drains, by the module's own rule.
@@ -210,6 +212,7 @@
             leaving: None,
             others_at: None,
             away_at: None,
+            read_at: None,
             poll,
         };
         sidecar.choice.terms().methods.iter().for_each(|method| sidecar.figures.offer(&method.name));
@@ -267,7 +270,7 @@
                 self.later.drain(..).chain(events.iter().map(|event| Peer::of(event.token()))).collect();
             for peer in &came {
                 match *peer {
-                    Peer::Operators => self.operators.iter_mut().for_each(|o| o.accept(&mut self.turn)),
+                    Peer::Operators => self.accept_operators(),
                     Peer::Operator(key) => self.operator_ready(key),
                     _ => {}
                 }
@@ -350,13 +353,35 @@
         loop {
             let brought = self.clients.accept(&mut self.turn);
             self.look_again.extend(brought);
-            let full = self.clients.held_back && self.turn.room < 0;
+            let full = self.clients.held_back && (self.turn.room < 0 || self.clients.lacks_descriptor);
             if !full || !self.servers.make_room(&mut self.turn) {
                 return;
             }
         }
     }
 
+    fn accept_operators(&mut self) {
+        let mut may_make = true;
+        loop {
+            let accepted = self.operators.as_mut().map(|operators| operators.accept(&mut self.turn));
+            let Some((taken, true)) = accepted else { return };
+            // Danger: where the machine has none left, others take what is freed here, and all would go for nothing.
+            may_make |= taken > 0;
+            if !std::mem::take(&mut may_make) || !self.make_room() {
+                return;
+            }
+        }
+    }
+
+    /// Closes an idle connection, of a client or an endpoint, for a descriptor that is needed for something else.
+    fn make_room(&mut self) -> bool {
+        let mut brought = Vec::new();
+        let made =
+            self.clients.make_room(&mut self.turn, &mut brought) || self.servers.make_room(&mut self.turn);
+        self.look_again.extend(brought);
+        made
+    }
+
     fn due(&mut self, due: Due) {
         let (now, turn) = (self.turn.now, &mut self.turn);
         match due {
@@ -373,12 +398,15 @@
             Due::List => {
                 let may = may_call_list(&mut self.fleet, &self.clock);
                 let failed = self.list.overdue(may, turn);
+                let failed = self.call_list_again() || failed;
                 self.list_failed(failed);
             }
             Due::Accept => self.accept(),
             Due::Away => self.away_further(),
             Due::Others => self.look_at_others(),
             Due::Fleet => self.fleet_overdue(),
+            Due::Operators => self.accept_operators(),
+            Due::Settings => self.read_again(),
             Due::Operator(key) => self.operators.iter_mut().for_each(|o| o.overdue(key, turn)),
         }
     }
@@ -449,8 +477,15 @@
 
     fn subscribe(&mut self) {
         let may = may_call_list(&mut self.fleet, &self.clock);
-        if self.list.watch(may, &mut self.turn) {
+        let failed = self.list.watch(may, &mut self.turn);
+        if self.call_list_again() || failed {
             self.choice.list_failed(self.turn.now);
         }
     }
+
+    /// A call to the list for which there was no descriptor is made on that of an idle connection. Returns whether it
+    /// failed at once.
+    fn call_list_again(&mut self) -> bool {
+        self.list.lacks_descriptor && self.make_room() && self.list.call_again(&mut self.turn)
+    }
 }
--- a/crates/sidecar/src/sidecar/process.rs
+++ b/crates/sidecar/src/sidecar/process.rs
@@ -1,10 +1,14 @@
 //! What a process has once: its signals, its settings, its operators, others at its address, and how it leaves.
 
+use std::fs::File;
+
 use appledyke_fleet::Version;
 use appledyke_fleet::evidence::{self, Passed};
 use appledyke_fleet::members::Standing as Member;
 
 use super::*;
+use crate::net::DESCRIPTOR_AGAIN;
+use crate::net::connection::lacks_descriptor;
 
 /// After SIGTERM all must be answered within the longest deadline, at most this, and so much more: whoever
 /// sent it ends what is left soon after.
@@ -22,6 +26,8 @@
 const DRAIN_GRACE: Span = Span::from_millis(500);
 /// Between two looks at which other processes serve this address.
 const OTHERS_LOOK: Span = Span::from_millis(300);
+/// Descriptors that such a look takes: the folder, and a file in it.
+const LOOK_DESCRIPTORS: usize = 2;
 /// Longest that an instance says it is not ready as it has not heard the list: from then on the list that it
 /// was started with has to do.
 const READY_WAIT: Span = Span::from_millis(3000);
@@ -40,6 +46,12 @@
     /// Takes over what can change while reqs are under way: the settings, and where the list is asked. The rest is for a
     /// start.
     pub(super) fn read_again(&mut self) {
+        self.turn.deadlines.shift(Due::Settings, &mut self.read_at, None);
+        // Danger: what was told once would never be taken over.
+        if File::open(&self.file).is_err_and(|e| lacks_descriptor(&e)) && !self.make_room() {
+            let again = self.turn.now + DESCRIPTOR_AGAIN;
+            return self.turn.deadlines.shift(Due::Settings, &mut self.read_at, Some(again));
+        }
         self.tell_watch();
         let agreed =
             self.fleet.as_ref().and_then(|fleet| fleet.agreed.as_ref()).map(|agreed| &agreed.settings);
@@ -66,7 +78,8 @@
     fn take_over(&mut self, launch: Launch) {
         self.list.pushed = launch.terms.ask_within.is_none();
         let may = may_call_list(&mut self.fleet, &self.clock);
-        if self.list.move_to(launch.discovery, may, &mut self.turn) {
+        let failed = self.list.move_to(launch.discovery, may, &mut self.turn);
+        if self.call_list_again() || failed {
             self.choice.list_failed(self.turn.now);
         }
         self.servers.retune(launch.connection_idle, launch.connect_timeout, &mut self.turn);
@@ -205,7 +218,15 @@
         } else if ready {
             presence.stands(Standing::Ready);
         }
-        let others = presence.others();
+        let mut seen = presence.others();
+        for _ in 0..LOOK_DESCRIPTORS {
+            if seen.is_ok() || !self.make_room() {
+                break;
+            }
+            seen = self.presence.as_ref().map_or(Ok(Others::default()), Presence::others);
+        }
+        // What cannot be looked at is as it was.
+        let others = seen.unwrap_or_else(|_| self.others.clone());
         if others.alive() != self.others.alive() {
             log::info!("other processes at this address: {}", others.alive());
         }
--- a/crates/sidecar/tests/crossings.rs
+++ b/crates/sidecar/tests/crossings.rs
@@ -5,6 +5,8 @@
 
 #[path = "crossings/clients.rs"]
 mod clients;
+#[path = "crossings/descriptors.rs"]
+mod descriptors;
 #[path = "crossings/edges.rs"]
 mod edges;
 #[path = "crossings/leaving.rs"]
--- /dev/null
+++ b/crates/sidecar/tests/crossings/descriptors.rs
@@ -0,0 +1,330 @@
+//! Descriptors that run out: idle clients fill them, and the list, the endpoints, operators and the health check get
+//! theirs all the same.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{Receiver, channel};
+use std::sync::{Arc, Condvar, Mutex};
+use std::time::{Duration, Instant};
+
+use crate::stand_ins::{
+    Client, Endpoint, OPEN, Sidecar, asked, configuration, entry, list, list_of, message, ok, until,
+};
+
+const HEALTH: &str = "GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n";
+/// Longer than a connection is safe from making room before its req is whole.
+const SAFE_FOR: Duration = Duration::from_millis(1050);
+
+/// How idle clients hold their connections.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Idle {
+    /// Nothing was ever sent.
+    Silent,
+    /// Between two reqs.
+    Rests,
+    /// Half of a head was sent.
+    HalfHead,
+}
+
+/// A client that has been answered and rests.
+fn resting(sidecar: &Sidecar) -> Client {
+    let mut client = Client::connect(sidecar);
+    client.send(HEALTH);
+    assert_eq!(client.status(), "200");
+    client
+}
+
+/// So many clients that are in the process, idle, and may go for room.
+fn crowd(sidecar: &Sidecar, idle: Idle, clients: usize) -> Vec<Client> {
+    let mut crowd: Vec<_> = (0..clients).map(|_| resting(sidecar)).collect();
+    if idle == Idle::HalfHead {
+        let answered = Instant::now();
+        until("they are safe no more", || answered.elapsed() > SAFE_FOR);
+        crowd.iter_mut().for_each(|client| client.send("GET /view/1 HT"));
+    }
+    crowd
+}
+
+/// Leaves so many descriptors free. Those that lie free below others are taken up by clients that rest.
+fn leave_free(sidecar: &Sidecar, crowd: &mut Vec<Client>, descriptors: u64) {
+    until("none lies free below the last", || {
+        sidecar.leaves_free(descriptors) || {
+            crowd.push(resting(sidecar));
+            false
+        }
+    });
+}
+
+/// How many of these have been ended, without a word.
+fn gone(crowd: &mut [Client]) -> usize {
+    let ended: Vec<_> = crowd.iter_mut().filter(|client| !client.rests()).collect();
+    ended.into_iter().map(|client| assert!(client.closed(), "it is told something")).count()
+}
+
+/// A list's service that is down, and ends each call at once, until it is told to be up. From then on calls go to the
+/// test.
+fn service() -> (SocketAddr, Arc<AtomicBool>, Receiver<TcpStream>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = listener.local_addr().unwrap();
+    let up = Arc::new(AtomicBool::new(false));
+    let (tell, calls) = channel();
+    let is_up = up.clone();
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            if is_up.load(Ordering::SeqCst) {
+                message(&mut std::io::BufReader::new(&stream));
+                if tell.send(stream).is_err() {
+                    return;
+                }
+            }
+        }
+    });
+    (at, up, calls)
+}
+
+/// With this endpoint in a list that it knows, and a second address; the list's service is down.
+fn settings(endpoints: &[SocketAddr]) -> (String, Arc<AtomicBool>, Receiver<TcpStream>) {
+    let (at, up, calls) = service();
+    let entries: Vec<_> =
+        endpoints.iter().zip(0..).map(|(at, cell)| entry(&format!("e{cell}"), *at, cell, "up")).collect();
+    (asked(&configuration(at, 1024, &list_of(1, true, &entries))), up, calls)
+}
+
+/// For each way to be idle, and 0, 1 and 2 descriptors that are free.
+fn each(mut play: impl FnMut(Idle, u64)) {
+    for idle in [Idle::Rests, Idle::HalfHead] {
+        (0..=2).for_each(|free| play(idle, free));
+    }
+}
+
+/// Danger: where the process may open less than the file allows, clients filled all of it, and neither the list nor an
+/// endpoint, an operator or the file itself could be opened.
+#[test]
+fn clients_leave_room_within_the_limit_of_the_process_itself() {
+    for idle in [Idle::Silent, Idle::Rests, Idle::HalfHead] {
+        let endpoint = Endpoint::start(|_| ok("menu"));
+        let (text, up, calls) = settings(&[endpoint.at]);
+        let sidecar = Sidecar::start_within(&text, 64);
+        // Of 30 connections clients may have 22, and one more that is taken before another goes.
+        let crowd: Vec<_> = (0..70)
+            .map(|_| {
+                let mut client = Client::connect(&sidecar);
+                match idle {
+                    Idle::Silent => {}
+                    Idle::Rests => client.send(HEALTH),
+                    Idle::HalfHead => client.send("GET /view/1 HT"),
+                }
+                client
+            })
+            .collect();
+        until("it is full", || sidecar.descriptors().0 >= 30);
+        let mut new = Client::connect(&sidecar);
+        new.send(HEALTH);
+        let mut most = 0;
+        until("the health check is answered", || {
+            most = most.max(sidecar.descriptors().0);
+            !new.rests()
+        });
+        assert_eq!(new.status(), "200", "{idle:?}");
+        new.view();
+        assert!(new.answer().ends_with("menu"), "{idle:?}");
+        assert!(sidecar.told("show-stat\n").ends_with("EOF\n"), "{idle:?}");
+        sidecar.signal("-HUP");
+        until("read again", || sidecar.figure("sidecar_config_reloads") == 1);
+        up.store(true, Ordering::SeqCst);
+        calls.recv_timeout(Duration::from_secs(6)).expect("the list is called");
+        // Standing ones, the list's, and the callers that may come: what clients never take.
+        assert!(most <= 64 - 18, "{idle:?}: {most} open");
+        drop(crowd);
+    }
+}
+
+/// Danger: a caller for whom there was no descriptor brings no further event, and waited for the next caller.
+#[test]
+fn an_operator_is_answered_when_no_descriptor_is_free() {
+    each(|idle, free| {
+        let (text, ..) = settings(&[]);
+        let sidecar = Sidecar::start(&text);
+        let mut crowd = crowd(&sidecar, idle, 8);
+        leave_free(&sidecar, &mut crowd, free);
+        let mut callers: Vec<_> = (0..2).map(|_| sidecar.caller()).collect();
+        for caller in &mut callers {
+            caller.write_all(b"show-stat\n").unwrap();
+            let mut answer = String::new();
+            caller.read_to_string(&mut answer).unwrap();
+            assert!(answer.ends_with("EOF\n"), "{idle:?}, {free} free: {answer}");
+        }
+        // The list's calls may want one besides.
+        assert!(gone(&mut crowd) <= 3, "{idle:?}, {free} free");
+    });
+}
+
+/// Danger: a full process answered its health check only once idle clients had run out of time.
+#[test]
+fn the_health_check_is_answered_when_no_descriptor_is_free() {
+    each(|idle, free| {
+        let (text, ..) = settings(&[]);
+        let sidecar = Sidecar::start(&text);
+        let mut crowd = crowd(&sidecar, idle, 8);
+        leave_free(&sidecar, &mut crowd, free);
+        let mut checks: Vec<_> = (0..2).map(|_| Client::connect(&sidecar)).collect();
+        for check in &mut checks {
+            check.send(HEALTH);
+            assert_eq!(check.status(), "200", "{idle:?}, {free} free");
+        }
+        assert!(gone(&mut crowd) <= 3, "{idle:?}, {free} free");
+    });
+}
+
+/// Danger: each call for which there was no descriptor counted as a failure of the list's service, so it waited longer
+/// and longer, and was never made while clients held all.
+#[test]
+fn the_list_is_called_when_no_descriptor_is_free() {
+    each(|idle, free| {
+        let (text, up, calls) = settings(&[]);
+        let sidecar = Sidecar::start(&text);
+        let mut crowd = crowd(&sidecar, idle, 8);
+        leave_free(&sidecar, &mut crowd, free);
+        up.store(true, Ordering::SeqCst);
+        let mut watch = calls.recv_timeout(Duration::from_secs(5)).expect("it is called");
+        let gone = gone(&mut crowd);
+        // One may have gone for a call that was under way before.
+        assert!(gone <= 2, "{idle:?}, {free} free: {gone} gone");
+        watch.write_all(OPEN).unwrap();
+    });
+}
+
+/// Danger: a req whose connection to an endpoint could not be opened was turned away while others rested.
+#[test]
+fn a_req_is_sent_when_no_descriptor_is_free() {
+    each(|idle, free| {
+        let endpoint = Endpoint::start(|_| ok("menu"));
+        let (text, ..) = settings(&[endpoint.at]);
+        let sidecar = Sidecar::start(&text);
+        let mut client = resting(&sidecar);
+        let mut crowd = crowd(&sidecar, idle, 8);
+        // It is not the one that has rested for longest.
+        client.send(HEALTH);
+        assert_eq!(client.status(), "200");
+        leave_free(&sidecar, &mut crowd, free);
+        client.view();
+        assert!(client.answer().ends_with("menu"), "{idle:?}, {free} free");
+    });
+}
+
+/// What holds back the answers to reqs that say so.
+#[derive(Clone, Default)]
+struct Hold(Arc<(Mutex<bool>, Condvar)>);
+
+impl Hold {
+    fn endpoint(&self, body: &'static str) -> Endpoint {
+        let hold = self.clone();
+        Endpoint::start(move |req| {
+            if req.contains("X-Txn: held") {
+                drop(hold.0.1.wait_while(hold.0.0.lock().unwrap(), |may| !*may).unwrap());
+            }
+            ok(body)
+        })
+    }
+
+    fn release(&self) {
+        *self.0.0.lock().unwrap() = true;
+        self.0.1.notify_all();
+    }
+}
+
+/// A sidecar whose watch is open, and what keeps it open. Reqs stay out for as long as a test may take.
+fn watching(endpoints: &[SocketAddr]) -> (Sidecar, TcpStream) {
+    let (text, up, calls) = settings(endpoints);
+    let text = text.replace("\"latencyBudgetNs\":2000000000", "\"latencyBudgetNs\":200000000000");
+    let text = text.replace("\"deadlineNs\":3000000000", "\"deadlineNs\":300000000000");
+    up.store(true, Ordering::SeqCst);
+    let sidecar = Sidecar::start(&text);
+    let mut watch = calls.recv_timeout(Duration::from_secs(6)).expect("it is called");
+    watch.write_all(OPEN).unwrap();
+    // Its beats go on: what the list does is not to set one free.
+    let mut beats = watch.try_clone().unwrap();
+    std::thread::spawn(move || {
+        while beats.write_all(b"1\r\n\n\r\n").is_ok() {
+            std::thread::sleep(Duration::from_millis(500));
+        }
+    });
+    (sidecar, watch)
+}
+
+/// Clients in the middle of reqs, until no descriptor lies free below others.
+fn held(sidecar: &Sidecar, endpoints: &[&Endpoint]) -> Vec<Client> {
+    let mut held = Vec::new();
+    while held.is_empty() || sidecar.descriptors().1 > 0 {
+        let mut client = Client::connect(sidecar);
+        client.send(format!("GET /view/1 HTTP/1.1\r\nX-Txn: held{}\r\n\r\n", held.len()));
+        until("it is sent", || endpoints.iter().any(|endpoint| endpoint.reqs.try_recv().is_ok()));
+        held.push(client);
+    }
+    held
+}
+
+/// Danger: with all clients in the middle of reqs an idle connection to one endpoint kept the descriptor that another's
+/// was to have.
+#[test]
+fn an_idle_connection_to_an_endpoint_goes_for_one_to_another() {
+    let hold = Hold::default();
+    let (one, other) = (hold.endpoint("one"), hold.endpoint("other"));
+    let (sidecar, _watch) = watching(&[one.at, other.at]);
+    let mut client = Client::connect(&sidecar);
+    let mut held = held(&sidecar, &[&one, &other]);
+    client.view();
+    let first = client.answer();
+    assert!(sidecar.leaves_free(0), "{:?}", sidecar.descriptors());
+    until("another endpoint answers", || {
+        client.view();
+        let answer = client.answer();
+        assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
+        answer != first
+    });
+    hold.release();
+    held.iter_mut().for_each(|client| assert_eq!(client.status(), "200"));
+}
+
+/// Danger: settings that were told while no file could be opened were never read.
+#[test]
+fn settings_are_read_again_when_no_descriptor_is_free() {
+    each(|idle, free| {
+        let (text, ..) = settings(&[]);
+        let sidecar = Sidecar::start(&text);
+        let mut crowd = crowd(&sidecar, idle, 8);
+        let (at, calls) = list();
+        let other = asked(&configuration(at, 1024, "null"));
+        std::fs::write(&sidecar.file, other).unwrap();
+        leave_free(&sidecar, &mut crowd, free);
+        sidecar.signal("-HUP");
+        calls.recv_timeout(Duration::from_secs(6)).expect("the other service is called");
+        assert_eq!(sidecar.figure("sidecar_config_reload_errors"), 0, "{idle:?}, {free} free");
+    });
+}
+
+/// Danger: who waits outside brings no further event, and was not looked for once a descriptor came free; looked for
+/// without a pause, it would take the processor from all else.
+#[test]
+fn who_waits_outside_is_taken_once_a_descriptor_comes_free_and_nothing_spins() {
+    let hold = Hold::default();
+    let endpoint = hold.endpoint("menu");
+    let (sidecar, _watch) = watching(&[endpoint.at]);
+    let mut busy = held(&sidecar, &[&endpoint]);
+    assert!(sidecar.leaves_free(0), "{:?}", sidecar.descriptors());
+    let mut operator = sidecar.caller();
+    operator.write_all(b"show-stat\n").unwrap();
+    let mut check = Client::connect(&sidecar);
+    check.send(HEALTH);
+    let (began, used) = (Instant::now(), sidecar.cpu());
+    until("it has waited", || began.elapsed() > Duration::from_secs(1));
+    assert!(sidecar.cpu() - used < 0.2, "{} s", sidecar.cpu() - used);
+    assert!(check.rests());
+    hold.release();
+    assert_eq!(check.status(), "200");
+    let mut answer = String::new();
+    operator.read_to_string(&mut answer).unwrap();
+    assert!(answer.ends_with("EOF\n"), "{answer}");
+    busy.iter_mut().for_each(|client| assert_eq!(client.status(), "200"));
+}
--- a/crates/sidecar/tests/stand_ins/mod.rs
+++ b/crates/sidecar/tests/stand_ins/mod.rs
@@ -11,6 +11,8 @@
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::time::{Duration, Instant};
 
+use rlimit::Resource;
+
 /// Longer than anything here takes; who waits for so long has failed.
 const PATIENCE: Duration = Duration::from_secs(10);
 
@@ -193,10 +195,23 @@
 
     /// With these variables.
     pub fn start_with(configuration: &str, variables: &[(&str, &str)]) -> Sidecar {
+        let mut program = Command::new(env!("CARGO_BIN_EXE_appledyke-sidecar"));
+        program.envs(variables.iter().copied());
+        Sidecar::launch(program, configuration)
+    }
+
+    /// Where the process itself may open so many descriptors.
+    pub fn start_within(configuration: &str, descriptors: u64) -> Sidecar {
+        let mut shell = Command::new("sh");
+        let line = format!("ulimit -S -n {descriptors} && exec \"$0\" \"$@\"");
+        shell.args(["-c", &line, env!("CARGO_BIN_EXE_appledyke-sidecar")]);
+        Sidecar::launch(shell, configuration)
+    }
+
+    fn launch(mut program: Command, configuration: &str) -> Sidecar {
         let path = file(configuration);
-        let mut child = Command::new(env!("CARGO_BIN_EXE_appledyke-sidecar"))
+        let mut child = program
             .args(["serve", "--config", path.to_str().unwrap()])
-            .envs(variables.iter().copied())
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
@@ -263,6 +278,39 @@
         self.signal("-CONT");
     }
 
+    /// How many descriptors it has up to the last of its sockets, and how many lie free below that. Others may have been
+    /// handed to it far behind these.
+    pub fn descriptors(&self) -> (u64, u64) {
+        let open = std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap();
+        let number =
+            |path: &std::path::Path| path.file_name().unwrap().to_str().unwrap().parse::<u64>().unwrap();
+        let all: Vec<_> = open.flatten().map(|entry| entry.path()).collect();
+        let socket = |path: &&PathBuf| {
+            std::fs::read_link(path).is_ok_and(|to| to.to_string_lossy().starts_with("socket:"))
+        };
+        let last = all.iter().filter(socket).map(|path| number(path)).max().unwrap();
+        let count = all.iter().filter(|path| number(path) <= last).count() as u64;
+        (count, last + 1 - count)
+    }
+
+    /// Leaves so many descriptors free for it, by its own soft limit. Returns whether that could be: not where some lie
+    /// free below the last.
+    pub fn leaves_free(&self, descriptors: u64) -> bool {
+        let mut could = false;
+        self.in_one_turn(|| {
+            let (open, below) = self.descriptors();
+            could = below == 0;
+            if could {
+                let process = self.child.id().try_into().unwrap();
+                let mut now = (0, 0);
+                rlimit::prlimit(process, Resource::NOFILE, None, Some((&mut now.0, &mut now.1))).unwrap();
+                let soft = open + descriptors;
+                rlimit::prlimit(process, Resource::NOFILE, Some((soft, now.1)), None).unwrap();
+            }
+        });
+        could
+    }
+
     /// Waits until it has so many reqs whose clients wait.
     pub fn until_open(&self, reqs: u64) {
         until("so many open", || self.figure("sidecar_pending") == reqs);
@@ -364,6 +412,15 @@
         std::mem::forget(self);
     }
 
+    /// Whether the connection is open, with nothing to read.
+    pub fn rests(&self) -> bool {
+        let stream = self.0.get_ref();
+        stream.set_nonblocking(true).unwrap();
+        let rests = stream.peek(&mut [0]).is_err_and(|e| e.kind() == ErrorKind::WouldBlock);
+        stream.set_nonblocking(false).unwrap();
+        rests
+    }
+
     /// The next answer; what came of it if the connection ended before.
     pub fn answer(&mut self) -> String {
         message(&mut self.0)
