--- a/crates/sidecar/tests/crossings/descriptors.rs
+++ b/crates/sidecar/tests/crossings/descriptors.rs
@@ -9,7 +9,8 @@
 use std::time::Duration;
 
 use crate::stand_ins::{
-    Client, Endpoint, OPEN, Sidecar, asked, configuration, entry, list, list_of, message, ok, until,
+    Client, Endpoint, OPEN, Sidecar, asked, configuration, entry, list, list_of, list_that_tells, message,
+    ok, until,
 };
 
 const HEALTH: &str = "GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n";
@@ -140,6 +141,20 @@
     }
 }
 
+/// Danger: where a process may open less than is kept for all that is no client, it would not start, though it can serve.
+#[test]
+fn a_process_that_may_open_less_than_is_kept_serves() {
+    let endpoint = Endpoint::start(|_| ok("menu"));
+    let (text, ..) = settings(&[endpoint.at]);
+    let sidecar = Sidecar::start_within(&text, 24);
+    let crowd: Vec<_> = (0..20).map(|_| Client::connect(&sidecar)).collect();
+    let mut client = resting(&sidecar);
+    client.view();
+    assert!(client.answer().ends_with("menu"));
+    assert!(sidecar.told("show-stat\n").ends_with("EOF\n"));
+    drop(crowd);
+}
+
 /// Danger: of a crowd that says nothing each was safe for a second, and the health check waited behind all that came
 /// before it.
 #[test]
@@ -332,10 +347,43 @@
     std::thread::sleep(Duration::from_secs(1));
     assert!(sidecar.cpu() - used < 0.2, "{} s", sidecar.cpu() - used);
     assert!(check.rests());
+    sidecar.signal("-HUP");
     hold.release();
     assert_eq!(check.status(), "200");
     let mut answer = String::new();
     operator.read_to_string(&mut answer).unwrap();
     assert!(answer.ends_with("EOF\n"), "{answer}");
     busy.iter_mut().for_each(|client| assert_eq!(client.status(), "200"));
+    until("read again", || sidecar.figure("sidecar_config_reloads") == 1);
+    assert_eq!(sidecar.figure("sidecar_config_reload_errors"), 0);
+}
+
+/// Danger: a process that has no descriptor to look with took itself for alone at its address, and as it left it said no
+/// to the health check of an address that another serves.
+#[test]
+fn who_leaves_with_no_descriptor_free_sees_that_another_serves() {
+    let folder = std::env::temp_dir().join(format!("appledyke-descriptors-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let variables = [("TMPDIR", folder.to_str().unwrap())];
+    let text = asked(&configuration(list_that_tells(&list_of(1, true, &[])), 1024, "null"));
+    let old = Sidecar::start_with(&text, &variables);
+    until("it is ready", || old.told("ready\n").starts_with("200 "));
+    let mut crowd = crowd(&old, Idle::Rests, 8);
+    let mut check = resting(&old);
+    let beside = format!("\"listen\":\"{}\"", old.at);
+    let new = Sidecar::start_with(&text.replace("\"listen\":\"127.0.0.1:0\"", &beside), &variables);
+    until("the new one is ready", || new.told("ready\n").starts_with("200 "));
+    // It looks before it answers, and knows of the new one by then.
+    assert!(old.told("ready\n").starts_with("200 "));
+    leave_free(&old, &mut crowd, 0);
+    old.signal("-TERM");
+    // Once it leaves, connections end with their answers.
+    until("it leaves", || {
+        check.send(HEALTH);
+        let answer = check.answer();
+        assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
+        answer.contains("Connection: close")
+    });
+    drop((old, new));
+    std::fs::remove_dir_all(&folder).unwrap();
 }
