--- a/crates/sidecar/src/net/list.rs
+++ b/crates/sidecar/src/net/list.rs
@@ -185,6 +185,8 @@
     /// Those that are open, oldest first: one that is followed, or calls that have told nothing whole.
     watches: Slots<Watch>,
     calls: Vec<Key>,
+    /// Calls that have been made since the start.
+    pub made: u64,
     wanted: bool,
     /// When the next call is due, and the part of its wait by chance. There is none while a watch is followed.
     call_at: Option<Moment>,
@@ -223,6 +225,7 @@
             at,
             watches: Slots::default(),
             calls: Vec::new(),
+            made: 0,
             wanted: false,
             call_at: None,
             spread: 1.0,
@@ -304,6 +307,7 @@
         let mut failed = oldest.is_some_and(|key| self.fail(Some(key), "nothing heard", turn));
         let most = if std::mem::take(&mut self.fell_silent) { ANSWER_SOON } else { RETRY_MOST };
         self.spread = 0.5 + self.chance.rand_float() / 2.0;
+        self.made += 1;
         self.since = turn.now;
         self.call_at = (!self.pushed).then(|| turn.now + most * self.spread);
         let until = turn.now + if self.pushed { CONNECT_IN } else { ANSWER_IN };
@@ -345,16 +349,22 @@
         // heeded; all else waits for the whole list, as the version stays what it was.
         let torn = key.and_then(|key| self.watches.get(key)).and_then(Watch::torn);
         self.salvaged.extend(salvage(torn.as_deref().unwrap_or_default()));
+        let newest = key.is_none() || key == self.calls.last().copied();
         self.close(|open| Some(open) == key, turn);
         // Danger: a service that comes back would be met by every sidecar at once.
         let most = if self.pushed { AGENT_RETRY } else { RETRY_MOST };
         let wait = (RETRY_FIRST * 2.0_f64.powi(self.failures.min(10))).min(most);
         let wait = if torn.is_some() && self.failures == 0 { RETRY_TORN } else { wait };
         let again = turn.now + wait * self.spread;
-        if self.call_at.is_none() {
-            self.since = turn.now;
-        }
-        self.call_at = Some(self.call_at.map_or(again, |at| at.min(again)));
+        self.call_at = match self.call_at {
+            // Danger: those that called together give up together, long after, and would fall into step anew.
+            Some(at) if newest => Some(at.min(again)),
+            Some(at) => Some(at),
+            None => {
+                self.since = turn.now;
+                Some(again)
+            }
+        };
         self.failures += 1;
         log::warn!("list at {}, version {}: {what}", self.at, self.version);
         self.await_next(turn);
