Budgets: thirty that come have their least part within so many of their own reports

6 s of the clock count the machine's load where 330 holders, three daemons and the test share it. The same bound in reports, one in 0.5 s each: fewer than twelve before each has its part.

--- a/crates/lab/src/rig/holders.rs
+++ b/crates/lab/src/rig/holders.rs
@@ -195,6 +195,11 @@
         self.shared.all()[who].iter_mut().for_each(|one| one.frozen = Some(now));
     }
 
+    /// How often this one has reported: its own clock, where the machine is busy.
+    pub fn reports(&self, who: usize) -> u64 {
+        self.shared.all()[who].reports
+    }
+
     /// What one believes that it may use now.
     pub fn holds(&self, who: usize, of: Thing) -> u64 {
         let (all, now) = (self.shared.all(), self.shared.now());
