One look at a connect's time where two had been written

Two changes held the same: a connect that comes up after its time carries nothing. One guard serves both tests (late_connects, and in servers).

--- a/crates/sidecar/src/net/servers.rs
+++ b/crates/sidecar/src/net/servers.rs
@@ -355,20 +355,13 @@
             return None;
         };
         if !link.up {
-            // Danger: after a standstill it is heard of before its time is looked at, and would carry what nobody waits
-            // for any more, or its endpoint may not be sent any more.
+            // Danger: to a process that stood still it comes up before its time is looked at, and would carry what nobody
+            // waits for any more, or what its endpoint, told to drain since, may not be sent any more.
             if link.deadline.is_some_and(|at| at <= turn.now) {
-                let over = turn.now >= carried.give_up;
-                let ending = if over { Ending::GivenUp { whole: false } } else { Ending::NeverUp };
+                let ending = link.not_up(carried, turn.now);
                 return self.end(key, ending, turn);
             }
             match link.connection.is_up() {
-                // Danger: to a process that stood still it comes up after its time, and its endpoint may have been told to
-                // drain since.
-                Ok(true) if link.deadline.is_some_and(|at| at <= turn.now) => {
-                    let ending = link.not_up(carried, turn.now);
-                    return self.end(key, ending, turn);
-                }
                 Ok(true) => link.up = true,
                 Ok(false) => return None,
                 Err(_) => return self.end(key, Ending::NeverUp, turn),
