Tests of long messages: times less what the machine made both sides wait for a processor

Cause: to hold on a loaded machine, two bounds (a silent client is told within 3 s, operators are answered within 0.5 s) had been asserted of one in ten tries, which a sidecar that is late half of the time would pass. Now each is asserted at every try, less the time that the process and the test waited for a processor by the machine's own count (schedstat): as strict as before, and no verdict on the machine.

--- a/crates/sidecar/tests/daily/long.rs
+++ b/crates/sidecar/tests/daily/long.rs
@@ -284,7 +284,7 @@
     Sidecar::start(&text.replace("\"deadlineNs\":3000000000", "\"deadlineNs\":3000000000000"))
 }
 
-/// Tries at what the machine's own pace may prevent, before that is a failure.
+/// Tries to leave before the sidecar's own time is over, which a busy machine may prevent.
 const TRIES: usize = 10;
 
 #[test]
@@ -299,12 +299,14 @@
         client.write_all(body(100_000)).unwrap();
         client
     };
-    // Whether it fell silent here, and was told so within 3 s.
+    // One that falls silent here is told so within 3 s, whatever else the machine has to do.
     let falls_silent = |framing| {
         let mut client = begin(framing);
-        let asked = Instant::now();
+        let (asked, waited) = (Instant::now(), sidecar.waited());
         assert!(head(&mut client).starts_with("HTTP/1.1 408 "));
-        asked.elapsed() < Duration::from_secs(3)
+        let took = asked.elapsed().saturating_sub(sidecar.waited() - waited);
+        assert!(took < Duration::from_secs(3), "{took:?}");
+        true
     };
     // Whether it left before it was told that it had fallen silent.
     let leaves = |framing| {
@@ -411,18 +413,10 @@
     }
     let begun = clients.iter_mut().map(head).filter(|head| head.starts_with("HTTP/1.1 200 ")).count();
     assert!(begun > 8, "{begun}");
-    // On a busy machine the process may have to wait for its processor; so what it does before it answers counts each
-    // time, and the time once.
-    let took: Vec<_> = (0..TRIES)
-        .map(|_| {
-            let (asked, cpu) = (Instant::now(), sidecar.cpu());
-            assert!(sidecar.figure("sidecar_pending") >= 8);
-            let cpu = sidecar.cpu() - cpu;
-            assert!(cpu < 0.5, "{cpu} s");
-            asked.elapsed()
-        })
-        .collect();
-    assert!(took.iter().any(|took| *took < Duration::from_millis(500)), "{took:?}");
+    let (asked, waited) = (Instant::now(), sidecar.waited());
+    assert!(sidecar.figure("sidecar_pending") >= 8);
+    let took = asked.elapsed().saturating_sub(sidecar.waited() - waited);
+    assert!(took < Duration::from_millis(500), "{took:?}");
     assert!(sidecar.memory() < 24 << 20, "{} bytes", sidecar.memory());
     // One that reads on gets all of its own.
     let mut bytes = Vec::new();
--- a/crates/sidecar/tests/stand_ins/mod.rs
+++ b/crates/sidecar/tests/stand_ins/mod.rs
@@ -327,6 +327,16 @@
         most.split_whitespace().next().unwrap().parse::<u64>().unwrap() * 1024
     }
 
+    /// How long it and the calling thread have waited for a processor, as the machine counts it: what is not theirs of a
+    /// time that was taken while others compute.
+    pub fn waited(&self) -> Duration {
+        let of = |path: &str| {
+            let counts = std::fs::read_to_string(path).unwrap();
+            Duration::from_nanos(counts.split_whitespace().nth(1).unwrap().parse().unwrap())
+        };
+        of(&format!("/proc/{}/schedstat", self.child.id())) + of("/proc/thread-self/schedstat")
+    }
+
     /// Seconds of CPU that it has used.
     pub fn cpu(&self) -> f64 {
         let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap();
