--- a/crates/lab/src/scale/run.rs
+++ b/crates/lab/src/scale/run.rs
@@ -21,13 +21,11 @@
 use super::report::{Change, Evidence, Fleet, Lateness, Played, Requests, Row};
 use super::scenario::Scenario;
 pub use super::world::Place;
-use super::world::{LOOK, Sample, World, a_put, commit, settings};
+use super::world::{LOOK, REAL_EVERY, Sample, World, a_put, commit, settings};
 use crate::rig::fleet::PATIENCE;
 
 /// Between two sums of what all believe that they may use.
 const SUMS_EVERY: Duration = Duration::from_millis(250);
-/// Between two looks at what real sidecars act on: a look is a connection, and costs them.
-const REAL_EVERY: Duration = Duration::from_millis(100);
 /// What a member wants of each budget while nothing moves, and what one that moves wants then.
 const WANTS: u64 = 50;
 const WANTS_MORE: u64 = 70;
@@ -372,7 +370,7 @@
     fn begin_budgets(&mut self) -> Result<Vec<Budget>, String> {
         let rows = self.stated();
         let world = &mut self.world;
-        world.put(BUDGETS_BYTES, &rows)?;
+        world.put_and_look(BUDGETS_BYTES, &rows)?;
         let of = rows.iter().map(|budget| budget.of).collect();
         world.tell(&Order::Wants { who: Vec::new(), of, wants: WANTS })?;
         let enough = world.hollow_count() as u64 * WANTS;
@@ -391,8 +389,7 @@
 
     fn end_budgets(&mut self) -> Result<(), String> {
         self.world.tell(&Order::Wants { who: Vec::new(), of: Vec::new(), wants: 0 })?;
-        self.world.put(BUDGETS_BYTES, &[])?;
-        thread::sleep(Duration::from_millis(2 * self.world.scenario.beat_ms));
+        self.world.put_and_look(BUDGETS_BYTES, &[])?;
         Ok(())
     }
 
@@ -429,7 +426,7 @@
         let (mut step, mut next_move, mut next_sum, mut next_look) = (0, begin, begin, begin);
         let (mut killed, mut puts) = (None, Vec::new());
         let mut actions = schedule.actions.iter().peekable();
-        let mut latest = Version::default();
+        let mut latest = self.world.latest();
         loop {
             let at = now();
             let passed = Moment::from_nanos(at.since(begin).nanos());
--- a/crates/lab/src/scale/world.rs
+++ b/crates/lab/src/scale/world.rs
@@ -34,6 +34,8 @@
 const RAISED_IN: usize = 8;
 const RAISED_EVERY: Duration = Duration::from_millis(150);
 const ENDPOINTS: usize = 8;
+/// Between two looks at what real sidecars act on: a look is a connection, and costs them.
+pub const REAL_EVERY: Duration = Duration::from_millis(100);
 /// One daemon's time to answer a write.
 const ONE_IN: Duration = Duration::from_millis(1500);
 
@@ -479,6 +481,24 @@
         Ok((version, began, committed))
     }
 
+    /// The same, and looks until all real sidecars act on it.
+    ///
+    /// # Errors
+    /// Why it was not committed.
+    pub fn put_and_look(&mut self, bytes: usize, budgets: &[Budget]) -> Result<(), String> {
+        let (version, _, _) = self.put(bytes, budgets)?;
+        let until = Instant::now() + Duration::from_millis(self.scenario.limits.in_force_ms);
+        while self.look_at_real(version) < self.real.len() && Instant::now() < until {
+            std::thread::sleep(REAL_EVERY);
+        }
+        Ok(())
+    }
+
+    /// The latest version that an operator was told of.
+    pub fn latest(&self) -> Version {
+        self.texts.keys().next_back().copied().unwrap_or_default()
+    }
+
     /// An operator was told that settings are committed.
     pub fn committed(&mut self, version: Version, text: u64, at: Moment) {
         // What was said before counts before.
