--- a/crates/lab/src/scale/run.rs
+++ b/crates/lab/src/scale/run.rs
@@ -579,8 +579,8 @@
 /// A tenth of the members wants more than before, or less again.
 fn moves(world: &mut World, rows: &[Budget], step: u32) -> Result<(), String> {
     let all = 0..world.shape.members.len() as u32;
-    let who = all.filter(|who| (who + step) % MOVES_PART == 0).collect();
-    let wants = if step % 2 == 0 { WANTS_MORE } else { WANTS };
+    let who = all.filter(|who| (who + step).is_multiple_of(MOVES_PART)).collect();
+    let wants = if step.is_multiple_of(2) { WANTS_MORE } else { WANTS };
     world.tell(&Order::Wants { who, of: rows.iter().map(|budget| budget.of).collect(), wants })
 }
 
