Laboratory: what many instances send together to one cold endpoint

Many modules in virtual time before one cold endpoint among warm ones: in each sliding fall window the sum of sends against N + 2 x root of N + 2, N taken at the window's begin. 5, 20, 30 and 300 instances, N from 1 to 40, steady, a burst, idle before a burst, one request at each in one moment, one to ten at each; instances with one to ten parts of the traffic, told one after another, restarted in steps; the endpoint new to the list or back. appledyke-lab cold prints the table.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod added;
 pub mod chain;
+pub mod cold;
 pub mod emulate;
 pub mod faults;
 pub mod load;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -11,7 +11,7 @@
 use appledyke_lab::report::{Outcomes, paired};
 use appledyke_lab::rig::processes::beside;
 use appledyke_lab::scenario::Scenario;
-use appledyke_lab::{added, chain, emulate, load, rig, scale, scenario, simulate, sweep};
+use appledyke_lab::{added, chain, cold, emulate, load, rig, scale, scenario, simulate, sweep};
 use argh::FromArgs;
 
 /// A laboratory for appledyke: plays fleets and their faults in virtual time.
@@ -39,6 +39,7 @@
     Hollow(Hollow),
     Lists(Lists),
     Chain(Chain),
+    Cold(Cold),
 }
 
 /// plays a scenario once and tells what it came to
@@ -224,6 +225,24 @@
     workers: Option<usize>,
 }
 
+/// plays one cold endpoint before many instances in virtual time: what all send to it against what it bears
+#[derive(FromArgs)]
+#[argh(subcommand, name = "cold")]
+struct Cold {
+    /// of the capacity of the warm endpoints that the steady traffic takes
+    #[argh(option, default = "0.7")]
+    load: f64,
+    /// instances, apart by commas
+    #[argh(option, default = "\"5,20,30,300\".to_string()")]
+    instances: String,
+    /// how many seeds
+    #[argh(option, default = "50")]
+    seeds: u64,
+    /// for tools: a line of JSON a case
+    #[argh(switch)]
+    json: bool,
+}
+
 /// reads a scenario, and names the key that is at fault
 #[derive(FromArgs)]
 #[argh(subcommand, name = "check")]
@@ -326,6 +345,7 @@
             let workers = asked.workers.unwrap_or_else(cores);
             chain::table(asked.tiers, asked.seed, workers).map(|text| print!("{text}")).map(|()| true)
         }
+        Command::Cold(asked) => cold_all(asked),
         Command::Check(asked) => Scenario::read(&asked.scenario).map(|_| true),
     };
     match done {
@@ -471,6 +491,29 @@
     Ok(asked.most_ms.is_none() || measured.over().is_empty())
 }
 
+fn cold_all(asked: Cold) -> Result<bool, String> {
+    if !(0.01..=2.0).contains(&asked.load) || !(1..=100_000).contains(&asked.seeds) {
+        return Err("cold: expected a load from 0.01 to 2 and from 1 to 100000 seeds".to_string());
+    }
+    let sizes = asked.instances.split(',').map(|size| match size.parse() {
+        Ok(size) if (1..=10_000).contains(&size) => Ok(size),
+        _ => Err(format!("--instances: expected whole numbers from 1 to 10000, not '{size}'")),
+    });
+    let cases = cold::grid(&sizes.collect::<Result<Vec<usize>, String>>()?, asked.load);
+    let work: Vec<_> = cases.iter().flat_map(|case| (1..=asked.seeds).map(|seed| (*case, seed))).collect();
+    let played = sweep::each(&work, cores(), |(case, seed)| cold::play(*case, *seed));
+    let rows = cases.iter().zip(played.chunks(asked.seeds as usize));
+    let rows: Vec<_> = rows.map(|(case, played)| cold::Row::of(*case, played)).collect();
+    if asked.json {
+        for row in &rows {
+            println!("{}", serde_json::to_string(row).map_err(|e| e.to_string())?);
+        }
+    } else {
+        println!("{}", cold::table(&rows));
+    }
+    Ok(rows.iter().all(|row| row.worst[2] <= 1.0))
+}
+
 fn releases_all(asked: Releases) -> Result<bool, String> {
     let mut work = Vec::new();
     for size in asked.sidecars.split(',') {
