Settings for a part of the fleet: scopes, their precedence and their versions in the state

Cause: settings are one text for all. Change: scopes.rs (what is put for a region, a zone, a service, a member; merged by precedence), Command::Scoped, state bytes as of version 2 until the first one.

--- a/crates/fleet/src/heard.rs
+++ b/crates/fleet/src/heard.rs
@@ -7,8 +7,9 @@
 use crate::budgets::Stamp;
 use crate::health::Figures;
 use crate::members::{GROUPS_MOST, Standing};
-use crate::state::{Command, Fleet, Version};
+use crate::state::{Command, Fleet};
 use crate::talk::Report;
+use crate::version::Version;
 
 /// After which a proposal that has not shown is made again: several elections.
 const AGAIN: Span = Span::from_millis(3000);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -13,8 +13,11 @@
 pub mod outs;
 pub mod releases;
 pub mod runner;
+pub mod scopes;
 pub mod state;
 pub mod talk;
+pub mod version;
 
 pub use members::Standing;
-pub use state::{Answer, Command, Fleet, Refusal, Version, What, Write, WriteId};
+pub use state::{Answer, Command, Fleet, Refusal, What, Write, WriteId};
+pub use version::Version;
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -14,8 +14,8 @@
 use crate::members::Standing;
 use crate::outs::Asker;
 use crate::runner::FRESH;
-use crate::state::Version;
 use crate::talk::{Report, Told};
+use crate::version::Version;
 
 /// Beats without an answer until another daemon is asked: one may be lost with an election.
 const PATIENCE_BEATS: f64 = 3.0;
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -11,6 +11,8 @@
 use crate::members::{GROUPS_MOST, Member, Standing, TEXT_MOST};
 use crate::outs::{self, Group, NotNow};
 use crate::releases::{Around, Declined, Order, Releases};
+use crate::scopes::{Full, Locality, Scope, Scoped, Scopes};
+use crate::version::Version;
 
 /// Versions of the settings that are kept for a look back and a way back: some weeks of a busy fleet.
 const HISTORY_MOST: usize = 64;
@@ -23,31 +25,6 @@
 /// Members that are kept at the most, the gone among them: several times the largest fleet.
 const MEMBERS_MOST: usize = 20_000;
 
-/// A version of the settings. A state that was put back from a backup begins another generation, so that what comes after
-/// is later than all that came before it.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct Version {
-    pub generation: u64,
-    pub number: u64,
-}
-
-impl fmt::Display for Version {
-    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        write!(f, "{}.{}", self.generation, self.number)
-    }
-}
-
-impl std::str::FromStr for Version {
-    type Err = String;
-    fn from_str(text: &str) -> Result<Version, String> {
-        let parts = text.split_once('.').map(|(generation, number)| (generation.parse(), number.parse()));
-        match parts {
-            Some((Ok(generation), Ok(number))) => Ok(Version { generation, number }),
-            _ => Err(format!("expected a version such as 0.3, not '{text}'")),
-        }
-    }
-}
-
 /// By which a write that is said again is known: it takes effect once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct WriteId(pub u64, pub u64);
@@ -58,6 +35,8 @@
     Put(String, Vec<Budget>, Vec<Group>),
     /// The settings of an earlier version, as a new one.
     Back(Version),
+    /// What was put for a scope holds no more.
+    Remove,
 }
 
 /// An operator's write.
@@ -110,6 +89,8 @@
         missing: Vec<String>,
     },
     Release(Order),
+    /// Settings for a part of the fleet. Danger: a replica of version 2 passes it over, so none is proposed while one votes.
+    Scoped(Scope, Write),
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -126,6 +107,10 @@
     NotGone,
     NotNow(NotNow),
     Release(Declined),
+    Full(Full),
+    /// Budgets and groups are stated for all; and what is for all is put anew, not removed.
+    OnlyForAll,
+    NeverForAll,
 }
 
 impl fmt::Display for Refusal {
@@ -137,6 +122,9 @@
             Refusal::NotGone => write!(f, "no such member, or it is there still"),
             Refusal::NotNow(why) => write!(f, "{why}"),
             Refusal::Release(why) => write!(f, "{why}"),
+            Refusal::Full(why) => write!(f, "{why}"),
+            Refusal::OnlyForAll => write!(f, "budgets and groups are put for all, not for a scope"),
+            Refusal::NeverForAll => write!(f, "what is put for all is put anew, not removed"),
             Refusal::Superseded(incarnation) => write!(f, "incarnation {incarnation} has followed this one"),
         }
     }
@@ -176,6 +164,9 @@
     endpoints: BTreeSet<String>,
     endpoints_at: Index,
     releases: Releases,
+    /// Danger: a replica of version 2 has none, so these are bytes of the state only once there are any (`bytes`).
+    #[serde(skip)]
+    scopes: Scopes,
 }
 
 impl Fleet {
@@ -230,6 +221,26 @@
         &self.releases
     }
 
+    pub fn scopes(&self) -> &Scopes {
+        &self.scopes
+    }
+
+    /// The version of what is put for a scope.
+    pub fn version_of(&self, scope: &Scope) -> Version {
+        let last = match scope {
+            Scope::All if self.scopes.is_empty() => return self.version,
+            Scope::All => self.history.back().map(|written| written.version),
+            _ => self.scopes.last(scope).map(|scoped| scoped.version),
+        };
+        last.unwrap_or(Version { generation: self.version.generation, number: 0 })
+    }
+
+    /// The settings that hold for a member, and their version, if any were ever put that concern it.
+    pub fn settings_of(&self, name: &str, locality: &Locality) -> Option<(Version, String)> {
+        let all = self.settings().map(|written| (written.version, written.settings.as_str()));
+        self.scopes.merged(all, name, locality)
+    }
+
     pub fn budgets(&self) -> &Budgets {
         &self.budgets
     }
@@ -248,17 +259,8 @@
     pub fn apply(&mut self, index: Index, command: &Command) -> Answer {
         self.applied = index;
         match command {
-            Command::Write(write) => {
-                if let Some(answer) = self.done(write.id) {
-                    return answer.clone();
-                }
-                let answer = self.write(write);
-                self.done.push_back((write.id, answer.clone()));
-                if self.done.len() > DONE_MOST {
-                    self.done.pop_front();
-                }
-                answer
-            }
+            Command::Write(write) => self.once(write, |fleet| fleet.write(write)),
+            Command::Scoped(scope, write) => self.once(write, |fleet| fleet.scoped(scope, write)),
             Command::Member { name, incarnation, standing, groups } => {
                 self.stands(name, *incarnation, *standing, groups)
             }
@@ -309,9 +311,61 @@
         }
     }
 
+    /// A write that is said again has the first one's answer, and no other effect.
+    fn once(&mut self, write: &Write, apply: impl FnOnce(&mut Fleet) -> Answer) -> Answer {
+        if let Some(answer) = self.done(write.id) {
+            return answer.clone();
+        }
+        let answer = apply(self);
+        self.done.push_back((write.id, answer.clone()));
+        if self.done.len() > DONE_MOST {
+            self.done.pop_front();
+        }
+        answer
+    }
+
+    /// Settings for a part of the fleet: versions are counted with those of all others, and are expected, kept and gone back
+    /// to each for itself.
+    fn scoped(&mut self, scope: &Scope, write: &Write) -> Answer {
+        if *scope == Scope::All {
+            return self.write(write);
+        }
+        let holds = self.version_of(scope);
+        if write.expects.is_some_and(|expected| expected != holds) {
+            return Answer::Refused(Refusal::Holds(holds));
+        }
+        let (settings, back_to) = match &write.what {
+            What::Put(_, budgets, groups) if !(budgets.is_empty() && groups.is_empty()) => {
+                return Answer::Refused(Refusal::OnlyForAll);
+            }
+            What::Put(settings, ..) => (Some(settings.clone()), None),
+            What::Back(version) => {
+                match self.scopes.history(scope).find(|scoped| scoped.version == *version) {
+                    Some(scoped) => (scoped.settings.clone(), Some(*version)),
+                    None => return Answer::Refused(Refusal::Unknown(*version)),
+                }
+            }
+            What::Remove => (None, None),
+        };
+        let long = settings.as_ref().is_some_and(|settings| settings.len() > SETTINGS_MOST);
+        if long || write.by.len() > TEXT_MOST || write.why.len() > TEXT_MOST {
+            return Answer::Refused(Refusal::TooMuch);
+        }
+        let version = Version { number: self.version.number + 1, ..self.version };
+        let (by, why, at_ms) = (write.by.clone(), write.why.clone(), write.at_ms);
+        match self.scopes.put(scope, Scoped { version, settings, by, why, at_ms, back_to }) {
+            Ok(()) => {
+                self.version = version;
+                Answer::Committed(version)
+            }
+            Err(full) => Answer::Refused(Refusal::Full(full)),
+        }
+    }
+
     fn write(&mut self, write: &Write) -> Answer {
-        if write.expects.is_some_and(|expected| expected != self.version) {
-            return Answer::Refused(Refusal::Holds(self.version));
+        let holds = self.version_of(&Scope::All);
+        if write.expects.is_some_and(|expected| expected != holds) {
+            return Answer::Refused(Refusal::Holds(holds));
         }
         let (settings, budgets, groups, back_to) = match &write.what {
             What::Put(settings, budgets, groups) => (settings.clone(), budgets.clone(), groups.clone(), None),
@@ -319,6 +373,7 @@
                 Some(w) => (w.settings.clone(), w.budgets.clone(), w.groups.clone(), Some(*version)),
                 None => return Answer::Refused(Refusal::Unknown(*version)),
             },
+            What::Remove => return Answer::Refused(Refusal::NeverForAll),
         };
         if settings.len() > SETTINGS_MOST || write.by.len() > TEXT_MOST || write.why.len() > TEXT_MOST {
             return Answer::Refused(Refusal::TooMuch);
@@ -406,14 +461,24 @@
         XxHash64::oneshot(0, &self.bytes())
     }
 
+    /// What was put for scopes stands behind all else, and only if there is any: without, these are the bytes that version 2
+    /// has written and reads.
     pub fn bytes(&self) -> Vec<u8> {
-        postcard::to_stdvec(self).expect("this state has no form that cannot be written")
+        let bytes = postcard::to_stdvec(self).expect("this state has no form that cannot be written");
+        if self.scopes.is_empty() {
+            return bytes;
+        }
+        postcard::to_extend(&self.scopes, bytes).expect("this state has no form that cannot be written")
     }
 
     /// # Errors
     /// What is wrong with the bytes.
     pub fn of(bytes: &[u8]) -> Result<Fleet, String> {
-        postcard::from_bytes(bytes).map_err(|e| format!("state: {e}"))
+        let told = |e: postcard::Error| format!("state: {e}");
+        let (fleet, rest): (Fleet, &[u8]) = postcard::take_from_bytes(bytes).map_err(told)?;
+        let scopes =
+            if rest.is_empty() { Scopes::default() } else { postcard::from_bytes(rest).map_err(told)? };
+        Ok(Fleet { scopes, ..fleet })
     }
 
     /// This state as the first of a fleet that is put back from a backup: its versions are later than any that members may
@@ -429,6 +494,10 @@
             last.why = "restored from a backup".to_string();
             self.history.push_back(last);
         }
+        if !self.scopes.is_empty() {
+            self.version.number += 1;
+            self.scopes.tell_anew(self.version);
+        }
         self.members.values_mut().for_each(|member| member.standing = Standing::Silent);
         self.releases.halt_all("restored from a backup: what was done since is not known");
         self
--- a/crates/fleet/src/talk.rs
+++ b/crates/fleet/src/talk.rs
@@ -10,7 +10,8 @@
 use crate::limits::{Grant, Use};
 use crate::members::Standing;
 use crate::releases::{Order, Release, Work};
-use crate::state::{Version, Write, Written};
+use crate::state::{Write, Written};
+use crate::version::Version;
 
 /// The version of all frames. Processes of two versions do not talk to one another.
 pub const VERSION: u16 = 2;
--- a/crates/fleet/tests/releases.rs
+++ b/crates/fleet/tests/releases.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 
 use appledyke::units::{Moment, Span};
+use appledyke_fleet::Version;
 use appledyke_fleet::budgets::Stamp;
 use appledyke_fleet::health::{Figures, Must};
 use appledyke_fleet::heard::{Heard, Terms};
@@ -11,7 +12,7 @@
 use appledyke_fleet::outs::{Amount, Group};
 use appledyke_fleet::releases::{Course, FORMAT, GoesBack, Moves, Order, Plan, Side, Stage};
 use appledyke_fleet::runner::{FRESH, Runner};
-use appledyke_fleet::state::{Answer, Command, Fleet, Version, What, Write, WriteId};
+use appledyke_fleet::state::{Answer, Command, Fleet, What, Write, WriteId};
 use appledyke_fleet::talk::Report;
 use oorandom::Rand64;
 
