Version 3 of the frames beside 2, what members belong to, evidence by service

A greeting of 2 is taken; a connection speaks the lower of both sides. Frames, asks and replies for scopes stand last in their enums, so that what a version-2 peer reads and writes is unchanged. Evidence is held by its writer's service and told within it; the largest ring gives way where all together are too many. A member says what it belongs to right behind the greeting, and takes once more, merged, what it was told by a daemon that knows no scopes. No caller states a locality yet.

--- a/crates/daemon/src/ask.rs
+++ b/crates/daemon/src/ask.rs
@@ -5,7 +5,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
-use appledyke_fleet::talk::{Ask, Frame, Frames, Reply, Who, greeted};
+use appledyke_fleet::talk::{Ask, Frame, Frames, Reply, VERSION, Who, greeted};
 
 /// Longest that one daemon is waited for: another may lead by then.
 const ONE: Duration = Duration::from_secs(3);
@@ -38,7 +38,9 @@
     loop {
         while let Some(frame) = frames.pop().map_err(|what| format!("{at}: {what}"))? {
             match frame {
-                Frame::Hello { .. } => drop(greeted(&frame, fleet).map_err(|what| format!("{at}: {what}"))?),
+                Frame::Hello { .. } => {
+                    drop(greeted(&frame, fleet, VERSION).map_err(|what| format!("{at}: {what}"))?)
+                }
                 Frame::NotTaken(why) => return Err(format!("{at}: {why}")),
                 Frame::Reply { number: 1, reply } => return Ok(reply),
                 _ => {}
--- a/crates/daemon/src/serve/connections.rs
+++ b/crates/daemon/src/serve/connections.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use appledyke_consensus::Id;
-use appledyke_fleet::talk::{Frame, Reply, Who, greeted};
+use appledyke_fleet::talk::{Frame, Reply, VERSION, Who, greeted};
 use appledyke_sidecar::net::connection::{self, Connection};
 use appledyke_sidecar::net::slots::Key;
 
@@ -128,14 +128,16 @@
                 tracing::warn!("not taken by another: {why}");
                 self.hang_up(key);
             }
-            (frame @ Frame::Hello { .. }, None) => match greeted(&frame, &self.configuration.fleet) {
-                Ok(who) => self.greet(key, who, dialed),
-                Err(why) => {
-                    self.send(key, &Frame::NotTaken(why.clone()));
-                    tracing::warn!("a connection is closed: {why}");
-                    self.hang_up(key);
+            (frame @ Frame::Hello { .. }, None) => {
+                match greeted(&frame, &self.configuration.fleet, VERSION) {
+                    Ok((who, speaks)) => self.greet(key, who, speaks, dialed),
+                    Err(why) => {
+                        self.send(key, &Frame::NotTaken(why.clone()));
+                        tracing::warn!("a connection is closed: {why}");
+                        self.hang_up(key);
+                    }
                 }
-            },
+            }
             (Frame::Agree(message), Some(Who::Replica(id))) if dialed.is_none() && message.from == id => {
                 if let Some(life) = &mut self.life {
                     life.replica.hear(message);
@@ -159,7 +161,7 @@
         }
     }
 
-    pub(super) fn greet(&mut self, key: Key, who: Who, dialed: Option<u16>) {
+    pub(super) fn greet(&mut self, key: Key, who: Who, speaks: u16, dialed: Option<u16>) {
         if dialed.is_none() {
             if let Who::Replica(id) = &who {
                 // Danger: what an earlier process of this place left in a connection comes too late to be its word.
@@ -171,7 +173,7 @@
                     self.hang_up(earlier);
                 }
             }
-            let hello = Frame::hello(&self.configuration.fleet, Who::Replica(self.id()));
+            let hello = Frame::hello_as(speaks, &self.configuration.fleet, Who::Replica(self.id()));
             self.send(key, &hello);
         }
         if let Some(peer) = self.peers.get_mut(key) {
--- a/crates/daemon/src/serve/members.rs
+++ b/crates/daemon/src/serve/members.rs
@@ -45,15 +45,15 @@
     /// `granting`: a majority has said, after the report came, that this replica leads.
     pub(super) fn answer_report(&mut self, key: Key, report: &Report, granting: bool) {
         let (now, writer) = (self.now, ids::mark(&report.name));
-        let new = self.evidence.hear(now, writer, report.incarnation, &report.seen);
+        let new = self.evidence.hear(now, 0, writer, report.incarnation, &report.seen);
         self.heard_records += new as u64;
         let c = &self.configuration;
         let Some(peer) = self.peers.get_mut(key) else { return };
         (peer.since, peer.incarnation) = (now, report.incarnation);
         let passed = if report.catches_up {
-            self.evidence.catch_up(now, writer, &mut peer.cursor, c.evidence_return)
+            self.evidence.catch_up(now, 0, writer, &mut peer.cursor, c.evidence_return)
         } else {
-            self.evidence.tell(now, writer, &mut peer.cursor, c.evidence_each)
+            self.evidence.tell(now, 0, writer, &mut peer.cursor, c.evidence_each)
         };
         let mut told = Told { apart: true, passed, number: report.number, ..Told::default() };
         if let Some(life) = &mut self.life {
--- a/crates/daemon/src/serve/operators.rs
+++ b/crates/daemon/src/serve/operators.rs
@@ -236,6 +236,11 @@
                 };
                 Reply::Budgets(Thing::ALL.into_iter().filter_map(row).collect())
             }
+            Ask::Scopes
+            | Ask::WriteFor { .. }
+            | Ask::GetFor { .. }
+            | Ask::HistoryFor(_)
+            | Ask::SettingsOf(_) => Reply::Refused("scopes are not served here yet".to_string()),
             Ask::Write(_)
             | Ask::HandOver(_)
             | Ask::TakeOut { .. }
--- a/crates/fleet/src/evidence.rs
+++ b/crates/fleet/src/evidence.rs
@@ -1,7 +1,8 @@
 //! What members have learnt of endpoints, in a daemon's memory: the latest of each, for those that start or return. It is
 //! not agreed on, and never older than it is kept for.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 
 use appledyke::Outcome;
 use appledyke::units::{Moment, Span};
@@ -9,8 +10,12 @@
 
 /// How long a record is of use: what is older has mostly faded with those who saw it.
 pub const KEPT: Span = Span::from_millis(8000);
-/// Records that are held at the most: 16 a member of a fleet of 1,000.
-const MOST: usize = 16_384;
+/// Records that are held at the most: 16 a member of a fleet of 1,000. Of one service at the most half of them; those of
+/// members without one may be all, as in a fleet without services.
+pub const MOST: usize = 16_384;
+pub const OF_A_SERVICE_MOST: usize = 8_192;
+/// How often all services' records are looked through for old ones: an eighth of the time that they are kept.
+const SWEEP: Span = Span::from_millis(1000);
 /// Records of one endpoint in a catch-up: three failures make it known, one more tells of an end to them.
 const OF_AN_ENDPOINT: usize = 4;
 
@@ -87,16 +92,22 @@
     }
 }
 
+/// Records by the service of their writers (`Locality::service_mark`, nought for none), each service's in their order. A reader
+/// with a service hears those of its own service and of writers without one; a reader without one hears all.
 #[derive(Default)]
 pub struct Evidence {
-    held: VecDeque<Held>,
+    rings: BTreeMap<u32, VecDeque<Held>>,
+    /// How many each ring holds, and how many there are in all.
+    sizes: BTreeSet<(usize, u32)>,
+    count: usize,
+    swept: Moment,
     known: Known,
     arrivals: u64,
 }
 
 impl Evidence {
-    /// Takes what a member tells; how much of it was new.
-    pub fn hear(&mut self, now: Moment, writer: u32, incarnation: u64, seen: &[Seen]) -> usize {
+    /// Takes what a member of a service tells; how much of it was new.
+    pub fn hear(&mut self, now: Moment, service: u32, writer: u32, incarnation: u64, seen: &[Seen]) -> usize {
         let before = self.arrivals;
         for seen in seen {
             let age = Span::from_millis(u64::from(seen.age_ms));
@@ -104,17 +115,69 @@
             if self.known.is_new(writer, incarnation, seen.sequence) && !odd {
                 self.arrivals += 1;
                 let at = Moment::from_nanos(now.nanos().saturating_sub(age.nanos()));
-                self.held.push_back(Held { arrival: self.arrivals, writer, incarnation, at, seen: *seen });
+                let held = Held { arrival: self.arrivals, writer, incarnation, at, seen: *seen };
+                self.change(service, |ring| ring.push_back(held));
             }
         }
-        self.forget(now);
+        self.forget(now, service);
         (self.arrivals - before) as usize
     }
 
-    fn forget(&mut self, now: Moment) {
-        while self.held.len() > MOST || self.held.front().is_some_and(|held| now.since(held.at) > KEPT) {
-            self.held.pop_front();
+    /// The records that are held.
+    pub fn count(&self) -> usize {
+        self.count
+    }
+
+    fn change(&mut self, service: u32, change: impl FnOnce(&mut VecDeque<Held>)) {
+        let ring = self.rings.entry(service).or_default();
+        let before = ring.len();
+        change(ring);
+        let after = ring.len();
+        self.count = self.count + after - before;
+        self.sizes.remove(&(before, service));
+        if after == 0 {
+            self.rings.remove(&service);
+        } else {
+            self.sizes.insert((after, service));
+        }
+    }
+
+    fn forget(&mut self, now: Moment, service: u32) {
+        let most = if service == 0 { MOST } else { OF_A_SERVICE_MOST };
+        let old = |ring: &VecDeque<Held>| ring.front().is_some_and(|held| now.since(held.at) > KEPT);
+        self.change(service, |ring| {
+            while ring.len() > most || old(ring) {
+                ring.pop_front();
+            }
+        });
+        if now.since(self.swept) >= SWEEP {
+            self.swept = now;
+            let services: Vec<u32> =
+                self.rings.iter().filter(|(_, ring)| old(ring)).map(|(service, _)| *service).collect();
+            for service in services {
+                self.change(service, |ring| {
+                    while old(ring) {
+                        ring.pop_front();
+                    }
+                });
+            }
         }
+        // Danger: by their order alone a busy service would push out what the others have learnt.
+        while self.count > MOST
+            && let Some((_, largest)) = self.sizes.last().copied()
+        {
+            self.change(largest, |ring| drop(ring.pop_front()));
+        }
+    }
+
+    /// What a reader of this service may hear, as of after this arrival.
+    fn rings_for(&self, service: u32, after: u64) -> Vec<&VecDeque<Held>> {
+        let of = |service: u32| self.rings.get(&service);
+        let rings: Vec<&VecDeque<Held>> = match service {
+            0 => self.rings.values().collect(),
+            _ => of(0).into_iter().chain(of(service)).collect(),
+        };
+        rings.into_iter().filter(|ring| ring.back().is_some_and(|held| held.arrival > after)).collect()
     }
 
     fn pass(now: Moment, held: &Held) -> Passed {
@@ -127,33 +190,63 @@
         move |held| held.writer != reader && now.since(held.at) <= KEPT
     }
 
-    /// What a reader has not heard yet, so much at the most; the rest waits for the next time.
-    pub fn tell(&self, now: Moment, reader: u32, cursor: &mut Cursor, most: usize) -> Vec<Passed> {
-        let start = self.held.partition_point(|held| held.arrival <= cursor.0);
+    /// What a reader of a service has not heard yet, so much at the most; the rest waits for the next time.
+    pub fn tell(
+        &self,
+        now: Moment,
+        service: u32,
+        reader: u32,
+        cursor: &mut Cursor,
+        most: usize,
+    ) -> Vec<Passed> {
+        let rings = self.rings_for(service, cursor.0);
+        let start = |ring: &VecDeque<Held>| ring.partition_point(|held| held.arrival <= cursor.0);
+        let mut rings: Vec<_> = rings.iter().map(|ring| ring.range(start(ring)..).peekable()).collect();
+        // Danger: all go together by their arrival, or the cursor passes one that was not looked at.
+        let first = rings.iter_mut().enumerate().filter_map(|(at, ring)| Some((ring.peek()?.arrival, at)));
+        let mut next: BinaryHeap<Reverse<(u64, usize)>> = first.map(Reverse).collect();
         let mut passed = Vec::new();
-        for held in self.held.range(start..) {
-            if passed.len() >= most {
-                break;
-            }
-            cursor.0 = held.arrival;
-            if Self::of_use(now, reader)(&held) {
+        while passed.len() < most
+            && let Some(Reverse((arrival, at))) = next.pop()
+        {
+            cursor.0 = arrival;
+            if let Some(held) = rings[at].next().filter(Self::of_use(now, reader)) {
                 passed.push(Self::pass(now, held));
             }
+            next.extend(rings[at].peek().map(|held| Reverse((held.arrival, at))));
         }
         passed
     }
 
     /// For a reader that starts or returns: the latest of each endpoint, so much at the most, the oldest first; it goes on
     /// from here.
-    pub fn catch_up(&self, now: Moment, reader: u32, cursor: &mut Cursor, most: usize) -> Vec<Passed> {
+    pub fn catch_up(
+        &self,
+        now: Moment,
+        service: u32,
+        reader: u32,
+        cursor: &mut Cursor,
+        most: usize,
+    ) -> Vec<Passed> {
         *cursor = Cursor(self.arrivals);
+        let mut rings: Vec<_> =
+            self.rings_for(service, 0).into_iter().map(|ring| ring.iter().rev().peekable()).collect();
+        let last = rings.iter_mut().enumerate().filter_map(|(at, ring)| Some((ring.peek()?.arrival, at)));
+        let mut next: BinaryHeap<(u64, usize)> = last.collect();
         let mut of: BTreeMap<u32, usize> = BTreeMap::new();
-        let latest = self.held.iter().rev().filter(Self::of_use(now, reader)).filter(|held| {
-            let count = of.entry(held.seen.endpoint).or_default();
-            *count += 1;
-            *count <= OF_AN_ENDPOINT
-        });
-        let mut passed: Vec<Passed> = latest.take(most).map(|held| Self::pass(now, held)).collect();
+        let mut passed = Vec::new();
+        while passed.len() < most
+            && let Some((_, at)) = next.pop()
+        {
+            if let Some(held) = rings[at].next().filter(Self::of_use(now, reader)) {
+                let count = of.entry(held.seen.endpoint).or_default();
+                *count += 1;
+                if *count <= OF_AN_ENDPOINT {
+                    passed.push(Self::pass(now, held));
+                }
+            }
+            next.extend(rings[at].peek().map(|held| (held.arrival, at)));
+        }
         passed.reverse();
         passed
     }
@@ -174,44 +267,47 @@
     #[test]
     fn each_record_counts_once_by_writer_incarnation_and_sequence() {
         let mut evidence = Evidence::default();
-        assert_eq!(evidence.hear(at(1000), 7, 1, &[seen(1, 5), seen(2, 5)]), 2);
+        assert_eq!(evidence.hear(at(1000), 0, 7, 1, &[seen(1, 5), seen(2, 5)]), 2);
         // Said again, as the answer was lost; and by an earlier incarnation, which has ended.
-        assert_eq!(evidence.hear(at(1100), 7, 1, &[seen(1, 5), seen(2, 5), seen(3, 5)]), 1);
+        assert_eq!(evidence.hear(at(1100), 0, 7, 1, &[seen(1, 5), seen(2, 5), seen(3, 5)]), 1);
         assert_eq!(
-            (evidence.hear(at(1200), 7, 2, &[seen(1, 5)]), evidence.hear(at(1300), 7, 1, &[seen(9, 5)])),
+            (
+                evidence.hear(at(1200), 0, 7, 2, &[seen(1, 5)]),
+                evidence.hear(at(1300), 0, 7, 1, &[seen(9, 5)])
+            ),
             (1, 0)
         );
         let mut cursor = Cursor::default();
-        assert_eq!(evidence.tell(at(1300), 8, &mut cursor, 3).len(), 3);
-        assert_eq!(evidence.tell(at(1300), 8, &mut cursor, 3).len(), 1);
-        assert_eq!(evidence.tell(at(1300), 8, &mut cursor, 3), []);
+        assert_eq!(evidence.tell(at(1300), 0, 8, &mut cursor, 3).len(), 3);
+        assert_eq!(evidence.tell(at(1300), 0, 8, &mut cursor, 3).len(), 1);
+        assert_eq!(evidence.tell(at(1300), 0, 8, &mut cursor, 3), []);
         // Nobody hears its own, and nobody what is old.
-        assert_eq!(evidence.tell(at(1300), 7, &mut Cursor::default(), 9), []);
-        assert_eq!(evidence.tell(at(9100), 8, &mut Cursor::default(), 9).len(), 1);
+        assert_eq!(evidence.tell(at(1300), 0, 7, &mut Cursor::default(), 9), []);
+        assert_eq!(evidence.tell(at(9100), 0, 8, &mut Cursor::default(), 9).len(), 1);
         // Ages go on while they lie here.
-        let told = evidence.tell(at(1500), 8, &mut Cursor::default(), 1);
+        let told = evidence.tell(at(1500), 0, 8, &mut Cursor::default(), 1);
         assert_eq!(told[0].seen.age_ms, 600);
         let mut odd = seen(10, 5);
         odd.part = f32::NAN;
-        assert_eq!(evidence.hear(at(1400), 9, 1, &[odd, Seen { age_ms: 9000, ..seen(11, 5) }]), 0);
+        assert_eq!(evidence.hear(at(1400), 0, 9, 1, &[odd, Seen { age_ms: 9000, ..seen(11, 5) }]), 0);
     }
 
     #[test]
     fn who_returns_hears_the_latest_of_each_endpoint_and_no_more_than_its_bound() {
         let mut evidence = Evidence::default();
         for sequence in 1..=100 {
-            evidence.hear(at(1000), 7, 1, &[seen(sequence, sequence as u32 % 5)]);
+            evidence.hear(at(1000), 0, 7, 1, &[seen(sequence, sequence as u32 % 5)]);
         }
         let mut cursor = Cursor::default();
-        let told = evidence.catch_up(at(1000), 8, &mut cursor, 1000);
+        let told = evidence.catch_up(at(1000), 0, 8, &mut cursor, 1000);
         assert_eq!(told.len(), 5 * OF_AN_ENDPOINT);
         assert!(told.iter().all(|passed| passed.seen.sequence > 80));
         assert!(told.is_sorted_by_key(|passed| passed.seen.sequence));
-        assert_eq!(evidence.tell(at(1000), 8, &mut cursor, 1000), []);
-        assert_eq!(evidence.catch_up(at(1000), 8, &mut cursor, 7).len(), 7);
+        assert_eq!(evidence.tell(at(1000), 0, 8, &mut cursor, 1000), []);
+        assert_eq!(evidence.catch_up(at(1000), 0, 8, &mut cursor, 7).len(), 7);
         for sequence in 0..2 * MOST as u64 {
-            evidence.hear(at(2000), 9, 1, &[seen(sequence + 1, 3)]);
+            evidence.hear(at(2000), 0, 9, 1, &[seen(sequence + 1, 3)]);
         }
-        assert!(evidence.held.len() <= MOST);
+        assert!(evidence.count() <= MOST);
     }
 }
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -14,7 +14,8 @@
 use crate::members::Standing;
 use crate::outs::Asker;
 use crate::runner::FRESH;
-use crate::talk::{Report, Told};
+use crate::scopes::Locality;
+use crate::talk::{Report, Told, VERSION};
 use crate::version::Version;
 
 /// Beats without an answer until another daemon is asked: one may be lost with an election.
@@ -24,6 +25,9 @@
 /// Records that are kept for the daemons, and told in one report.
 const BOOKED_MOST: usize = 256;
 const TOLD_MOST: usize = 64;
+/// Beats over a connection that speaks an older version, for a member with a locality: then it looks whether the daemon knows
+/// scopes by now. A minute at the usual beat.
+const OLDER_BEATS_MOST: f64 = 120.0;
 /// Reports whose answers may still come: one more is made each beat.
 const ASKED_MOST: usize = 16;
 
@@ -42,6 +46,8 @@
     /// What it may use by its own file.
     pub limits: Limits,
     pub groups: Vec<String>,
+    /// What it belongs to, by its own file: settings are merged for it by this.
+    pub locality: Option<Locality>,
     /// The version of its program, or what its file calls it.
     pub runs: String,
 }
@@ -52,6 +58,8 @@
     /// Open a connection to this place.
     Dial(u16),
     Close,
+    /// Say what this member belongs to.
+    Belongs(Locality),
     Send(Box<Report>),
     /// Check these settings whole; act on them if they are well, and say which with `acts_on`.
     Take(Version, String),
@@ -82,6 +90,11 @@
     /// Which of the daemons.
     at: usize,
     link: Link,
+    /// The version that the connection speaks, and since when it is up.
+    speaks: u16,
+    up_since: Moment,
+    /// What it acts on was told over a connection that knows no scopes, though it belongs to some.
+    unscoped: bool,
     /// Since when the daemon that answers knows no leader.
     leaderless: Option<Moment>,
     /// Daemons that were tried in vain since one answered.
@@ -138,6 +151,9 @@
             chance,
             at,
             link: Link::Off(first),
+            speaks: VERSION,
+            up_since: first,
+            unscoped: false,
             leaderless: None,
             vain: 0,
             next_beat: first,
@@ -182,17 +198,28 @@
         self.knows
     }
 
+    /// What it belongs to.
+    pub fn locality(&self) -> Option<&Locality> {
+        self.setup.locality.as_ref()
+    }
+
+    /// Whether what it acts on is not merged for what it belongs to: it was told by a daemon that knows no scopes, and may not
+    /// be kept as if it were.
+    pub fn is_unscoped(&self) -> bool {
+        self.unscoped
+    }
+
     /// Whether a connection is up over which something may be asked.
     pub fn is_up(&self) -> bool {
         matches!(self.link, Link::On(_))
     }
 
-    /// Whether a daemon has answered lately.
     /// The endpoints that it is to look for.
     pub fn looks_for(&self) -> impl Iterator<Item = &String> {
         self.looked.values().map(|(name, _)| name)
     }
 
+    /// Whether a daemon has answered lately.
     pub fn is_heard(&self, now: Moment) -> bool {
         self.heard_at.is_some_and(|at| now.since(at) <= self.setup.beat * PATIENCE_BEATS)
     }
@@ -202,10 +229,23 @@
         match self.link {
             Link::Off(at) => at,
             Link::Dialed(since) => since + self.patience(),
-            Link::On(heard) => self.next_beat.min(heard + self.patience()),
+            Link::On(heard) => self.next_beat.min(heard + self.patience()).min(self.older_until()),
         }
     }
 
+    /// Until when it stays with a connection that knows no scopes.
+    fn older_until(&self) -> Moment {
+        if self.speaks >= VERSION || self.setup.locality.is_none() {
+            return Moment::from_nanos(u64::MAX);
+        }
+        self.up_since + self.setup.beat * OLDER_BEATS_MOST
+    }
+
+    /// Whether it takes settings of the version that it knows once more, merged for what it belongs to.
+    fn asks_anew(&self) -> bool {
+        self.unscoped && self.speaks >= VERSION
+    }
+
     fn patience(&self) -> Span {
         self.setup.beat * PATIENCE_BEATS
     }
@@ -256,14 +296,16 @@
         if self.asked.len() > ASKED_MOST {
             self.asked.pop_front();
         }
+        // Danger: what another daemon's scopes make of this version is another text.
+        let (version, knows) = if self.asks_anew() { Default::default() } else { (self.acts_on, self.knows) };
         self.told = seen.last().map_or(self.answered, |seen| seen.sequence);
         Box::new(Report {
             name: self.setup.name.clone(),
             incarnation: self.setup.incarnation,
             process: self.setup.process,
             standing: self.standing,
-            version: self.acts_on,
-            knows: self.knows,
+            version,
+            knows,
             seen,
             catches_up: self.catches_up,
             number: self.reports,
@@ -283,15 +325,18 @@
         })
     }
 
-    /// The connection that was dialed is up.
-    pub fn up(&mut self, now: Moment) -> Vec<Do> {
+    /// The connection that was dialed is up, and speaks this version (`talk::greeted`).
+    pub fn up(&mut self, now: Moment, speaks: u16) -> Vec<Do> {
         if !matches!(self.link, Link::Dialed(_)) {
             return Vec::new();
         }
         self.link = Link::On(now);
+        (self.speaks, self.up_since) = (speaks, now);
         // This daemon may be another than the last, and know nothing: what it has heard before, it does not count twice.
         (self.told, self.answered, self.leaderless) = (0, 0, None);
-        vec![Do::Send(self.report(now))]
+        let belongs = self.setup.locality.clone().filter(|_| speaks >= VERSION).map(Do::Belongs);
+        let report = Do::Send(self.report(now));
+        belongs.into_iter().chain([report]).collect()
     }
 
     /// The connection has ended, or never came up.
@@ -319,6 +364,10 @@
                 self.broken(now);
                 vec![Do::Close]
             }
+            Link::On(_) if now >= self.older_until() => {
+                self.broken(now);
+                vec![Do::Close]
+            }
             Link::On(_) if now >= self.next_beat => vec![Do::Send(self.report(now))],
             _ => Vec::new(),
         }
@@ -339,9 +388,10 @@
         }
         // Danger: a copy that is behind, or a fleet that was put back, would take a member to what it has left behind.
         if let Some((version, settings)) = told.settings
-            && version > self.knows
+            && (version > self.knows || self.asks_anew() && version == self.knows)
         {
             self.knows = version;
+            self.unscoped = self.setup.locality.is_some() && self.speaks < VERSION;
             done.push(Do::Take(version, settings));
         }
         if let Some((since, outs)) = told.outs
@@ -430,6 +480,7 @@
             version: Version::default(),
             limits: Limits::default(),
             groups: Vec::new(),
+            locality: None,
             runs: String::new(),
         };
         Member::new(at(0), setup, 4)
@@ -487,7 +538,7 @@
     /// A member that was answered by this place, which leads.
     fn on(member: &mut Member, ms: u64) {
         dialed(&member.due(at(ms)));
-        assert!(matches!(&member.up(at(ms))[..], [Do::Send(report)] if report.catches_up));
+        assert!(matches!(&member.up(at(ms), VERSION)[..], [Do::Send(report)] if report.catches_up));
         let told = Told { leads: true, ..Told::default() };
         assert_eq!(member.told(at(ms), told), []);
     }
@@ -504,12 +555,12 @@
         assert_eq!(member.due(at(4 * BEAT)), []);
         assert_eq!(member.due(at(5 * BEAT)), [Do::Close]);
         let third = dialed(&member.due(at(7 * BEAT)));
-        member.up(at(7 * BEAT));
+        member.up(at(7 * BEAT), VERSION);
         let hint = Told { leader: Some(first), ..Told::default() };
         assert_eq!(member.told(at(7 * BEAT), hint.clone()), [Do::Close, Do::Dial(first)]);
         assert_ne!(third, first);
         // A daemon that does not serve is left, whatever it says.
-        member.up(at(8 * BEAT));
+        member.up(at(8 * BEAT), VERSION);
         let told = Told { apart: true, leads: true, ..Told::default() };
         assert_eq!(member.told(at(8 * BEAT), told), [Do::Close]);
     }
@@ -528,7 +579,7 @@
         assert!(now >= 5 * BEAT, "an election takes its time");
         // One that leads again in between is stayed with.
         dialed(&member.due(at(now + BEAT)));
-        member.up(at(now + BEAT));
+        member.up(at(now + BEAT), VERSION);
         member.told(at(now + BEAT), alone());
         member.told(at(now + 3 * BEAT), Told { leads: true, ..alone() });
         assert_eq!(member.told(at(now + 5 * BEAT), alone()), []);
@@ -586,12 +637,12 @@
         assert_eq!(sent(&mut member, 2 * BEAT + 1360), (65..=100).collect::<Vec<_>>());
         member.broken(at(6 * BEAT));
         dialed(&member.due(at(7 * BEAT)));
-        let Do::Send(report) = &member.up(at(7 * BEAT))[0] else { panic!() };
+        let Do::Send(report) = &member.up(at(7 * BEAT), VERSION)[0] else { panic!() };
         assert_eq!(report.seen[0].sequence, 1);
         // What is old is told to nobody.
         member.broken(at(60 * BEAT));
         dialed(&member.due(at(61 * BEAT)));
-        let Do::Send(report) = &member.up(at(61 * BEAT))[0] else { panic!() };
+        let Do::Send(report) = &member.up(at(61 * BEAT), VERSION)[0] else { panic!() };
         assert!(report.seen.is_empty());
     }
 
@@ -608,7 +659,7 @@
         // A minute passes between two beats: it was stopped. The link is left first, as nothing was heard.
         assert_eq!(member.due(at(120_000)), [Do::Close]);
         dialed(&member.due(at(121_000)));
-        assert!(matches!(&member.up(at(121_000))[..], [Do::Send(report)] if report.catches_up));
+        assert!(matches!(&member.up(at(121_000), VERSION)[..], [Do::Send(report)] if report.catches_up));
     }
 
     #[test]
--- a/crates/fleet/src/talk.rs
+++ b/crates/fleet/src/talk.rs
@@ -10,11 +10,18 @@
 use crate::limits::{Grant, Use};
 use crate::members::Standing;
 use crate::releases::{Order, Release, Work};
+use crate::scopes::{Locality, Scope, Scoped};
 use crate::state::{Write, Written};
 use crate::version::Version;
 
-/// The version of all frames. Processes of two versions do not talk to one another.
-pub const VERSION: u16 = 2;
+/// The version of all frames, and the oldest that is spoken with: over a connection goes what the lower of its two sides knows.
+/// Frames, asks, replies and commands are written by their place in their enums and have no names: what is new goes last there,
+/// and what is there stays as it is.
+pub const VERSION: u16 = 3;
+pub const OLDEST: u16 = 2;
+/// Ends without a word right after a greeting that are taken for a side that does not know its version: one may be a process
+/// that ended just then.
+const CUT_MOST: u8 = 2;
 /// Bytes of a frame: a snapshot of the largest fleet. Before the greeting, those of a greeting.
 pub const FRAME_MOST: usize = 32 << 20;
 pub const GREETING_MOST: usize = 1024;
@@ -160,6 +167,21 @@
         place: u16,
         anyway: bool,
     },
+    /// What is put for parts of the fleet.
+    Scopes,
+    /// A write for a part of the fleet.
+    WriteFor {
+        scope: Scope,
+        write: Write,
+    },
+    /// What is put for a scope, or was as of a version.
+    GetFor {
+        scope: Scope,
+        version: Option<Version>,
+    },
+    HistoryFor(Scope),
+    /// What holds for this member.
+    SettingsOf(String),
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -204,6 +226,27 @@
     pub over: u64,
 }
 
+/// A part of the fleet, and how it stands.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ScopeRow {
+    pub scope: Scope,
+    /// The version that was put for it last, and the bytes of its text: none where it was removed.
+    pub version: Version,
+    pub bytes: Option<u64>,
+    /// The members that are heard and belong to it, and those of them that act on what holds for them now.
+    pub members: u64,
+    pub acting: u64,
+}
+
+/// What holds for a member, and of which scopes it is made, in the order of precedence.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Merged {
+    pub version: Version,
+    pub settings: String,
+    pub locality: Option<Locality>,
+    pub of: Vec<(Scope, Version)>,
+}
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Reply {
     Status(Status),
@@ -229,6 +272,10 @@
     /// The state as bytes.
     Backup(Vec<u8>),
     Done,
+    Scopes(Vec<ScopeRow>),
+    Scoped(Option<Scoped>),
+    HistoryFor(Vec<Scoped>),
+    Merged(Option<Merged>),
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -266,11 +313,18 @@
         number: u64,
         reply: Reply,
     },
+    /// What a member belongs to: right behind the greeting, where both sides speak version 3.
+    Belongs(Locality),
 }
 
 impl Frame {
     pub fn hello(fleet: &str, who: Who) -> Frame {
-        Frame::Hello { version: VERSION, fleet: fleet.to_string(), who }
+        Frame::hello_as(VERSION, fleet, who)
+    }
+
+    /// A greeting of this version: of the one that `Greeting` says, or that `greeted` gave for an answer.
+    pub fn hello_as(version: u16, fleet: &str, who: Who) -> Frame {
+        Frame::Hello { version, fleet: fleet.to_string(), who }
     }
 
     /// Adds this frame to bytes that go out. One that no receiver would take is left out, and `false`.
@@ -331,21 +385,63 @@
     }
 }
 
-/// Whether a greeting is one of this fleet.
+/// Who greets, and the version that this connection speaks: the lower of both. `own` is the version with which this side has
+/// greeted, or `VERSION` where it answers; it answers with the version that this gives.
 ///
 /// # Errors
-/// Why not, for its sender.
-pub fn greeted(frame: &Frame, fleet: &str) -> Result<Who, String> {
+/// Why the greeting is not taken, for its sender.
+pub fn greeted(frame: &Frame, fleet: &str, own: u16) -> Result<(Who, u16), String> {
     match frame {
-        Frame::Hello { version: VERSION, fleet: named, who } if named == fleet => Ok(who.clone()),
-        Frame::Hello { version: VERSION, fleet: named, .. } => {
-            Err(format!("this is fleet {fleet}, not {named}"))
+        Frame::Hello { version, .. } if !(OLDEST..=VERSION).contains(version) => {
+            Err(format!("frames here are of versions {OLDEST} to {VERSION}, not {version}"))
         }
-        Frame::Hello { version, .. } => Err(format!("frames here are of version {VERSION}, not {version}")),
+        Frame::Hello { version, fleet: named, who } if named == fleet => Ok((who.clone(), own.min(*version))),
+        Frame::Hello { fleet: named, .. } => Err(format!("this is fleet {fleet}, not {named}")),
         _ => Err("no greeting came first".to_string()),
     }
 }
 
+/// With which version a side that dials greets: one for each place. A side of version 2 takes no other, and says so or ends the
+/// connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Greeting {
+    version: u16,
+    cut: u8,
+}
+
+impl Default for Greeting {
+    fn default() -> Greeting {
+        Greeting { version: VERSION, cut: 0 }
+    }
+}
+
+impl Greeting {
+    /// The version of the next greeting.
+    pub fn version(self) -> u16 {
+        self.version
+    }
+
+    /// The greeting was refused: the other version is next.
+    pub fn refused(&mut self) {
+        let version = if self.version == VERSION { OLDEST } else { VERSION };
+        *self = Greeting { version, cut: 0 };
+    }
+
+    /// The connection was up, and has ended before the greeting was answered. Danger: a daemon that ended by itself is no older
+    /// one, and a member that greets it as one is told nothing of its scopes.
+    pub fn cut(&mut self) {
+        self.cut += 1;
+        if self.cut >= CUT_MOST || self.version != VERSION {
+            self.refused();
+        }
+    }
+
+    /// The greeting was answered: the next connection begins anew.
+    pub fn taken(&mut self) {
+        *self = Greeting::default();
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -388,9 +484,10 @@
         Frame::Ask { number: 1, ask: Ask::Status }.write(&mut bytes);
         assert_eq!(read(&bytes).unwrap_err(), "no greeting came first");
         let other = Frame::hello("brno", Who::Operator);
-        assert_eq!(greeted(&other, "zilina").unwrap_err(), "this is fleet zilina, not brno");
+        assert_eq!(greeted(&other, "zilina", VERSION).unwrap_err(), "this is fleet zilina, not brno");
         let newer = Frame::Hello { version: 9, fleet: "zilina".into(), who: Who::Operator };
-        assert_eq!(greeted(&newer, "zilina").unwrap_err(), "frames here are of version 2, not 9");
+        let said = "frames here are of versions 2 to 3, not 9";
+        assert_eq!(greeted(&newer, "zilina", VERSION).unwrap_err(), said);
         // After the greeting a frame may be long, but has its bound too.
         let mut incoming = Frames::default();
         let mut bytes = Vec::new();
--- a/crates/lab/src/scale/hollow.rs
+++ b/crates/lab/src/scale/hollow.rs
@@ -15,7 +15,7 @@
 use appledyke_fleet::limits::Limits;
 use appledyke_fleet::member::{self, Do, Member};
 use appledyke_fleet::members::Standing;
-use appledyke_fleet::talk::{Frame, Frames, Who, greeted};
+use appledyke_fleet::talk::{Frame, Frames, VERSION, Who, greeted};
 use mio::net::TcpStream;
 use mio::{Events, Interest, Poll, Registry, Token, Waker};
 use oorandom::Rand64;
@@ -336,6 +336,7 @@
             version: Version::default(),
             limits: Limits::default(),
             groups: vec![format!("service-{}", spec.service), format!("zone-{}", spec.zone)],
+            locality: None,
             runs: env!("CARGO_PKG_VERSION").to_string(),
         };
         let mut member = Member::new(now, setup, self.chance.rand_u64());
@@ -562,13 +563,11 @@
         let Some(life) = &mut self.lives[at] else { return false };
         let done = match frame {
             Frame::Hello { .. } => {
-                if greeted(&frame, FLEET).is_err() {
-                    return false;
-                }
+                let Ok((_, speaks)) = greeted(&frame, FLEET, VERSION) else { return false };
                 if let Some(conn) = &mut life.conn {
                     conn.greeted = true;
                 }
-                life.member.up(now)
+                life.member.up(now, speaks)
             }
             Frame::Told(told) => life.member.told(now, told),
             Frame::OutTold { ask, refused } => {
@@ -594,6 +593,7 @@
             match what {
                 Do::Dial(place) => self.dial(at, place),
                 Do::Close => self.close(at),
+                Do::Belongs(locality) => self.send(at, &Frame::Belongs(locality)),
                 Do::Send(report) => self.send(at, &Frame::Report(*report)),
                 Do::Take(version, settings) => {
                     let Some(life) = &mut self.lives[at] else { return };
--- a/crates/lab/src/simulate.rs
+++ b/crates/lab/src/simulate.rs
@@ -618,7 +618,8 @@
         let fleet = self.scenario.fleet;
         if fleet.hears != Hears::Nothing {
             let (now, life) = (self.now, self.nodes[node].life);
-            let passed = self.evidence.catch_up(now, node as u32, &mut self.cursors[node], fleet.at_return);
+            let passed =
+                self.evidence.catch_up(now, 0, node as u32, &mut self.cursors[node], fleet.at_return);
             self.pass_on(node, &passed);
             if fleet.hears == Hears::All {
                 self.soon(Span::from_millis(fleet.beat_ms), Event::Hears { node, life });
@@ -631,7 +632,7 @@
             return;
         }
         let (now, fleet) = (self.now, self.scenario.fleet);
-        let passed = self.evidence.tell(now, node as u32, &mut self.cursors[node], fleet.each);
+        let passed = self.evidence.tell(now, 0, node as u32, &mut self.cursors[node], fleet.each);
         self.pass_on(node, &passed);
         self.soon(Span::from_millis(fleet.beat_ms), Event::Hears { node, life });
     }
@@ -949,7 +950,7 @@
                 outcome: code,
                 part: (self.now.since(sent).secs() / budget.secs().max(1e-6)) as f32,
             };
-            self.evidence.hear(self.now, node as u32, u64::from(life), &[seen]);
+            self.evidence.hear(self.now, 0, node as u32, u64::from(life), &[seen]);
         }
         if outcome == Outcome::Satisfied {
             self.final_answer(node, req, Answer::Served);
--- a/crates/sidecar/src/fleet.rs
+++ b/crates/sidecar/src/fleet.rs
@@ -14,7 +14,7 @@
 use appledyke_fleet::limits::Limits;
 use appledyke_fleet::member::{Do, Member, Setup};
 use appledyke_fleet::members::Standing;
-use appledyke_fleet::talk::{Frame, Frames, Who, greeted};
+use appledyke_fleet::talk::{Frame, Frames, VERSION, Who, greeted};
 use serde_json::{Value, json};
 
 use crate::figures::End;
@@ -239,6 +239,7 @@
             version: agreed.as_ref().map_or_else(Version::default, |agreed| agreed.version),
             limits: Limits::new(&terms.alone),
             groups: terms.groups.clone(),
+            locality: None,
             runs: terms.version.clone(),
         };
         let member = Member::new(now, setup, seed);
@@ -394,10 +395,11 @@
                 let Some(link) = self.links.get_mut(key) else { return news };
                 let frame = link.frames.pop();
                 match frame {
-                    Ok(Some(frame @ Frame::Hello { .. })) => match greeted(&frame, &self.terms.name) {
-                        Ok(_) => {
+                    Ok(Some(frame @ Frame::Hello { .. })) => match greeted(&frame, &self.terms.name, VERSION)
+                    {
+                        Ok((_, speaks)) => {
                             link.greeted = true;
-                            let done = self.member.up(turn.now);
+                            let done = self.member.up(turn.now, speaks);
                             news.extend(self.carry_out(done, turn));
                         }
                         Err(why) => {
@@ -484,6 +486,7 @@
             match what {
                 Do::Dial(place) => self.dial(place, turn),
                 Do::Close => self.close(turn),
+                Do::Belongs(locality) => self.send(&Frame::Belongs(locality), turn),
                 Do::Send(report) => self.send(&Frame::Report(*report), turn),
                 Do::Take(version, settings) => news.push(News::Settings(version, settings)),
                 Do::Hear(passed) => news.push(News::Ends(passed)),
