What a sidecar belongs to: the key, what is kept with it, and the greeting of an older daemon

Histories of scopes give way before what holds does, so that removing a scope makes room; a member hears also of a removal whose scope is not kept any more, or that a restored state does not know; a removal of nothing is refused.

--- a/crates/fleet/src/scopes.rs
+++ b/crates/fleet/src/scopes.rs
@@ -16,7 +16,7 @@
 pub const SCOPE_HISTORY_MOST: usize = 16;
 /// Scopes at the most: several times the services, zones and regions of the largest fleet, and some single members.
 pub const SCOPES_MOST: usize = 1024;
-/// Bytes of all texts of scopes together, their histories too: a snapshot goes in one frame (`talk::FRAME_MOST`, 32 MiB), half
+/// Bytes of all that is put for scopes together, their histories too: a snapshot goes in one frame (`talk::FRAME_MOST`, 32 MiB), half
 /// of which may hold the versions of what is put for all.
 pub const SCOPED_BYTES_MOST: usize = 12 << 20;
 
@@ -88,6 +88,15 @@
         ];
         scopes.into_iter().flatten()
     }
+
+    /// # Errors
+    /// What is wrong with its name.
+    pub fn check(&self) -> Result<(), String> {
+        if *self != Scope::All && (self.name().is_empty() || self.name().len() > TEXT_MOST) {
+            return Err(format!("expected a name of {TEXT_MOST} bytes at the most in '{self}'"));
+        }
+        Ok(())
+    }
 }
 
 impl fmt::Display for Scope {
@@ -116,10 +125,7 @@
                 return Err(format!("expected all, region=…, zone=…, service=… or member=…, not '{text}'"));
             }
         };
-        if scope.name().is_empty() || scope.name().len() > TEXT_MOST {
-            return Err(format!("expected a name of {TEXT_MOST} bytes at the most in '{text}'"));
-        }
-        Ok(scope)
+        scope.check().map(|()| scope)
     }
 }
 
@@ -195,28 +201,37 @@
         self.of.values().flatten().map(Scoped::bytes).sum()
     }
 
-    /// Takes what is put for a scope; its oldest versions go where there is no room for all.
+    /// Takes what is put for a scope. Where there is no room for all, scopes that were removed and the oldest versions of all
+    /// that hold no more give way.
     ///
     /// # Errors
     /// What there is no room for; nothing has changed then.
     pub fn put(&mut self, scope: &Scope, scoped: Scoped) -> Result<(), Full> {
+        // Danger: were versions that hold no more counted here, removing a scope would make no room.
+        let others = self.iter().filter(|(other, _)| *other != scope);
+        if others.map(|(_, last)| last.bytes()).sum::<usize>() + scoped.bytes() > SCOPED_BYTES_MOST {
+            return Err(Full::Bytes);
+        }
         if !self.of.contains_key(scope) && self.of.len() >= SCOPES_MOST {
-            let gone = self.iter().filter(|(_, last)| last.settings.is_none());
-            let oldest =
-                gone.min_by_key(|(_, last)| last.version).map(|(scope, last)| (scope.clone(), last.version));
-            let Some((gone, version)) = oldest else { return Err(Full::Scopes) };
-            // Danger: who was away when that scope was taken away would never hear of it.
+            let removed = self.iter().filter(|(_, last)| last.settings.is_none());
+            let oldest = removed.min_by_key(|(_, last)| last.version);
+            let (gone, version) =
+                oldest.map(|(scope, last)| (scope.clone(), last.version)).ok_or(Full::Scopes)?;
+            // Danger: who was away when that scope was removed would never hear of it.
             self.of.remove(&gone);
             self.floor = self.floor.max(version);
         }
-        let own: usize = self.history(scope).map(Scoped::bytes).sum();
-        // The last one is kept for a way back, if there is room for that.
-        if self.bytes() - own + scoped.bytes() > SCOPED_BYTES_MOST {
-            return Err(Full::Bytes);
+        let history = self.of.entry(scope.clone()).or_default();
+        history.push_back(scoped);
+        if history.len() > SCOPE_HISTORY_MOST {
+            history.pop_front();
         }
-        self.of.entry(scope.clone()).or_default().push_back(scoped);
-        while self.bytes() > SCOPED_BYTES_MOST || self.of[scope].len() > SCOPE_HISTORY_MOST {
-            self.of.get_mut(scope).into_iter().for_each(|history| drop(history.pop_front()));
+        let mut over = self.bytes().saturating_sub(SCOPED_BYTES_MOST);
+        while over > 0 {
+            let histories = self.of.values_mut().filter(|history| history.len() > 1);
+            let oldest = histories.min_by_key(|history| history.front().map(|scoped| scoped.version));
+            let Some(gone) = oldest.and_then(VecDeque::pop_front) else { break };
+            over = over.saturating_sub(gone.bytes());
         }
         Ok(())
     }
@@ -227,7 +242,7 @@
     }
 
     /// What holds for a member: the version by which it knows whether it has it, and the text. None where nothing was ever put
-    /// that concerns it. `all` is what was put for all.
+    /// that concerns it, and it is not known otherwise. `all` is what was put for all.
     pub fn merged(
         &self,
         all: Option<(Version, &str)>,
@@ -238,8 +253,10 @@
         let own: Vec<&Scoped> = own.collect();
         let texts = own.iter().filter_map(|scoped| scoped.settings.as_deref());
         let texts: Vec<&str> = all.iter().map(|(_, text)| *text).chain(texts).collect();
+        // Danger: what concerned a member may be gone from here, and nothing else be put that does.
+        let floor = (self.floor != Version::default()).then_some(self.floor);
         let versions = own.iter().map(|scoped| scoped.version).chain(all.iter().map(|(version, _)| *version));
-        let version = versions.max()?.max(self.floor);
+        let version = versions.chain(floor).max()?;
         // As it was put, where nothing else concerns it.
         Some((version, if let [one] = texts[..] { one.to_string() } else { overlaid(&texts) }))
     }
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -111,6 +111,8 @@
     /// Budgets and groups are stated for all; and what is for all is put anew, not removed.
     OnlyForAll,
     NeverForAll,
+    /// Nothing is put for this scope that could be removed.
+    NothingPut,
 }
 
 impl fmt::Display for Refusal {
@@ -125,6 +127,7 @@
             Refusal::Full(why) => write!(f, "{why}"),
             Refusal::OnlyForAll => write!(f, "budgets and groups are put for all, not for a scope"),
             Refusal::NeverForAll => write!(f, "what is put for all is put anew, not removed"),
+            Refusal::NothingPut => write!(f, "nothing is put for this scope"),
             Refusal::Superseded(incarnation) => write!(f, "incarnation {incarnation} has followed this one"),
         }
     }
@@ -228,7 +231,6 @@
     /// The version of what is put for a scope.
     pub fn version_of(&self, scope: &Scope) -> Version {
         let last = match scope {
-            Scope::All if self.scopes.is_empty() => return self.version,
             Scope::All => self.history.back().map(|written| written.version),
             _ => self.scopes.last(scope).map(|scoped| scoped.version),
         };
@@ -345,10 +347,13 @@
                     None => return Answer::Refused(Refusal::Unknown(*version)),
                 }
             }
+            What::Remove if self.scopes.last(scope).is_none_or(|last| last.settings.is_none()) => {
+                return Answer::Refused(Refusal::NothingPut);
+            }
             What::Remove => (None, None),
         };
         let long = settings.as_ref().is_some_and(|settings| settings.len() > SETTINGS_MOST);
-        if long || write.by.len() > TEXT_MOST || write.why.len() > TEXT_MOST {
+        if long || scope.check().is_err() || write.by.len() > TEXT_MOST || write.why.len() > TEXT_MOST {
             return Answer::Refused(Refusal::TooMuch);
         }
         let version = Version { number: self.version.number + 1, ..self.version };
--- a/crates/sidecar/src/fleet.rs
+++ b/crates/sidecar/src/fleet.rs
@@ -14,7 +14,8 @@
 use appledyke_fleet::limits::Limits;
 use appledyke_fleet::member::{Do, Member, Setup};
 use appledyke_fleet::members::Standing;
-use appledyke_fleet::talk::{Frame, Frames, VERSION, Who, greeted};
+use appledyke_fleet::scopes::Locality;
+use appledyke_fleet::talk::{Frame, Frames, Greeting, Who, greeted};
 use serde_json::{Value, json};
 
 use crate::figures::End;
@@ -44,6 +45,8 @@
     alone: BTreeMap<Thing, (u64, u64)>,
     /// The groups that it belongs to: zone, tier, pool.
     groups: Vec<String>,
+    /// What it belongs to, for settings that are put for a part of the fleet and for others' evidence.
+    belongs: Option<Locality>,
     /// What operators call the version of this process; the program's own if they state none.
     version: String,
 }
@@ -60,7 +63,8 @@
         }
         let fields = key.as_object().ok_or_else(|| format!("fleet: expected an object, not {key}"))?;
         if let Some(odd) = fields.keys().find(|key| {
-            !["name", "daemons", "beatMs", "keep", "alone", "groups", "version"].contains(&key.as_str())
+            !["name", "daemons", "beatMs", "keep", "alone", "groups", "belongs", "version"]
+                .contains(&key.as_str())
         }) {
             return Err(format!("fleet.{odd}: unknown"));
         }
@@ -103,6 +107,7 @@
             }
             other => return Err(format!("fleet.groups: expected a list of names, not {other}")),
         };
+        let belongs = belongs(&key["belongs"])?;
         let version = match &key["version"] {
             Value::Null => env!("CARGO_PKG_VERSION").to_string(),
             Value::String(version) if !version.is_empty() => version.clone(),
@@ -115,6 +120,7 @@
             keep,
             alone,
             groups,
+            belongs,
             version,
         }))
     }
@@ -122,7 +128,7 @@
     /// The settings that this member acted on last, if they were kept.
     ///
     /// # Errors
-    /// Why they can't be read.
+    /// Why they can't be read, or that they were kept by a process that belonged elsewhere.
     pub fn kept(&self) -> Result<Option<Agreed>, String> {
         let Some(path) = &self.keep else { return Ok(None) };
         let named = |what: String| format!("fleet.keep: {}: {what}", path.display());
@@ -133,10 +139,55 @@
         let kept: Value = serde_json::from_str(&text).map_err(|e| named(format!("not JSON: {e}")))?;
         let version = kept["version"].as_str().and_then(|version| version.parse().ok());
         let version = version.ok_or_else(|| named("version: missing, or no version".to_string()))?;
+        // Danger: another service's settings, and their version would hide this one's own.
+        let other = belongs(&kept["belongs"]).map_err(named)?;
+        if other != self.belongs {
+            let told = |locality: &Option<Locality>| locality.as_ref().map_or("nothing".into(), told);
+            let (kept, own) = (told(&other), told(&self.belongs));
+            return Err(named(format!(
+                "kept by a process that belonged to {kept}, and this one does to {own}"
+            )));
+        }
         Ok(Some(Agreed { version, settings: kept["settings"].clone() }))
     }
 }
 
+/// The names that a locality may have, as they stand in files.
+fn belongs(key: &Value) -> Result<Option<Locality>, String> {
+    let rows = match key {
+        Value::Null => return Ok(None),
+        Value::Object(rows) if !rows.is_empty() => rows,
+        other => {
+            return Err(format!(
+                "fleet.belongs: expected an object with service, zone or region, not {other}"
+            ));
+        }
+    };
+    let mut locality = Locality::default();
+    for (name, value) in rows {
+        let own = match name.as_str() {
+            "service" => &mut locality.service,
+            "zone" => &mut locality.zone,
+            "region" => &mut locality.region,
+            _ => return Err(format!("fleet.belongs.{name}: unknown")),
+        };
+        let text =
+            value.as_str().ok_or_else(|| format!("fleet.belongs.{name}: expected a text, not {value}"))?;
+        *own = Some(text.to_string());
+    }
+    locality.check().map_err(|what| format!("fleet.belongs.{what}"))?;
+    Ok(Some(locality))
+}
+
+fn rows(locality: &Locality) -> impl Iterator<Item = (&'static str, &String)> {
+    let rows = [("service", &locality.service), ("zone", &locality.zone), ("region", &locality.region)];
+    rows.into_iter().filter_map(|(key, name)| Some((key, name.as_ref()?)))
+}
+
+fn told(locality: &Locality) -> String {
+    rows(locality).map(|(key, name)| format!("{key}={name}")).collect::<Vec<_>>().join(", ")
+}
+
 fn alone(key: &Value) -> Result<BTreeMap<Thing, (u64, u64)>, String> {
     let mut alone = BTreeMap::new();
     let rows = match key {
@@ -176,8 +227,15 @@
 
 impl Agreed {
     /// Brings these into place whole. Danger: half a file at the next start would leave this member without any.
-    fn keep(&self, path: &Path) -> io::Result<()> {
-        let text = json!({"version": self.version.to_string(), "settings": self.settings}).to_string();
+    ///
+    /// # Errors
+    /// The system's.
+    pub fn keep(&self, path: &Path, belongs: Option<&Locality>) -> io::Result<()> {
+        let mut kept = json!({"version": self.version.to_string(), "settings": self.settings});
+        if let Some(locality) = belongs {
+            kept["belongs"] = rows(locality).map(|(key, name)| (key.to_string(), json!(name))).collect();
+        }
+        let text = kept.to_string();
         let draft = path.with_extension("draft");
         fs::write(&draft, text)?;
         fs::rename(&draft, path)
@@ -212,6 +270,8 @@
     connection: Connection,
     frames: Frames,
     greeted: bool,
+    place: u16,
+    greets: u16,
 }
 
 pub struct Fleet {
@@ -219,6 +279,8 @@
     member: Member,
     links: Slots<Link>,
     open: Option<Key>,
+    /// With which version each daemon is greeted next.
+    greetings: BTreeMap<u16, Greeting>,
     deadline: Option<Moment>,
     pub agreed: Option<Agreed>,
     /// Settings that were agreed on and found faulty here.
@@ -239,7 +301,7 @@
             version: agreed.as_ref().map_or_else(Version::default, |agreed| agreed.version),
             limits: Limits::new(&terms.alone),
             groups: terms.groups.clone(),
-            locality: None,
+            locality: terms.belongs.clone(),
             runs: terms.version.clone(),
         };
         let member = Member::new(now, setup, seed);
@@ -248,6 +310,7 @@
             member,
             links: Slots::default(),
             open: None,
+            greetings: BTreeMap::new(),
             deadline: None,
             agreed,
             faulty: 0,
@@ -371,8 +434,9 @@
     /// It acts on these from now on.
     pub fn acts_on(&mut self, agreed: Agreed) {
         self.member.acts_on(agreed.version);
+        let belongs = self.member.locality().filter(|_| !self.member.is_unscoped());
         if let Some(path) = &self.terms.keep
-            && let Err(e) = agreed.keep(path)
+            && let Err(e) = agreed.keep(path, belongs)
         {
             log::warn!("fleet.keep: {}: {e}", path.display());
         }
@@ -391,22 +455,25 @@
             link.frames.push(&link.connection.input);
             link.connection.input.clear();
             let (ended, more) = (!works || link.connection.ended, link.connection.full);
+            let place = link.place;
             loop {
                 let Some(link) = self.links.get_mut(key) else { return news };
                 let frame = link.frames.pop();
                 match frame {
-                    Ok(Some(frame @ Frame::Hello { .. })) => match greeted(&frame, &self.terms.name, VERSION)
-                    {
-                        Ok((_, speaks)) => {
-                            link.greeted = true;
-                            let done = self.member.up(turn.now, speaks);
-                            news.extend(self.carry_out(done, turn));
-                        }
-                        Err(why) => {
-                            self.fail(&why, turn);
-                            return news;
+                    Ok(Some(frame @ Frame::Hello { .. })) => {
+                        match greeted(&frame, &self.terms.name, link.greets) {
+                            Ok((_, speaks)) => {
+                                link.greeted = true;
+                                self.greetings.entry(place).or_default().taken();
+                                let done = self.member.up(turn.now, speaks);
+                                news.extend(self.carry_out(done, turn));
+                            }
+                            Err(why) => {
+                                self.fail(&why, turn);
+                                return news;
+                            }
                         }
-                    },
+                    }
                     Ok(Some(Frame::OutTold { ask, refused })) => {
                         if self.member.asker.answered(ask, refused.is_none()) {
                             news.push(News::Out { refused });
@@ -417,7 +484,12 @@
                         news.extend(self.carry_out(done, turn));
                     }
                     // Danger: what was said before is known to the member by now, and is not told again.
-                    Ok(Some(Frame::NotTaken(why))) | Err(why) => {
+                    Ok(Some(Frame::NotTaken(why))) => {
+                        self.greetings.entry(place).or_default().refused();
+                        self.fail(&why, turn);
+                        return news;
+                    }
+                    Err(why) => {
                         self.fail(&why, turn);
                         return news;
                     }
@@ -429,6 +501,9 @@
                 }
             }
             if ended {
+                if up && !self.links.get(key).is_some_and(|link| link.greeted) {
+                    self.greetings.entry(place).or_default().cut();
+                }
                 self.close(turn);
                 self.member.broken(turn.now);
                 break;
@@ -458,11 +533,12 @@
         self.close(turn);
         let Some((_, at)) = self.terms.daemons.iter().find(|(known, _)| *known == place) else { return };
         let (mut hello, name) = (Vec::new(), self.member.name().to_string());
-        Frame::hello(&self.terms.name, Who::Member { name }).write(&mut hello);
+        let greets = self.greetings.entry(place).or_default().version();
+        Frame::hello_as(greets, &self.terms.name, Who::Member { name }).write(&mut hello);
         let opened = self.links.insert_with(|key| {
             let mut connection = Connection::open(*at, &turn.registry, Peer::Fleet(key).token())?;
             connection.queue(&[&hello], 0);
-            Ok::<_, io::Error>(Link { connection, frames: Frames::default(), greeted: false })
+            Ok::<_, io::Error>(Link { connection, frames: Frames::default(), greeted: false, place, greets })
         });
         match opened {
             Ok(key) => self.open = Some(key),
@@ -569,7 +645,7 @@
         let terms = Terms::read(&key).unwrap().unwrap();
         assert_eq!(terms.kept(), Ok(None));
         let agreed = Agreed { version: Version { generation: 2, number: 7 }, settings: json!({"rules": {}}) };
-        agreed.keep(&path).unwrap();
+        agreed.keep(&path, None).unwrap();
         assert_eq!(terms.kept(), Ok(Some(agreed)));
         fs::write(&path, "{\"version\": 5}").unwrap();
         assert!(terms.kept().unwrap_err().ends_with("version: missing, or no version"));
