--- /dev/null
+++ b/crates/fleet/tests/evidence_scopes.rs
@@ -0,0 +1,156 @@
+//! Evidence by service: who hears whose, and that a busy service costs others nothing.
+
+use std::collections::BTreeMap;
+
+use appledyke::units::Moment;
+use appledyke_fleet::evidence::{Cursor, Evidence, KEPT, MOST, OF_A_SERVICE_MOST, Seen};
+use oorandom::Rand64;
+
+const MENU: u32 = 11;
+const CART: u32 = 22;
+const READER: u32 = 999;
+
+fn at(ms: u64) -> Moment {
+    Moment::from_nanos(ms * 1_000_000)
+}
+
+fn seen(sequence: u64, endpoint: u32) -> Seen {
+    Seen { sequence, age_ms: 0, endpoint, method: 1, outcome: 1, part: 0.5 }
+}
+
+fn run(from: u64, to: u64) -> Vec<Seen> {
+    (from..=to).map(|sequence| seen(sequence, sequence as u32)).collect()
+}
+
+/// All that a reader hears, by writer and sequence, so many at a time.
+fn heard(evidence: &Evidence, now: u64, service: u32, cursor: &mut Cursor, most: usize) -> Vec<(u32, u64)> {
+    let mut all = Vec::new();
+    loop {
+        let told = evidence.tell(at(now), service, READER, cursor, most);
+        assert!(told.len() <= most);
+        if told.is_empty() {
+            return all;
+        }
+        all.extend(told.iter().map(|passed| (passed.writer, passed.seen.sequence)));
+    }
+}
+
+/// Danger: names of another service's endpoints say nothing, and crowd out those that do.
+#[test]
+fn who_has_a_service_hears_its_own_and_of_no_service_and_who_has_none_hears_all() {
+    let mut evidence = Evidence::default();
+    for (writer, service) in [(1, MENU), (2, CART), (3, 0), (4, MENU)] {
+        assert_eq!(evidence.hear(at(1000), service, writer, 1, &run(1, 2)), 2);
+    }
+    let of = |service, most| heard(&evidence, 1000, service, &mut Cursor::default(), most);
+    for most in [1, 3, 100] {
+        assert_eq!(of(MENU, most), [(1, 1), (1, 2), (3, 1), (3, 2), (4, 1), (4, 2)]);
+        assert_eq!(of(CART, most), [(2, 1), (2, 2), (3, 1), (3, 2)]);
+        assert_eq!(of(33, most), [(3, 1), (3, 2)]);
+        let all = [(1, 1), (1, 2), (2, 1), (2, 2), (3, 1), (3, 2), (4, 1), (4, 2)];
+        assert_eq!(of(0, most), all);
+    }
+    // Nobody hears its own.
+    assert_eq!(evidence.tell(at(1000), MENU, 1, &mut Cursor::default(), 100).len(), 4);
+    let caught = |service, most| evidence.catch_up(at(1000), service, READER, &mut Cursor::default(), most);
+    let writers = |service, most| caught(service, most).iter().map(|p| p.writer).collect::<Vec<_>>();
+    assert_eq!(writers(CART, 100), [2, 2, 3, 3]);
+    assert_eq!(writers(0, 100), [1, 1, 2, 2, 3, 3, 4, 4]);
+    // The latest, where it can't be all.
+    assert_eq!(writers(CART, 3), [2, 3, 3]);
+}
+
+/// Danger: a service with many records a second would leave nothing of the others' for who returns.
+#[test]
+fn a_busy_service_pushes_out_only_its_own() {
+    let mut evidence = Evidence::default();
+    for service in 1..=200 {
+        evidence.hear(at(1000), service, service, 1, &run(1, 16));
+    }
+    for beat in 0..40 {
+        evidence.hear(at(1000 + beat), 777, 777, 1, &run(beat * 1000 + 1, beat * 1000 + 1000));
+        assert!(evidence.count() <= MOST);
+    }
+    for service in 1..=200 {
+        assert_eq!(heard(&evidence, 1040, service, &mut Cursor::default(), 100).len(), 16, "{service}");
+    }
+    let busy = heard(&evidence, 1040, 777, &mut Cursor::default(), 100);
+    assert_eq!((busy.len(), busy.last()), (OF_A_SERVICE_MOST, Some(&(777, 40_000))));
+    // Two that are busy share what is there, and a third that begins finds room.
+    let mut evidence = Evidence::default();
+    for service in [MENU, CART, 0] {
+        evidence.hear(at(1000), service, service + 1, 1, &run(1, 30_000));
+        assert!(evidence.count() <= MOST);
+    }
+    let of = |service| heard(&evidence, 1000, service, &mut Cursor::default(), 1000).len();
+    let counts = (of(MENU), of(CART), of(0));
+    assert!(evidence.count() == MOST && counts.0.min(counts.1) > OF_A_SERVICE_MOST / 2, "{counts:?}");
+    // As in a fleet without services: those without one may fill all.
+    let mut evidence = Evidence::default();
+    evidence.hear(at(1000), 0, 1, 1, &run(1, 30_000));
+    assert_eq!(evidence.count(), MOST);
+}
+
+#[test]
+fn what_is_old_goes_from_all_services_also_where_nobody_tells_any_more() {
+    let mut evidence = Evidence::default();
+    for service in 0..100 {
+        evidence.hear(at(1000), service, service + 1, 1, &run(1, 10));
+    }
+    assert_eq!(evidence.count(), 1000);
+    let late = 1000 + KEPT.nanos() / 1_000_000 + 1;
+    evidence.hear(at(late), 5, 500, 1, &run(1, 1));
+    assert_eq!(evidence.count(), 1);
+}
+
+/// Danger: a cursor that goes past what was not looked at loses it for good.
+#[test]
+fn over_random_histories_each_record_is_told_once_in_its_order_and_none_is_lost() {
+    for seed in 0..200 {
+        let mut chance = Rand64::new(seed);
+        let mut evidence = Evidence::default();
+        let readers = [0, MENU, CART, 33];
+        let mut cursors = readers.map(|_| Cursor::default());
+        let mut got = readers.map(|_| Vec::new());
+        let mut told: Vec<(u32, u32, u64)> = Vec::new();
+        let mut sequences: BTreeMap<u32, u64> = BTreeMap::new();
+        for step in 0..200 {
+            let now = 1000 + step;
+            if chance.rand_range(0..2) == 0 {
+                let service = [0, MENU, CART][chance.rand_range(0..3) as usize];
+                let writer = service * 10 + chance.rand_range(1..4) as u32;
+                let sequence = sequences.entry(writer).or_default();
+                let to = *sequence + chance.rand_range(0..5);
+                evidence.hear(at(now), service, writer, 1, &run(*sequence + 1, to));
+                told.extend((*sequence + 1..=to).map(|sequence| (service, writer, sequence)));
+                *sequence = to;
+            } else {
+                let reader = chance.rand_range(0..readers.len() as u64) as usize;
+                let most = chance.rand_range(0..6) as usize;
+                let passed = evidence.tell(at(now), readers[reader], READER, &mut cursors[reader], most);
+                assert!(passed.len() <= most);
+                got[reader].extend(passed.iter().map(|passed| (passed.writer, passed.seen.sequence)));
+            }
+        }
+        for ((service, cursor), mut got) in readers.iter().zip(&mut cursors).zip(got) {
+            got.extend(heard(&evidence, 1200, *service, cursor, 3));
+            let own = |of: u32| *service == 0 || of == 0 || of == *service;
+            let due =
+                told.iter().filter(|(of, ..)| own(*of)).map(|(_, writer, sequence)| (*writer, *sequence));
+            assert_eq!(got, due.collect::<Vec<_>>(), "seed {seed}, reader of {service}");
+        }
+    }
+}
+
+#[test]
+fn who_catches_up_goes_on_from_there() {
+    let mut evidence = Evidence::default();
+    evidence.hear(at(1000), MENU, 1, 1, &run(1, 10));
+    evidence.hear(at(1000), CART, 2, 1, &run(1, 10));
+    let mut cursor = Cursor::default();
+    assert_eq!(evidence.catch_up(at(1000), MENU, READER, &mut cursor, 5).len(), 5);
+    assert_eq!(evidence.tell(at(1000), MENU, READER, &mut cursor, 100), []);
+    evidence.hear(at(1001), CART, 2, 1, &run(11, 20));
+    evidence.hear(at(1001), MENU, 1, 1, &run(11, 12));
+    assert_eq!(heard(&evidence, 1001, MENU, &mut cursor, 1), [(1, 11), (1, 12)]);
+}
