Scale run: members say what they belong to, and a change for one service is measured

With phases.scoped_bytes the hollow members and the real sidecars name their service, zone and region; settings are put for one service of a usual size, and removed again. The referee counts only those whom it concerns. Without the key all is as before.

--- a/crates/lab/src/rig/sidecars.rs
+++ b/crates/lab/src/rig/sidecars.rs
@@ -248,6 +248,7 @@
     addresses: Addresses,
     alone: Value,
     groups: Value,
+    belongs: Value,
     version: Value,
     /// A list of nobody, for those that are to fail.
     nobody: ListService,
@@ -280,6 +281,7 @@
             addresses: Addresses::default(),
             alone: json!({}),
             groups: json!([]),
+            belongs: Value::Null,
             version: Value::Null,
             nobody: ListService::start(json!([])).map_err(told)?,
             flawed: false,
@@ -301,6 +303,11 @@
         self.groups = json!(groups);
     }
 
+    /// What those which are started from now on belong to, by the key of their files.
+    pub fn belongs(&mut self, belongs: Value) {
+        self.belongs = belongs;
+    }
+
     /// The version that those which are started from now on say that they run, and whether they know of no endpoint.
     pub fn version(&mut self, version: &str, flawed: bool) {
         (self.version, self.flawed) = (version.into(), flawed);
@@ -325,8 +332,10 @@
                 .map(|(place, at)| json!({"place": place, "address": at.to_string()}))
                 .collect();
             file["fleet"] = json!({"name": FLEET, "daemons": rows, "beatMs": beat_ms, "keep": self.keep(name), "alone": self.alone, "groups": self.groups});
-            if !self.version.is_null() {
-                file["fleet"]["version"] = self.version.clone();
+            for (key, value) in [("version", &self.version), ("belongs", &self.belongs)] {
+                if !value.is_null() {
+                    file["fleet"][key] = value.clone();
+                }
             }
         }
         if self.flawed {
--- a/crates/lab/src/scale/hollow.rs
+++ b/crates/lab/src/scale/hollow.rs
@@ -15,6 +15,7 @@
 use appledyke_fleet::limits::Limits;
 use appledyke_fleet::member::{self, Do, Member};
 use appledyke_fleet::members::Standing;
+use appledyke_fleet::scopes::Locality;
 use appledyke_fleet::talk::{Frame, Frames, VERSION, Who, greeted};
 use mio::net::TcpStream;
 use mio::{Events, Interest, Poll, Registry, Token, Waker};
@@ -58,6 +59,14 @@
     pub list: String,
 }
 
+impl Spec {
+    /// What it belongs to, by name.
+    pub fn locality(&self) -> Locality {
+        let (zone, region) = (format!("z{}", self.zone), format!("r{}", self.region));
+        Locality { service: Some(self.list.clone()), zone: Some(zone), region: Some(region) }
+    }
+}
+
 /// The way from one region to another.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Path {
@@ -77,6 +86,8 @@
     pub daemons: Vec<Daemon>,
     /// From a member's region to a daemon's, and back.
     pub paths: Vec<Vec<Path>>,
+    /// Members say what they belong to.
+    pub scoped: bool,
     /// All members of the fleet; those of this process are named by their place among them.
     pub members: Vec<Spec>,
     pub mine: Vec<u32>,
@@ -325,6 +336,7 @@
     fn raise(&mut self, at: usize) -> u64 {
         let now = now();
         let spec = self.spec(at).clone();
+        let locality = self.setup.scoped.then(|| spec.locality());
         // Danger: one that is raised again within a clock's step would be its own twin.
         let incarnation = now.nanos();
         let setup = member::Setup {
@@ -336,7 +348,7 @@
             version: Version::default(),
             limits: Limits::default(),
             groups: vec![format!("service-{}", spec.service), format!("zone-{}", spec.zone)],
-            locality: None,
+            locality,
             runs: env!("CARGO_PKG_VERSION").to_string(),
         };
         let mut member = Member::new(now, setup, self.chance.rand_u64());
--- a/crates/lab/src/scale/report.rs
+++ b/crates/lab/src/scale/report.rs
@@ -49,7 +49,11 @@
 pub struct Change {
     pub size: usize,
     pub round: usize,
+    /// How many members it concerns.
+    pub concerns: usize,
     pub bytes: usize,
+    /// For how long it was looked at: what members report anyhow is in the bytes too.
+    pub secs: f64,
     pub put_ms: f64,
     /// From committed to the hollow members' acting on it.
     pub p50_ms: f64,
@@ -187,14 +191,15 @@
                 add(*of, figure, points);
             }
         }
-        let sizes: BTreeSet<usize> = self.changes.iter().map(|change| change.bytes).collect();
+        let for_all = |change: &&Change| change.concerns == change.size;
+        let sizes: BTreeSet<usize> = self.changes.iter().filter(for_all).map(|change| change.bytes).collect();
         for bytes in sizes {
             let phase = format!("change {bytes}");
             let mut of = |figure: &str, value: &dyn Fn(&Change) -> f64| {
                 let points: Vec<Point> = self
                     .changes
                     .iter()
-                    .filter(|change| change.bytes == bytes)
+                    .filter(|change| for_all(change) && change.bytes == bytes)
                     .map(|change| Point { size: change.size as f64, value: value(change) })
                     .collect();
                 add((&phase, "all"), figure, &points);
@@ -273,10 +278,12 @@
         put(String::new());
         for c in &self.changes {
             put(format!(
-                "change of {} bytes at {} (round {}): put {:.0} ms; in force after {:.0} ms (p50), {:.0} (p99), {:.0} (last), real {:.0}, {} missing; leader's wire {:.2} MB to members, {:.2} MB to daemons",
+                "change of {} bytes for {} of {} (round {}, {:.2} s): put {:.0} ms; in force after {:.0} ms (p50), {:.0} (p99), {:.0} (last), real {:.0}, {} missing; leader's wire {:.2} MB to members, {:.2} MB to daemons",
                 c.bytes,
+                c.concerns,
                 c.size,
                 c.round,
+                c.secs,
                 c.put_ms,
                 c.p50_ms,
                 c.p99_ms,
--- a/crates/lab/src/scale/run.rs
+++ b/crates/lab/src/scale/run.rs
@@ -261,20 +261,30 @@
         }
     }
 
-    fn change(&mut self, bytes: usize) -> Result<(), String> {
+    /// A change for all, or for one service: of so many bytes, or what was put for it is taken away.
+    fn change(&mut self, bytes: Option<usize>, service: Option<usize>) -> Result<(), String> {
         let world = &mut self.world;
         let leader = world.daemons.wait_for_leader()?;
         let before = world.sample()?;
         world.acts.clear();
-        let (version, began, committed) = world.put(bytes, &[])?;
-        let (count, all_real) = (world.hollow_count(), world.real.len());
+        let (version, began, committed, concerns) = match service {
+            Some(service) => world.put_for(service, bytes)?,
+            None => {
+                let (version, began, committed) = world.put(bytes.unwrap_or_default(), &[])?;
+                (version, began, committed, (0..world.shape.members.len()).collect())
+            }
+        };
+        let all_real = concerns.iter().filter(|at| world.real.contains_key(at)).count();
+        let count = concerns.len() - all_real;
         let until = Instant::now() + Duration::from_millis(world.scenario.limits.in_force_ms);
         let (mut real, mut real_last, mut look) = (0, 0.0, Instant::now());
         let ms = |at: Moment| at.since(committed).nanos() as f64 / 1e6;
         loop {
             world.hear();
             if real < all_real && Instant::now() >= look {
-                let seen = world.look_at_real(version);
+                world.look_at_real(version);
+                let acts = |at: &&usize| world.real_acts.get(*at).is_some_and(|acts| *acts >= version);
+                let seen = concerns.iter().filter(acts).count();
                 if seen > real {
                     (real, real_last) = (seen, ms(now()));
                 }
@@ -294,10 +304,17 @@
             wires.map(|w| w.bytes_in + w.bytes_out).sum::<u64>() + sample.ways[&leader].iter().sum::<u64>()
         };
         let link = |sample: &Sample| sample.links[&leader].iter().sum::<u64>();
+        let phase = match (service, bytes) {
+            (None, bytes) => format!("change {}", bytes.unwrap_or_default()),
+            (Some(_), Some(bytes)) => format!("change {bytes} for a service"),
+            (Some(_), None) => "removal for a service".to_string(),
+        };
         self.played.changes.push(Change {
             size: world.size,
             round: world.round,
-            bytes,
+            concerns: concerns.len(),
+            bytes: bytes.unwrap_or_default(),
+            secs: after.at.duration_since(before.at).as_secs_f64(),
             put_ms: committed.since(began).nanos() as f64 / 1e6,
             p50_ms: quantile(&mut times, 0.5),
             p99_ms: quantile(&mut times, 0.99),
@@ -307,10 +324,20 @@
             leader_member_bytes: wire(&after) - wire(&before),
             leader_daemon_bytes: link(&after) - link(&before),
         });
-        self.rows(&format!("change {bytes}"), leader, &before, &after, false);
+        self.rows(&phase, leader, &before, &after, false);
         Ok(())
     }
 
+    /// The service whose size is nearest to the mean, and has no real sidecar.
+    fn usual_service(&self) -> usize {
+        let shape = &self.world.shape;
+        let mean = shape.members.len() as f64 / shape.services.len() as f64;
+        let off = |at: &usize| (shape.services[*at].members.len() as f64 - mean).abs();
+        let hollow = |at: &usize| !shape.services[*at].members.clone().any(|of| shape.members[of].real);
+        let all = 0..shape.services.len();
+        all.filter(hollow).min_by(|a, b| off(a).total_cmp(&off(b))).unwrap_or(0)
+    }
+
     fn evidence(&mut self) -> Result<(), String> {
         let phases = &self.world.scenario.phases;
         let (each, lasts) = (phases.evidence_each, Duration::from_millis(phases.evidence_ms));
@@ -611,7 +638,12 @@
         run.budgets()?;
     }
     for bytes in &scenario.phases.change_bytes {
-        run.change(*bytes)?;
+        run.change(Some(*bytes), None)?;
+    }
+    let service = run.usual_service();
+    for bytes in &scenario.phases.scoped_bytes {
+        run.change(Some(*bytes), Some(service))?;
+        run.change(None, Some(service))?;
     }
     let last = round + 1 == scenario.rounds && Some(&size) == scenario.sizes.iter().max();
     let faults = if last { run.faults(seed)? } else { Vec::new() };
--- a/crates/lab/src/scale/scenario.rs
+++ b/crates/lab/src/scale/scenario.rs
@@ -77,6 +77,9 @@
     pub budgets: usize,
     /// Settings of these sizes are put one after another.
     pub change_bytes: Vec<usize>,
+    /// The same for one service of a usual size. Where there are any, members say what they belong to.
+    #[serde(default)]
+    pub scoped_bytes: Vec<usize>,
 }
 
 fn fault_put_every_ms() -> u64 {
@@ -168,8 +171,12 @@
         if phases.budgets > most {
             return Err(format!("phases.budgets: expected 0 to {most}, not {}", phases.budgets));
         }
-        let named = phases.change_bytes.iter().enumerate();
-        let sizes = named.map(|(at, bytes)| (format!("phases.change_bytes[{at}]"), *bytes));
+        let named = |key: &'static str, sizes: &[usize]| {
+            let sizes: Vec<usize> = sizes.to_vec();
+            sizes.into_iter().enumerate().map(move |(at, bytes)| (format!("phases.{key}[{at}]"), bytes))
+        };
+        let sizes = named("change_bytes", &phases.change_bytes);
+        let sizes = sizes.chain(named("scoped_bytes", &phases.scoped_bytes));
         for (key, bytes) in sizes.chain([("fault_put_bytes".to_string(), self.fault_put_bytes)]) {
             if !(CHANGE_LEAST..=SETTINGS_MOST).contains(&bytes) {
                 return Err(format!("{key}: expected {CHANGE_LEAST} to {SETTINGS_MOST}, not {bytes}"));
@@ -178,6 +185,11 @@
         self.limits.check()
     }
 
+    /// Whether members say what they belong to.
+    pub fn is_scoped(&self) -> bool {
+        !self.phases.scoped_bytes.is_empty()
+    }
+
     /// Processes of a run at this size.
     pub fn processes(&self, size: usize) -> usize {
         // Beside the real ones this one and the list's service.
--- a/crates/lab/src/scale/world.rs
+++ b/crates/lab/src/scale/world.rs
@@ -9,6 +9,7 @@
 use appledyke_fleet::Version;
 use appledyke_fleet::budgets::{Budget, Thing};
 use appledyke_fleet::members::Standing as Member;
+use appledyke_fleet::scopes::Scope;
 use appledyke_fleet::state::{What, Write, WriteId};
 use appledyke_fleet::talk::{Ask, Reply};
 use serde_json::json;
@@ -79,7 +80,7 @@
     /// What was told since this was last emptied.
     pub acts: Vec<Acts>,
     /// The version that each real sidecar was last seen to act on, and the texts of all.
-    real_acts: BTreeMap<usize, Version>,
+    pub real_acts: BTreeMap<usize, Version>,
     texts: BTreeMap<Version, u64>,
     gone: BTreeSet<u16>,
     folder: PathBuf,
@@ -120,13 +121,22 @@
     write: &Write,
     leader: &mut u16,
     within: Duration,
+) -> Result<(Version, Moment, Moment), String> {
+    commit_asked(at, &Ask::Write(write.clone()), leader, within)
+}
+
+fn commit_asked(
+    at: &[(u16, SocketAddr)],
+    asked: &Ask,
+    leader: &mut u16,
+    within: Duration,
 ) -> Result<(Version, Moment, Moment), String> {
     let (began, until) = (now(), Instant::now() + within);
     let mut last = "no daemon".to_string();
     while Instant::now() < until {
         let Some((_, address)) = at.iter().find(|(place, _)| place == leader) else { return Err(last) };
         let next = || at[(at.iter().position(|(place, _)| place == leader).unwrap_or(0) + 1) % at.len()].0;
-        match ask(*address, &Ask::Write(write.clone()), ONE_IN) {
+        match ask(*address, asked, ONE_IN) {
             Ok(Reply::Committed(version)) => return Ok((version, began, now())),
             Ok(Reply::NotLeader(Some(place))) if place != *leader => *leader = place,
             Ok(Reply::NotLeader(_)) => *leader = next(),
@@ -233,6 +243,7 @@
         for (number, some) in hollow.chunks(scenario.per_process).enumerate() {
             let setup = hollow::Setup {
                 beat_ms: scenario.beat_ms,
+                scoped: scenario.is_scoped(),
                 seed: seed * 1000 + number as u64,
                 late_us: scenario.limits.late_ms * 1000,
                 list,
@@ -307,6 +318,11 @@
         let daemons: Vec<(u16, SocketAddr)> =
             order.iter().map(|place| (*place, self.ways[&(region, *place)].at())).collect();
         let incarnation = now();
+        if self.scenario.is_scoped() {
+            let (service, place) = (&self.shape.services[member.service].name, member.place);
+            let (zone, region) = (format!("z{}", place.zone), format!("r{}", place.region));
+            self.sidecars.belongs(json!({"service": service, "zone": zone, "region": region}));
+        }
         self.sidecars.start(&member.name, &daemons, self.scenario.beat_ms)?;
         self.real.insert(at, incarnation.nanos());
         self.real_acts.remove(&at);
@@ -481,6 +497,38 @@
         Ok((version, began, committed))
     }
 
+    /// Puts settings of so many bytes for one service, or takes them away: the version, when it was asked for and committed,
+    /// and the members that it concerns.
+    ///
+    /// # Errors
+    /// Why it was not committed.
+    pub fn put_for(
+        &mut self,
+        service: usize,
+        bytes: Option<usize>,
+    ) -> Result<(Version, Moment, Moment, Vec<usize>), String> {
+        let number = self.number();
+        let mut write = a_put(number, &settings(number, bytes.unwrap_or_default()), &[]);
+        if bytes.is_none() {
+            write.what = What::Remove;
+        }
+        let scope = Scope::Service(self.shape.services[service].name.clone());
+        let mut leader = self.daemons.wait_for_leader()?;
+        let asked = Ask::WriteFor { scope, write };
+        let (version, began, committed) = commit_asked(&self.doors(), &asked, &mut leader, PATIENCE)?;
+        let concerns: Vec<usize> = self.shape.services[service].members.clone().collect();
+        // What they are to act on is another text than was put: the daemons have made one of two.
+        let name = self.shape.members[concerns[0]].name.clone();
+        let Reply::Merged(Some(merged)) = self.daemons.ask(&Ask::SettingsOf(name.clone()), PATIENCE)? else {
+            return Err(format!("nobody says what holds for {name}"));
+        };
+        self.hear();
+        let text = digest(&merged.settings);
+        self.texts.insert(version, text);
+        self.referee.committed(committed, Settings { scope: 0, version, text }, Some(&concerns));
+        Ok((version, began, committed, concerns))
+    }
+
     /// The same, and looks until all real sidecars act on it.
     ///
     /// # Errors
