--- a/crates/fleet/src/scopes.rs
+++ b/crates/fleet/src/scopes.rs
@@ -241,6 +241,14 @@
         self.floor = self.floor.max(version);
     }
 
+    /// The version of what holds for a member, as `merged` has it, without its text.
+    pub fn version_for(&self, all: Option<Version>, name: &str, locality: &Locality) -> Option<Version> {
+        let own = Scope::of(name, locality).filter_map(|scope| Some(self.last(&scope)?.version));
+        // Danger: what concerned a member may be gone from here, and nothing else be put that does.
+        let floor = (self.floor != Version::default()).then_some(self.floor);
+        own.chain(all).chain(floor).max()
+    }
+
     /// What holds for a member: the version by which it knows whether it has it, and the text. None where nothing was ever put
     /// that concerns it, and it is not known otherwise. `all` is what was put for all.
     pub fn merged(
@@ -253,10 +261,7 @@
         let own: Vec<&Scoped> = own.collect();
         let texts = own.iter().filter_map(|scoped| scoped.settings.as_deref());
         let texts: Vec<&str> = all.iter().map(|(_, text)| *text).chain(texts).collect();
-        // Danger: what concerned a member may be gone from here, and nothing else be put that does.
-        let floor = (self.floor != Version::default()).then_some(self.floor);
-        let versions = own.iter().map(|scoped| scoped.version).chain(all.iter().map(|(version, _)| *version));
-        let version = versions.chain(floor).max()?;
+        let version = self.version_for(all.map(|(version, _)| version), name, locality)?;
         // As it was put, where nothing else concerns it.
         Some((version, if let [one] = texts[..] { one.to_string() } else { overlaid(&texts) }))
     }
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -243,6 +243,11 @@
         self.scopes.merged(all, name, locality)
     }
 
+    /// The version of the settings that hold for a member, without the text.
+    pub fn version_for(&self, name: &str, locality: &Locality) -> Option<Version> {
+        self.scopes.version_for(self.settings().map(|written| written.version), name, locality)
+    }
+
     pub fn budgets(&self) -> &Budgets {
         &self.budgets
     }
