--- a/crates/daemon/src/ask.rs
+++ b/crates/daemon/src/ask.rs
@@ -5,13 +5,20 @@
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
-use appledyke_fleet::talk::{Ask, Frame, Frames, Reply, VERSION, Who, greeted};
+use appledyke_fleet::talk::{Ask, Frame, Frames, Greeting, OLDEST, Reply, VERSION, Who, greeted};
 
 /// Longest that one daemon is waited for: another may lead by then.
 const ONE: Duration = Duration::from_secs(3);
 /// Between two rounds over all daemons.
 const PAUSE: Duration = Duration::from_millis(100);
 
+/// Where a question to one daemon failed.
+enum Failed {
+    /// The greeting was not taken, or the connection ended before it was answered: it may be of an older version.
+    Greeting(String),
+    Later(String),
+}
+
 /// What one daemon answers.
 ///
 /// # Errors
@@ -23,41 +30,91 @@
     within: Duration,
     sent: &mut bool,
 ) -> Result<Reply, String> {
-    let told = |e: std::io::Error| format!("{at}: {e}");
     let until = Instant::now() + within;
-    let mut stream = TcpStream::connect_timeout(&at, within).map_err(told)?;
-    stream.set_nodelay(true).map_err(told)?;
-    let mut out = Vec::new();
-    Frame::hello(fleet, Who::Operator).write(&mut out);
-    if !(Frame::Ask { number: 1, ask: ask.clone() }.write(&mut out)) {
-        return Err("the question is too long".to_string());
+    let mut greeting = Greeting::default();
+    let first = match once(at, fleet, ask, greeting.version(), until, sent) {
+        Ok(reply) => return Ok(reply),
+        Err(Failed::Later(what)) => return Err(what),
+        Err(Failed::Greeting(what)) => what,
+    };
+    greeting.refused();
+    match once(at, fleet, ask, greeting.version(), until, sent) {
+        Ok(reply) => Ok(reply),
+        Err(Failed::Later(what)) => Err(what),
+        Err(Failed::Greeting(_)) => Err(first),
     }
-    *sent = true;
-    stream.write_all(&out).map_err(told)?;
-    let (mut frames, mut piece) = (Frames::default(), vec![0; 64 * 1024]);
+}
+
+fn once(
+    at: SocketAddr,
+    fleet: &str,
+    ask: &Ask,
+    version: u16,
+    until: Instant,
+    sent: &mut bool,
+) -> Result<Reply, Failed> {
+    let told = |e: std::io::Error| format!("{at}: {e}");
+    let left = || until.saturating_duration_since(Instant::now()).max(Duration::from_millis(1));
+    let mut stream = TcpStream::connect_timeout(&at, left()).map_err(told).map_err(Failed::Later)?;
+    stream.set_nodelay(true).map_err(told).map_err(Failed::Later)?;
+    let mut hello = Vec::new();
+    Frame::hello_as(version, fleet, Who::Operator).write(&mut hello);
+    stream.write_all(&hello).map_err(told).map_err(Failed::Greeting)?;
+    let (mut frames, mut piece, mut greeted_by) = (Frames::default(), vec![0; 64 * 1024], None);
+    // Danger: a question that stands behind a greeting of another version may be taken for one that was acted on.
+    let failed = |greeted: bool, what| if greeted { Failed::Later(what) } else { Failed::Greeting(what) };
     loop {
-        while let Some(frame) = frames.pop().map_err(|what| format!("{at}: {what}"))? {
+        let up = greeted_by.is_some();
+        while let Some(frame) = frames.pop().map_err(|what| Failed::Later(format!("{at}: {what}")))? {
             match frame {
-                Frame::Hello { .. } => {
-                    drop(greeted(&frame, fleet, VERSION).map_err(|what| format!("{at}: {what}"))?)
+                Frame::Hello { .. } if greeted_by.is_none() => {
+                    let (_, speaks) = greeted(&frame, fleet, version)
+                        .map_err(|what| Failed::Later(format!("{at}: {what}")))?;
+                    greeted_by = Some(speaks);
+                    if since(ask) > speaks {
+                        // Another may know them.
+                        let why = format!("{at} speaks version {speaks}, which knows nothing of scopes");
+                        return Err(Failed::Later(why));
+                    }
+                    let mut out = Vec::new();
+                    if !(Frame::Ask { number: 1, ask: ask.clone() }.write(&mut out)) {
+                        return Err(Failed::Later("the question is too long".to_string()));
+                    }
+                    *sent = true;
+                    stream.write_all(&out).map_err(told).map_err(Failed::Later)?;
                 }
-                Frame::NotTaken(why) => return Err(format!("{at}: {why}")),
+                Frame::NotTaken(why) => return Err(failed(up, format!("{at}: {why}"))),
                 Frame::Reply { number: 1, reply } => return Ok(reply),
                 _ => {}
             }
         }
-        let left = until.saturating_duration_since(Instant::now());
-        if left.is_zero() {
-            return Err(format!("{at}: no answer in time"));
+        let up = greeted_by.is_some();
+        if Instant::now() >= until {
+            return Err(Failed::Later(format!("{at}: no answer in time")));
         }
-        stream.set_read_timeout(Some(left)).map_err(told)?;
-        match stream.read(&mut piece).map_err(told)? {
-            0 => return Err(format!("{at}: it ended the connection")),
-            read => frames.push(&piece[..read]),
+        stream.set_read_timeout(Some(left())).map_err(told).map_err(Failed::Later)?;
+        match stream.read(&mut piece) {
+            Ok(0) => return Err(failed(up, format!("{at}: it ended the connection"))),
+            Ok(read) => frames.push(&piece[..read]),
+            Err(e) if e.kind() == std::io::ErrorKind::ConnectionReset => return Err(failed(up, told(e))),
+            Err(e) => return Err(Failed::Later(told(e))),
         }
     }
 }
 
+/// The version that first knew a question.
+fn since(ask: &Ask) -> u16 {
+    match ask {
+        Ask::Scopes
+        | Ask::WriteFor { .. }
+        | Ask::GetFor { .. }
+        | Ask::HistoryFor(_)
+        | Ask::SettingsOf(_)
+        | Ask::Localities => VERSION,
+        _ => OLDEST,
+    }
+}
+
 /// What the fleet answers: the leader is looked for, and a write whose fate is not known is said again, which has its
 /// effect once.
 ///
@@ -100,7 +157,7 @@
                 Ok(Reply::Faulty(what)) if open => return Ok(Reply::Unknown(what)),
                 Ok(reply) => return Ok(reply),
                 Err(what) => {
-                    open |= sent && matches!(ask, Ask::Write(_) | Ask::Release(_));
+                    open |= sent && matches!(ask, Ask::Write(_) | Ask::WriteFor { .. } | Ask::Release(_));
                     why.insert(place, what);
                 }
             }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,5 +1,6 @@
 //! `appledyke-daemon`: serves what a fleet agrees on, and asks for it.
 
+use std::collections::BTreeMap;
 use std::fs;
 use std::io::{IsTerminal, Read, Write as _};
 use std::path::{Path, PathBuf};
@@ -17,8 +18,9 @@
 use appledyke_fleet::members::Standing;
 use appledyke_fleet::outs::Group;
 use appledyke_fleet::releases::{Order, Plan};
+use appledyke_fleet::scopes::{Locality, Scope, Scoped};
 use appledyke_fleet::state::{Fleet, What, Write, WriteId};
-use appledyke_fleet::talk::{Ask, MemberRow, Reply};
+use appledyke_fleet::talk::{Ask, MemberRow, Reply, ScopeRow};
 use argh::FromArgs;
 use serde::Serialize;
 
@@ -53,6 +55,8 @@
     Agent(RunAgent),
     History(History),
     Rollback(Rollback),
+    Remove(Remove),
+    Scopes(ShowScopes),
     Backup(Backup),
     Restore(Restore),
     HandOver(HandOver),
@@ -127,12 +131,18 @@
     /// a version, such as 0.3
     #[argh(option)]
     version: Option<Version>,
+    /// what is put for a part of the fleet: region=…, zone=…, service=… or member=…
+    #[argh(option, long = "for", default = "Scope::All")]
+    scope: Scope,
+    /// what holds for this member, of all scopes that it belongs to
+    #[argh(option, long = "of")]
+    member: Option<String>,
     /// for tools
     #[argh(switch)]
     json: bool,
 }
 
-/// put settings for all sidecars: committed (exit 0), refused (1) or unknown (3)
+/// put settings for all sidecars, or a part of them: committed (exit 0), refused (1) or unknown (3)
 #[derive(FromArgs)]
 #[argh(subcommand, name = "put")]
 struct Put {
@@ -142,7 +152,10 @@
     /// the settings' file, or - for standard input: a JSON object whose keys stand in place of each sidecar's own
     #[argh(positional)]
     file: PathBuf,
-    /// only if this version holds
+    /// for a part of the fleet alone: region=…, zone=…, service=… or member=…
+    #[argh(option, long = "for", default = "Scope::All")]
+    scope: Scope,
+    /// only if this version holds, of what is put for the same
     #[argh(option)]
     expects: Option<Version>,
     /// who puts them
@@ -385,6 +398,9 @@
     /// the configuration
     #[argh(option)]
     config: PathBuf,
+    /// for a part of the fleet alone: region=…, zone=…, service=… or member=…
+    #[argh(option, long = "for", default = "Scope::All")]
+    scope: Scope,
     /// for tools
     #[argh(switch)]
     json: bool,
@@ -400,7 +416,10 @@
     /// the version to go back to
     #[argh(positional)]
     to: Version,
-    /// only if this version holds
+    /// for a part of the fleet alone: region=…, zone=…, service=… or member=…
+    #[argh(option, long = "for", default = "Scope::All")]
+    scope: Scope,
+    /// only if this version holds, of what is put for the same
     #[argh(option)]
     expects: Option<Version>,
     /// who goes back
@@ -420,6 +439,48 @@
     json: bool,
 }
 
+/// take away what is put for a part of the fleet: committed (exit 0), refused (1) or unknown (3)
+#[derive(FromArgs)]
+#[argh(subcommand, name = "remove")]
+struct Remove {
+    /// the configuration
+    #[argh(option)]
+    config: PathBuf,
+    /// which part: region=…, zone=…, service=… or member=…
+    #[argh(option, long = "for")]
+    scope: Scope,
+    /// only if this version holds, of what is put for the same
+    #[argh(option)]
+    expects: Option<Version>,
+    /// who removes it
+    #[argh(option, default = "String::new()")]
+    by: String,
+    /// why
+    #[argh(option, default = "String::new()")]
+    why: String,
+    /// the write's id, to say one again whose fate is unknown
+    #[argh(option)]
+    id: Option<String>,
+    /// seconds to try for
+    #[argh(option, default = "10")]
+    seconds: u64,
+    /// for tools
+    #[argh(switch)]
+    json: bool,
+}
+
+/// the parts of the fleet for which something was put: version, bytes, members, and how many act on it
+#[derive(FromArgs)]
+#[argh(subcommand, name = "scopes")]
+struct ShowScopes {
+    /// the configuration
+    #[argh(option)]
+    config: PathBuf,
+    /// for tools
+    #[argh(switch)]
+    json: bool,
+}
+
 /// write all that is agreed to a file
 #[derive(FromArgs)]
 #[argh(subcommand, name = "backup")]
@@ -648,6 +709,7 @@
 }
 
 struct Wish {
+    scope: Scope,
     expects: Option<Version>,
     by: String,
     why: String,
@@ -670,7 +732,12 @@
     };
     let at_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
     let by = if wish.by.is_empty() { std::env::var("USER").unwrap_or_default() } else { wish.by };
-    let ask = Ask::Write(Write { id, expects: wish.expects, by, why: wish.why, at_ms, what });
+    let write = Write { id, expects: wish.expects, by, why: wish.why, at_ms, what };
+    // What is for all is asked as ever, which daemons of an older version know too.
+    let ask = match wish.scope.clone() {
+        Scope::All => Ask::Write(write),
+        scope => Ask::WriteFor { scope, write },
+    };
     // Danger: a write that nobody has taken has no effect, one that may have been taken may still have one.
     let reply = fleet(config, &ask, Duration::from_secs(wish.seconds));
     let id = format!("{:x}-{:x}", id.0, id.1);
@@ -681,10 +748,21 @@
         Err(why) => ("refused", why, REFUSED),
         Ok(other) => return unexpected(other),
     };
-    let told = serde_json::json!({"outcome": word, "detail": detail, "id": id});
+    let mut told = serde_json::json!({"outcome": word, "detail": detail, "id": id});
+    let mut more = String::new();
+    if word == "committed"
+        && wish.scope != Scope::All
+        && let Ok(Reply::Scopes(rows)) = fleet(config, &Ask::Scopes, PATIENCE)
+        && let Some(row) = rows.iter().find(|row| row.scope == wish.scope)
+    {
+        told["members"] = row.members.into();
+        if row.members == 0 {
+            more = format!("\nnobody that is heard now belongs to {}", wish.scope);
+        }
+    }
     show(wish.json, &told, || match word {
         "unknown" => format!("unknown: {detail}\nsay it again with --id {id}: it takes effect once"),
-        _ => format!("{word}: {detail}"),
+        _ => format!("{word}: {detail}{more}"),
     })?;
     Ok(status)
 }
@@ -736,6 +814,136 @@
     Ok(0)
 }
 
+/// What a member belongs to, in words; nothing for one without a locality.
+fn locality_line(locality: &Locality) -> String {
+    let Locality { service, zone, region } = locality;
+    let named = [("service", service), ("zone", zone), ("region", region)];
+    named.into_iter().filter_map(|(key, name)| Some(format!(" {key}={}", name.as_ref()?))).collect()
+}
+
+fn members(config: &Path, json: bool) -> Result<u8, String> {
+    let rows = match fleet(config, &Ask::Members, PATIENCE)? {
+        Reply::Members(rows) => rows,
+        other => return unexpected(other),
+    };
+    // A daemon of an older version knows none.
+    let localities: BTreeMap<String, Locality> = match fleet(config, &Ask::Localities, PATIENCE / 5) {
+        Ok(Reply::Localities(rows)) => rows.into_iter().collect(),
+        _ => BTreeMap::new(),
+    };
+    #[derive(Serialize)]
+    struct Row<'a> {
+        #[serde(flatten)]
+        row: &'a MemberRow,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        belongs: Option<&'a Locality>,
+    }
+    let belongs = |row: &MemberRow| localities.get(&row.name);
+    let told: Vec<Row> = rows.iter().map(|row| Row { row, belongs: belongs(row) }).collect();
+    show(json, &told, || {
+        let line = |row: &MemberRow| {
+            let version = row.version.map_or("-".to_string(), |version| version.to_string());
+            let (name, standing) = (&row.name, row.standing.name());
+            let belongs = belongs(row).map(locality_line).unwrap_or_default();
+            format!("{name} {standing} version {version} incarnation {}{belongs}\n", row.incarnation)
+        };
+        rows.iter().map(line).collect()
+    })
+}
+
+/// A scope's row for tools: the scope as it is named on the command line.
+fn scope_row(row: &ScopeRow) -> serde_json::Value {
+    serde_json::json!({
+        "scope": row.scope.to_string(),
+        "version": row.version,
+        "bytes": row.bytes,
+        "members": row.members,
+        "acting": row.acting,
+        "behind": row.members - row.acting,
+    })
+}
+
+fn scope_line(row: &ScopeRow) -> String {
+    let bytes = row.bytes.map_or("removed".to_string(), |bytes| format!("{bytes} bytes"));
+    let ScopeRow { scope, version, members, acting, .. } = row;
+    let behind = match members - acting {
+        0 => String::new(),
+        behind => format!(", {behind} behind"),
+    };
+    format!(
+        "{scope}: version {version}, {bytes}, {members} members, {acting} act on what holds for them{behind}\n"
+    )
+}
+
+fn get(
+    config: &Path,
+    version: Option<Version>,
+    scope: Scope,
+    member: Option<String>,
+    json: bool,
+) -> Result<u8, String> {
+    if let Some(name) = member {
+        if version.is_some() || scope != Scope::All {
+            return Err("--of: what holds for a member has no --version and no --for".to_string());
+        }
+        return match fleet(config, &Ask::SettingsOf(name.clone()), PATIENCE)? {
+            Reply::Merged(Some(merged)) => {
+                if merged.locality.is_none() {
+                    eprintln!("{name} has not said what it belongs to");
+                }
+                let of: Vec<_> = merged.of.iter().map(|(of, version)| (of.to_string(), version)).collect();
+                let told = serde_json::json!({"version": merged.version, "settings": merged.settings,
+                    "belongs": merged.locality, "of": of});
+                show(json, &told, || merged.settings.clone())
+            }
+            Reply::Merged(None) => Err(format!("{name} is no member, or nothing is put that concerns it")),
+            other => unexpected(other),
+        };
+    }
+    let none = Err("there are no such settings".to_string());
+    match scope {
+        Scope::All => match fleet(config, &Ask::Get(version), PATIENCE)? {
+            Reply::Settings(Some(written)) => show(json, &written, || written.settings.clone()),
+            Reply::Settings(None) => none,
+            other => unexpected(other),
+        },
+        scope => match fleet(config, &Ask::GetFor { scope: scope.clone(), version }, PATIENCE)? {
+            Reply::Scoped(Some(scoped)) => match &scoped.settings {
+                Some(settings) => show(json, &scoped, || settings.clone()),
+                None if json => show(json, &scoped, String::new),
+                None => Err(format!("what was put for {scope} was removed with version {}", scoped.version)),
+            },
+            Reply::Scoped(None) => none,
+            other => unexpected(other),
+        },
+    }
+}
+
+fn history(config: &Path, scope: Scope, json: bool) -> Result<u8, String> {
+    let line = |version: Version, back_to: Option<Version>, what: &str, by: &str, at_ms: u64, why: &str| {
+        let back = back_to.map_or(String::new(), |version| format!(" back to {version}"));
+        format!("{version}{back}{what} by {by} at {at_ms} ms: {why}\n")
+    };
+    match scope {
+        Scope::All => match fleet(config, &Ask::History, PATIENCE)? {
+            Reply::History(rows) => show(json, &rows, || {
+                rows.iter().map(|w| line(w.version, w.back_to, "", &w.by, w.at_ms, &w.why)).collect()
+            }),
+            other => unexpected(other),
+        },
+        scope => match fleet(config, &Ask::HistoryFor(scope), PATIENCE)? {
+            Reply::HistoryFor(rows) => show(json, &rows, || {
+                let row = |s: &Scoped| {
+                    let removed = if s.settings.is_none() { " removed" } else { "" };
+                    line(s.version, s.back_to, removed, &s.by, s.at_ms, &s.why)
+                };
+                rows.iter().map(row).collect()
+            }),
+            other => unexpected(other),
+        },
+    }
+}
+
 fn status(config: &Path, json: bool) -> Result<u8, String> {
     let configuration = Configuration::read(config)?;
     let mut rows = Vec::new();
@@ -751,6 +959,14 @@
             },
         ));
     }
+    let leads = |row: &Result<appledyke_fleet::talk::Status, String>| {
+        row.as_ref().is_ok_and(|status| status.role == "Leader")
+    };
+    // Of the scopes the leader can say; where none leads nobody is waited for.
+    let scopes = match rows.iter().any(|(_, row)| leads(row)) && !json {
+        true => fleet(config, &Ask::Scopes, PATIENCE / 5).ok(),
+        false => None,
+    };
     show(json, &rows, || {
         let mut text = String::new();
         for (place, row) in &rows {
@@ -777,6 +993,17 @@
                 Err(what) => text += &format!("{place}: {what}\n"),
             }
         }
+        if let Some(Reply::Scopes(rows)) = &scopes
+            && rows.iter().any(|row| row.scope != Scope::All)
+        {
+            let scoped = rows.iter().filter(|row| row.scope != Scope::All && row.bytes.is_some()).count();
+            let behind = rows.iter().filter(|row| row.acting < row.members);
+            let behind: Vec<String> = behind
+                .map(|row| format!("{} of {} in {}", row.members - row.acting, row.members, row.scope))
+                .collect();
+            let behind = if behind.is_empty() { "nobody".to_string() } else { behind.join(", ") };
+            text += &format!("scopes: settings for {scoped}, behind: {behind}\n");
+        }
         text
     })
 }
@@ -803,26 +1030,10 @@
             Ok(0)
         }
         Command::Status(Status { config, json }) => status(&config, json),
-        Command::Members(Members { config, json }) => match fleet(&config, &Ask::Members, PATIENCE)? {
-            Reply::Members(rows) => show(json, &rows, || {
-                let row = |row: &appledyke_fleet::talk::MemberRow| {
-                    let version = row.version.map_or("-".to_string(), |version| version.to_string());
-                    format!(
-                        "{} {} version {version} incarnation {}\n",
-                        row.name,
-                        row.standing.name(),
-                        row.incarnation
-                    )
-                };
-                rows.iter().map(row).collect()
-            }),
-            other => unexpected(other),
-        },
-        Command::Get(Get { config, version, json }) => match fleet(&config, &Ask::Get(version), PATIENCE)? {
-            Reply::Settings(Some(written)) => show(json, &written, || written.settings.clone()),
-            Reply::Settings(None) => Err("there are no such settings".to_string()),
-            other => unexpected(other),
-        },
+        Command::Members(Members { config, json }) => members(&config, json),
+        Command::Get(Get { config, version, scope, member, json }) => {
+            get(&config, version, scope, member, json)
+        }
         Command::Budgets(ShowBudgets { config, json }) => match fleet(&config, &Ask::Budgets, PATIENCE)? {
             Reply::Budgets(rows) => show(json, &rows, || {
                 let row = |row: &appledyke_fleet::talk::BudgetRow| {
@@ -881,17 +1092,8 @@
                 other => unexpected(other),
             }
         }
-        Command::History(History { config, json }) => match fleet(&config, &Ask::History, PATIENCE)? {
-            Reply::History(rows) => show(json, &rows, || {
-                let row = |w: &appledyke_fleet::state::Written| {
-                    let back = w.back_to.map_or(String::new(), |version| format!(" back to {version}"));
-                    format!("{}{back} by {} at {} ms: {}\n", w.version, w.by, w.at_ms, w.why)
-                };
-                rows.iter().map(row).collect()
-            }),
-            other => unexpected(other),
-        },
-        Command::Put(Put { config, file, expects, by, why, id, seconds, json }) => {
+        Command::History(History { config, scope, json }) => history(&config, scope, json),
+        Command::Put(Put { config, file, scope, expects, by, why, id, seconds, json }) => {
             let mut settings = String::new();
             let named = |e: std::io::Error| format!("{}: {e}", file.display());
             if file == Path::new("-") {
@@ -903,11 +1105,24 @@
                 settings = fs::read_to_string(&file).map_err(named)?;
             }
             let (settings, budgets, groups) = parted(&settings)?;
-            write(&config, What::Put(settings, budgets, groups), Wish { expects, by, why, id, seconds, json })
+            let wish = Wish { scope, expects, by, why, id, seconds, json };
+            write(&config, What::Put(settings, budgets, groups), wish)
+        }
+        Command::Rollback(Rollback { config, to, scope, expects, by, why, id, seconds, json }) => {
+            write(&config, What::Back(to), Wish { scope, expects, by, why, id, seconds, json })
         }
-        Command::Rollback(Rollback { config, to, expects, by, why, id, seconds, json }) => {
-            write(&config, What::Back(to), Wish { expects, by, why, id, seconds, json })
+        Command::Remove(Remove { config, scope, expects, by, why, id, seconds, json }) => {
+            write(&config, What::Remove, Wish { scope, expects, by, why, id, seconds, json })
         }
+        Command::Scopes(ShowScopes { config, json }) => match fleet(&config, &Ask::Scopes, PATIENCE)? {
+            Reply::Scopes(rows) => show(json, &rows.iter().map(scope_row).collect::<Vec<_>>(), || {
+                if rows.is_empty() {
+                    return "nothing was ever put".to_string();
+                }
+                rows.iter().map(scope_line).collect()
+            }),
+            other => unexpected(other),
+        },
         Command::Backup(Backup { config, file }) => backup(&config, &file),
         Command::Restore(Restore { config, file, anyway }) => {
             let bytes = fs::read(&file).map_err(|e| format!("{}: {e}", file.display()))?;
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -1,6 +1,6 @@
 //! The loop: poll, take the time once, tick, feed what was heard, carry out what the replica and the fleet's state say.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -12,8 +12,9 @@
 use appledyke_fleet::evidence::{Cursor, Evidence};
 use appledyke_fleet::heard::Heard;
 use appledyke_fleet::runner::Runner;
+use appledyke_fleet::scopes::Locality;
 use appledyke_fleet::state::{Command, Fleet};
-use appledyke_fleet::talk::{Ask, Frames, Reply, Report, Who};
+use appledyke_fleet::talk::{Ask, Frames, Greeting, Reply, Report, VERSION, Who};
 use appledyke_sidecar::net::connection::Connection;
 use appledyke_sidecar::net::slots::{Key, Slots};
 use mio::net::TcpListener;
@@ -28,6 +29,7 @@
 mod connections;
 mod members;
 mod operators;
+mod scopes;
 mod work;
 
 const LISTENER: Token = Token(0);
@@ -47,6 +49,8 @@
 const GREETING_IN: Span = Span::from_millis(3000);
 /// Wait before a daemon that was not reached is tried again.
 const DIAL_AGAIN: Span = Span::from_millis(200);
+/// How long a connection that was dialed is kept where it speaks an older version, until a later one is tried again.
+const OLDER: Span = Span::from_millis(30_000);
 /// Elections for which a peer may take nothing of what waits for it.
 const STUCK_ELECTIONS: f64 = 5.0;
 /// Wait before a folder is opened again after its disk failed.
@@ -61,6 +65,10 @@
     /// When nothing waited to be sent last.
     clear: Moment,
     who: Option<Who>,
+    /// The version that this side has greeted with or would, and from the other's greeting on that of the connection.
+    speaks: u16,
+    /// What a member belongs to, as it has said.
+    locality: Locality,
     /// The place that this connection was opened to.
     dialed: Option<u16>,
     /// Up to where a member has heard, and which process of it this is.
@@ -69,9 +77,21 @@
 }
 
 impl Peer {
-    fn new(connection: Connection, now: Moment, dialed: Option<u16>) -> Peer {
-        let (frames, cursor, who) = (Frames::default(), Cursor::default(), None);
-        Peer { connection, frames, since: now, clear: now, who, dialed, cursor, incarnation: 0 }
+    fn new(connection: Connection, now: Moment, dialed: Option<u16>, speaks: u16) -> Peer {
+        let (frames, cursor, locality) = (Frames::default(), Cursor::default(), Locality::default());
+        let (who, incarnation) = (None, 0);
+        Peer {
+            connection,
+            frames,
+            since: now,
+            clear: now,
+            who,
+            speaks,
+            locality,
+            dialed,
+            cursor,
+            incarnation,
+        }
     }
 }
 
@@ -81,6 +101,13 @@
     replica: Replica,
     fleet: Fleet,
     heard: Option<Heard>,
+    /// What each member that was heard since this replica leads says it belongs to, where it says so.
+    localities: BTreeMap<String, Locality>,
+    /// What is merged of several scopes, for members.
+    texts: scopes::Texts,
+    /// Up to where a write of settings may be under way that this replica proposed or came to lead with, and whether such a
+    /// one may be for a scope.
+    unsettled: (Index, bool),
     divider: Option<Divider>,
     runner: Option<Runner>,
     /// The endpoints that members are to look for, as of a version of the settings, and the mark of these.
@@ -128,6 +155,8 @@
     next_look: Moment,
     peers: Slots<Peer>,
     dials: BTreeMap<u16, (SocketAddr, Option<Key>, Moment)>,
+    /// The version that each place is greeted with next.
+    greetings: BTreeMap<u16, Greeting>,
     life: Option<Life>,
     /// Why it does not serve.
     apart: Option<String>,
@@ -140,6 +169,8 @@
     reports: Vec<(Key, Report)>,
     confirming: Option<(u64, Vec<(Key, Report)>)>,
     writes: BTreeMap<Index, Vec<Waiting>>,
+    /// Writes of settings that wait until another one's fate is known.
+    held: VecDeque<(Key, u64, Ask)>,
     /// Digests of the state after some entries, by place.
     marks: BTreeMap<Index, BTreeMap<u16, u64>>,
     role: Option<Role>,
@@ -175,6 +206,7 @@
             next_look: now,
             peers: Slots::default(),
             dials,
+            greetings: BTreeMap::new(),
             life: None,
             apart: None,
             reopen: now,
@@ -185,6 +217,7 @@
             reports: Vec::new(),
             confirming: None,
             writes: BTreeMap::new(),
+            held: VecDeque::new(),
             marks: BTreeMap::new(),
             role: None,
             leaving: None,
@@ -288,6 +321,9 @@
             replica,
             fleet: Fleet::default(),
             heard: None,
+            localities: BTreeMap::new(),
+            texts: scopes::Texts::default(),
+            unsettled: (0, false),
             divider: None,
             runner: None,
             looks: None,
@@ -305,6 +341,9 @@
         for (_, (key, number, _)) in std::mem::take(&mut self.reads) {
             self.reply(key, number, Reply::NotLeader(None));
         }
+        for (key, number, _) in std::mem::take(&mut self.held) {
+            self.reply(key, number, Reply::NotLeader(None));
+        }
         let writes = std::mem::take(&mut self.writes).into_values().flatten();
         for Waiting { key, whom, .. } in writes {
             if let Whom::Operator { number } = whom {
@@ -348,7 +387,8 @@
                 Some(Who::Member { .. } | Who::Operator) => now.since(peer.since) > idle,
                 Some(Who::Replica(_)) => false,
             };
-            silent || now.since(peer.clear) > stuck && peer.connection.unsent() > 0
+            let older = peer.dialed.is_some() && peer.speaks < VERSION && now.since(peer.since) > OLDER;
+            silent || older || now.since(peer.clear) > stuck && peer.connection.unsent() > 0
         });
         for key in over.map(|(key, _)| key).collect::<Vec<_>>() {
             self.hang_up(key);
--- a/crates/daemon/src/serve/connections.rs
+++ b/crates/daemon/src/serve/connections.rs
@@ -12,15 +12,16 @@
 
 impl Daemon {
     pub(super) fn dial(&mut self, place: u16, at: SocketAddr, id: Id) {
+        let version = self.greetings.entry(place).or_default().version();
         let (now, registry) = (self.now, self.poll.registry());
         let opened = self.peers.insert_with(|key| {
             let connection = Connection::open(at, registry, key.only_token())?;
-            Ok::<_, io::Error>(Peer::new(connection, now, Some(place)))
+            Ok::<_, io::Error>(Peer::new(connection, now, Some(place), version))
         });
         let entry = self.dials.get_mut(&place).expect("a place that is dialed");
         (entry.1, entry.2) = (opened.as_ref().ok().copied(), now + DIAL_AGAIN);
         let Ok(key) = opened else { return };
-        self.send(key, &Frame::hello(&self.configuration.fleet.clone(), Who::Replica(id)));
+        self.send(key, &Frame::hello_as(version, &self.configuration.fleet.clone(), Who::Replica(id)));
         // What it knows of the state, for one that was not there to hear it.
         let own = self.configuration.place;
         let marks: Vec<_> =
@@ -44,7 +45,7 @@
             let (now, registry) = (self.now, self.poll.registry());
             let taken = self.peers.insert_with(|key| {
                 let connection = Connection::take(stream, registry, key.only_token())?;
-                Ok::<_, io::Error>(Peer::new(connection, now, None))
+                Ok::<_, io::Error>(Peer::new(connection, now, None, VERSION))
             });
             if let Err(e) = taken {
                 tracing::warn!("accept: {e}");
@@ -57,6 +58,13 @@
         if let Some(entry) = peer.dialed.and_then(|place| self.dials.get_mut(&place)) {
             (entry.1, entry.2) = (None, self.now + DIAL_AGAIN);
         }
+        // One that was reached and said nothing may be of an older version; one that has refused has said so itself.
+        if let Some(place) = peer.dialed.filter(|_| peer.who.is_none())
+            && (peer.connection.unsent() == 0 || peer.connection.is_up().is_ok_and(|up| up))
+            && self.greetings.get(&place).is_some_and(|greeting| greeting.version() == peer.speaks)
+        {
+            self.greetings.entry(place).or_default().cut();
+        }
         peer.connection.close(self.poll.registry());
     }
 
@@ -64,7 +72,9 @@
         loop {
             let now = self.now;
             let Some(peer) = self.peers.get_mut(key) else { return };
-            let works = peer.connection.flush().is_ok() && peer.connection.fill(READ_MOST).is_ok();
+            let flushed = peer.connection.flush().is_ok();
+            // Danger: a refusal that came before the end would be lost with what could not be sent.
+            let works = peer.connection.fill(READ_MOST).is_ok() && flushed;
             if peer.connection.unsent() == 0 {
                 peer.clear = now;
             }
@@ -126,10 +136,13 @@
         match (frame, who) {
             (Frame::NotTaken(why), _) => {
                 tracing::warn!("not taken by another: {why}");
+                if let Some(place) = dialed {
+                    self.greetings.entry(place).or_default().refused();
+                }
                 self.hang_up(key);
             }
             (frame @ Frame::Hello { .. }, None) => {
-                match greeted(&frame, &self.configuration.fleet, VERSION) {
+                match greeted(&frame, &self.configuration.fleet, peer.speaks) {
                     Ok((who, speaks)) => self.greet(key, who, speaks, dialed),
                     Err(why) => {
                         self.send(key, &Frame::NotTaken(why.clone()));
@@ -147,6 +160,15 @@
             (Frame::Digest { index, digest }, Some(Who::Replica(id))) if dialed.is_none() => {
                 self.compare(index, id.place, digest);
             }
+            (Frame::Belongs(locality), Some(Who::Member { .. })) if peer.speaks >= VERSION => {
+                match locality.check() {
+                    Ok(()) => peer.locality = locality,
+                    Err(why) => {
+                        tracing::warn!("a connection is closed: what a member belongs to: {why}");
+                        self.hang_up(key);
+                    }
+                }
+            }
             (Frame::Report(report), Some(Who::Member { name })) if report.name == name => {
                 self.report(key, report)
             }
@@ -162,7 +184,9 @@
     }
 
     pub(super) fn greet(&mut self, key: Key, who: Who, speaks: u16, dialed: Option<u16>) {
-        if dialed.is_none() {
+        if let Some(place) = dialed {
+            self.greetings.entry(place).or_default().taken();
+        } else {
             if let Who::Replica(id) = &who {
                 // Danger: what an earlier process of this place left in a connection comes too late to be its word.
                 let earlier = self.peers.iter().filter(|(_, peer)| {
@@ -172,12 +196,19 @@
                 for earlier in earlier.map(|(key, _)| key).collect::<Vec<_>>() {
                     self.hang_up(earlier);
                 }
+                // Danger: one that was replaced by an older version would count as one of this version by what its earlier
+                // process said; and one that was taken for an older one by mistake would stay so.
+                let other = self.dials.get(&id.place).and_then(|(_, key, _)| *key);
+                let differs = |peer: &&Peer| peer.who.is_some() && peer.speaks != speaks;
+                if let Some(other) = other.filter(|other| self.peers.get(*other).filter(differs).is_some()) {
+                    self.hang_up(other);
+                }
             }
             let hello = Frame::hello_as(speaks, &self.configuration.fleet, Who::Replica(self.id()));
             self.send(key, &hello);
         }
         if let Some(peer) = self.peers.get_mut(key) {
-            peer.who = Some(who);
+            (peer.who, peer.speaks) = (Some(who), speaks);
         }
     }
 }
--- a/crates/daemon/src/serve/members.rs
+++ b/crates/daemon/src/serve/members.rs
@@ -45,15 +45,16 @@
     /// `granting`: a majority has said, after the report came, that this replica leads.
     pub(super) fn answer_report(&mut self, key: Key, report: &Report, granting: bool) {
         let (now, writer) = (self.now, ids::mark(&report.name));
-        let new = self.evidence.hear(now, 0, writer, report.incarnation, &report.seen);
+        let Some(peer) = self.peers.get_mut(key) else { return };
+        let service = peer.locality.service_mark();
+        let new = self.evidence.hear(now, service, writer, report.incarnation, &report.seen);
         self.heard_records += new as u64;
         let c = &self.configuration;
-        let Some(peer) = self.peers.get_mut(key) else { return };
         (peer.since, peer.incarnation) = (now, report.incarnation);
         let passed = if report.catches_up {
-            self.evidence.catch_up(now, 0, writer, &mut peer.cursor, c.evidence_return)
+            self.evidence.catch_up(now, service, writer, &mut peer.cursor, c.evidence_return)
         } else {
-            self.evidence.tell(now, 0, writer, &mut peer.cursor, c.evidence_each)
+            self.evidence.tell(now, service, writer, &mut peer.cursor, c.evidence_each)
         };
         let mut told = Told { apart: true, passed, number: report.number, ..Told::default() };
         if let Some(life) = &mut self.life {
@@ -64,6 +65,9 @@
             let found =
                 life.heard.as_mut().map(|heard| heard.report(now, report, &life.fleet)).unwrap_or_default();
             (told.twin, told.superseded) = (found.twin, found.superseded);
+            if role == Role::Leader && !found.superseded {
+                life.belongs(&report.name, &peer.locality);
+            }
             if let Some(divider) = life.divider.as_mut().filter(|_| granting) {
                 told.grants = Some(grants(now, divider, &life.fleet, report));
             }
@@ -74,11 +78,10 @@
             let (since, outs) = life.fleet.endpoints_out();
             told.outs = (since > report.outs && !told.apart).then(|| (since, outs.iter().cloned().collect()));
             // Only what is committed is ever applied, so nothing else is told; and only forwards.
-            let later = life
-                .fleet
-                .settings()
-                .filter(|written| written.version > report.knows.max(report.version) && !told.apart);
-            told.settings = later.map(|written| (written.version, written.settings.clone()));
+            if !told.apart {
+                let knows = report.knows.max(report.version);
+                told.settings = life.texts.later(&life.fleet, &report.name, &peer.locality, knows);
+            }
         }
         self.send(key, &Frame::Told(told));
     }
--- a/crates/daemon/src/serve/operators.rs
+++ b/crates/daemon/src/serve/operators.rs
@@ -8,6 +8,7 @@
 use appledyke_fleet::members::TEXT_MOST;
 use appledyke_fleet::outs;
 use appledyke_fleet::releases::Order;
+use appledyke_fleet::scopes::Scope;
 use appledyke_fleet::state::{Command, SETTINGS_MOST, What, Write};
 use appledyke_fleet::talk::{Ask, BudgetRow, MemberRow, Reply, Status};
 use appledyke_fleet::{Answer, Version};
@@ -24,10 +25,14 @@
         if ask == Ask::Status {
             return self.answer(key, number, &ask);
         }
+        if self.waits_for_another(key, number, &ask) {
+            return;
+        }
         let ticket = self.tickets;
         let Some(life) = &mut self.life else { return self.reply(key, number, Reply::NotLeader(None)) };
         let done = match ask {
-            Ask::Write(write) => self.write(key, number, write),
+            Ask::Write(write) => self.write(key, number, &Scope::All, write),
+            Ask::WriteFor { scope, write } => self.write(key, number, &scope, write),
             Ask::HandOver(place) => {
                 let to = life.replica.voters().iter().copied().find(|id| id.place == place);
                 match to {
@@ -74,7 +79,14 @@
         }
     }
 
-    pub(super) fn write(&mut self, key: Key, number: u64, write: Write) -> Result<Option<Reply>, Refused> {
+    /// Settings for a part of the fleet, or all of it.
+    pub(super) fn write(
+        &mut self,
+        key: Key,
+        number: u64,
+        scope: &Scope,
+        write: Write,
+    ) -> Result<Option<Reply>, Refused> {
         let Some(life) = &mut self.life else { return Err(Refused::NotLeader(None)) };
         // What is applied is committed, whoever leads now.
         match life.fleet.done(write.id) {
@@ -100,11 +112,25 @@
                     "settings: expected {SETTINGS_MOST} bytes at the most"
                 ))));
             }
-            if let Err(what) = check_agreed(&self.template, settings) {
+            // What is for a part is checked with what it stands above.
+            if *scope == Scope::All
+                && let Err(what) = check_agreed(&self.template, settings)
+            {
                 return Ok(Some(Reply::Faulty(what)));
             }
         }
-        self.propose(key, number, &Command::Write(write))
+        if let Some(reply) = self.checked(scope, &write)? {
+            return Ok(Some(reply));
+        }
+        let command = match scope {
+            Scope::All => Command::Write(write),
+            scope => Command::Scoped(scope.clone(), write),
+        };
+        let proposed = self.propose(key, number, &command);
+        if let (Some(life), Ok(None)) = (&mut self.life, &proposed) {
+            life.proposed(scope);
+        }
+        proposed
     }
 
     /// Proposes what an operator asked for, who hears of its fate once that is known.
@@ -236,12 +262,11 @@
                 };
                 Reply::Budgets(Thing::ALL.into_iter().filter_map(row).collect())
             }
-            Ask::Scopes
-            | Ask::WriteFor { .. }
-            | Ask::GetFor { .. }
-            | Ask::HistoryFor(_)
-            | Ask::SettingsOf(_) => Reply::Refused("scopes are not served here yet".to_string()),
+            Ask::Scopes | Ask::GetFor { .. } | Ask::HistoryFor(_) | Ask::SettingsOf(_) | Ask::Localities => {
+                life.answer_scopes(self.now, ask)
+            }
             Ask::Write(_)
+            | Ask::WriteFor { .. }
             | Ask::HandOver(_)
             | Ask::TakeOut { .. }
             | Ask::Ended { .. }
--- /dev/null
+++ b/crates/daemon/src/serve/scopes.rs
@@ -0,0 +1,323 @@
+//! Settings for parts of the fleet: what holds for a member, kept until it changes; what is put is checked for all whom it
+//! would concern; and how each scope stands.
+
+use std::collections::BTreeMap;
+use std::iter;
+
+use appledyke::units::Moment;
+use appledyke_consensus::{Id, Refused, Role};
+use appledyke_fleet::Version;
+use appledyke_fleet::heard::Heard;
+use appledyke_fleet::scopes::{Locality, Scope, Scoped, Scopes};
+use appledyke_fleet::state::{Fleet, SETTINGS_MOST, What, Write, Written};
+use appledyke_fleet::talk::{Ask, Merged, Reply, ScopeRow, VERSION, Who};
+use appledyke_sidecar::launch::check_agreed;
+use appledyke_sidecar::net::slots::Key;
+use serde_json::Value;
+
+use super::{Daemon, Life};
+
+/// Bytes of merged texts that are kept: each of the largest size for a hundred services. Past them all are made anew.
+const MERGED_BYTES_MOST: usize = 64 << 20;
+
+/// Texts that were merged, by locality and, for a member with a scope of its own, its name. Danger: made anew for each report
+/// they would cost a leader more than all else.
+#[derive(Default)]
+pub(super) struct Texts {
+    of: BTreeMap<(Locality, Option<String>), (Version, String)>,
+    bytes: usize,
+}
+
+impl Texts {
+    /// What holds for a member, if it is later than what it knows.
+    pub(super) fn later(
+        &mut self,
+        fleet: &Fleet,
+        name: &str,
+        locality: &Locality,
+        knows: Version,
+    ) -> Option<(Version, String)> {
+        let version = fleet.version_for(name, locality).filter(|version| *version > knows)?;
+        if fleet.scopes().is_empty() {
+            return fleet.settings_of(name, locality);
+        }
+        let own = fleet.scopes().last(&Scope::Member(name.to_string())).map(|_| name.to_string());
+        let key = (locality.clone(), own);
+        if let Some(kept) = self.of.get(&key).filter(|(of, _)| *of == version) {
+            return Some(kept.clone());
+        }
+        let merged = fleet.settings_of(name, locality)?;
+        self.bytes -= self.of.remove(&key).map_or(0, |(_, text)| text.len());
+        if self.bytes + merged.1.len() > MERGED_BYTES_MOST {
+            (self.of, self.bytes) = (BTreeMap::new(), 0);
+        }
+        self.bytes += merged.1.len();
+        self.of.insert(key, merged.clone());
+        Some(merged)
+    }
+}
+
+/// The members that a leader hears, the version that each says it acts on, and what it belongs to.
+fn heard<'a>(
+    now: Moment,
+    heard: &'a Heard,
+    localities: &'a BTreeMap<String, Locality>,
+) -> impl Iterator<Item = (&'a str, Version, &'a Locality)> {
+    static NONE: Locality = Locality { service: None, zone: None, region: None };
+    heard.versions(now).map(move |(name, version)| (name, version, localities.get(name).unwrap_or(&NONE)))
+}
+
+/// A name and a locality that belong to a scope and to no other.
+fn alone(scope: &Scope) -> (String, Locality) {
+    let (mut name, mut locality) = (String::new(), Locality::default());
+    match scope.clone() {
+        Scope::All => {}
+        Scope::Region(of) => locality.region = Some(of),
+        Scope::Zone(of) => locality.zone = Some(of),
+        Scope::Service(of) => locality.service = Some(of),
+        Scope::Member(of) => name = of,
+    }
+    (name, locality)
+}
+
+fn named(scopes: &[Scope]) -> String {
+    let names: Vec<String> = scopes.iter().map(Scope::to_string).collect();
+    names.join(", ")
+}
+
+/// What is wrong with the settings as they would be, for each way in which scopes come together.
+fn check(
+    template: &Value,
+    all: Option<(Version, &str)>,
+    scopes: &Scopes,
+    changed: &Scope,
+    members: &[(&str, &Locality)],
+) -> Result<(), String> {
+    let there = |scope: &&Scope| scopes.last(scope).is_some_and(|last| last.settings.is_some());
+    let above: Vec<&Scope> = match changed {
+        Scope::All => scopes.iter().map(|(scope, _)| scope).filter(there).collect(),
+        one => iter::once(one).filter(there).collect(),
+    };
+    let lone: Vec<(String, Locality)> = above.into_iter().map(alone).collect();
+    let lone = lone.iter().map(|(name, locality)| (name.as_str(), locality));
+    let (nobody, nowhere) = (String::new(), Locality::default());
+    let base = iter::once((nobody.as_str(), &nowhere)).filter(|_| *changed == Scope::All);
+    let concerned = members.iter().copied().filter(|(name, locality)| changed.holds(name, locality));
+    for (combination, (name, locality)) in scopes.combinations(base.chain(lone).chain(concerned)) {
+        let Some((_, merged)) = scopes.merged(all, name, locality) else { continue };
+        let told = |what: String| match &combination[..] {
+            [] => what,
+            scopes => format!("for {}: {what}", named(scopes)),
+        };
+        if merged.len() > SETTINGS_MOST {
+            let size = merged.len();
+            return Err(told(format!("the settings would have {size} bytes, {SETTINGS_MOST} at the most")));
+        }
+        check_agreed(template, &merged).map_err(told)?;
+    }
+    Ok(())
+}
+
+fn as_scoped(written: &Written) -> Scoped {
+    let Written { version, settings, by, why, at_ms, back_to, .. } = written.clone();
+    Scoped { version, settings: Some(settings), by, why, at_ms, back_to }
+}
+
+impl Life {
+    /// What a member belongs to, as it says.
+    pub(super) fn belongs(&mut self, name: &str, locality: &Locality) {
+        if *locality == Locality::default() {
+            self.localities.remove(name);
+        } else if self.localities.get(name) != Some(locality) {
+            self.localities.insert(name.to_string(), locality.clone());
+        }
+    }
+
+    /// What is wrong with a write where scopes are in play, or why there is no room for it.
+    fn check_scoped(
+        &self,
+        now: Moment,
+        template: &Value,
+        scope: &Scope,
+        write: &Write,
+    ) -> Result<(), String> {
+        let fleet = &self.fleet;
+        let mut scopes = fleet.scopes().clone();
+        let mut all = fleet.settings().map(|written| (written.version, written.settings.clone()));
+        let later = Version { number: fleet.version().number + 1, ..fleet.version() };
+        if *scope == Scope::All {
+            all = match &write.what {
+                What::Put(settings, ..) => Some((later, settings.clone())),
+                What::Back(version) => {
+                    let back = fleet.history().find(|written| written.version == *version);
+                    back.map(|written| (later, written.settings.clone()))
+                }
+                What::Remove => all,
+            };
+        } else {
+            let settings = match &write.what {
+                What::Put(settings, ..) => Some(settings.clone()),
+                What::Back(version) => {
+                    let back = scopes.history(scope).find(|scoped| scoped.version == *version);
+                    // What is not kept is refused by the state.
+                    let Some(back) = back else { return Ok(()) };
+                    back.settings.clone()
+                }
+                What::Remove => None,
+            };
+            if let Some(text) = &settings {
+                // Danger: what is no object has no keys, and would say nothing of itself when it is laid over others.
+                if !matches!(serde_json::from_str(text), Ok(Value::Object(_))) {
+                    return Err(format!("for {scope}: settings: expected a JSON object"));
+                }
+            }
+            let (by, why, at_ms) = (write.by.clone(), write.why.clone(), write.at_ms);
+            let scoped = Scoped { version: later, settings, by, why, at_ms, back_to: None };
+            scopes.put(scope, scoped).map_err(|full| full.to_string())?;
+        }
+        let members: Vec<(&str, &Locality)> = self
+            .heard
+            .iter()
+            .flat_map(|of| heard(now, of, &self.localities))
+            .map(|(name, _, locality)| (name, locality))
+            .collect();
+        let all = all.as_ref().map(|(version, text)| (*version, text.as_str()));
+        check(template, all, &scopes, scope, &members)
+    }
+
+    /// How each part of the fleet stands for which something was put, all of it first.
+    fn scope_rows(&self, now: Moment) -> Vec<ScopeRow> {
+        let fleet = &self.fleet;
+        let members = self.heard.iter().flat_map(|of| heard(now, of, &self.localities));
+        let members: Vec<(&str, &Locality, bool)> = members
+            .map(|(name, acts_on, locality)| {
+                let acts = fleet.version_for(name, locality).is_none_or(|version| acts_on >= version);
+                (name, locality, acts)
+            })
+            .collect();
+        let row = |scope: &Scope, version, bytes: Option<usize>| {
+            let own = members.iter().filter(|(name, locality, _)| scope.holds(name, locality));
+            let acting = own.clone().filter(|(_, _, acts)| *acts).count() as u64;
+            let (scope, bytes) = (scope.clone(), bytes.map(|bytes| bytes as u64));
+            ScopeRow { scope, version, bytes, members: own.count() as u64, acting }
+        };
+        let all = fleet.settings().map(|w| row(&Scope::All, w.version, Some(w.settings.len())));
+        let scopes = fleet.scopes().iter();
+        let others = scopes.map(|(of, last)| row(of, last.version, last.settings.as_ref().map(String::len)));
+        all.into_iter().chain(others).collect()
+    }
+
+    /// What holds for a member; none where nobody knows of it, or nothing concerns it.
+    fn settings_for(&self, name: &str) -> Option<Merged> {
+        let known = self.heard.as_ref().is_some_and(|heard| heard.all().any(|(other, _)| other == name));
+        if !known && !self.fleet.members().contains_key(name) {
+            return None;
+        }
+        let locality = self.localities.get(name).cloned();
+        let of = locality.clone().unwrap_or_default();
+        let (version, settings) = self.fleet.settings_of(name, &of)?;
+        let scopes = self.fleet.scopes().combinations(iter::once((name, &of)));
+        let above = scopes.into_keys().flatten();
+        let all = self.fleet.settings().map(|_| Scope::All);
+        let of = all.into_iter().chain(above).map(|scope| (scope.clone(), self.fleet.version_of(&scope)));
+        Some(Merged { version, settings, locality, of: of.collect() })
+    }
+
+    /// Whether a write waits until another one's fate is known. Danger: two that are well each for itself, and checked each
+    /// without the other, may be faulty together.
+    fn waits(&self, scope: &Scope) -> bool {
+        let (until, scoped) = self.unsettled;
+        let in_play = scoped || *scope != Scope::All || !self.fleet.scopes().is_empty();
+        in_play && self.fleet.applied() < until && self.replica.role() == Role::Leader
+    }
+
+    /// A write of settings was proposed there.
+    pub(super) fn proposed(&mut self, scope: &Scope) {
+        self.unsettled = (self.replica.last().index, *scope != Scope::All);
+    }
+
+    /// Answers what is asked of parts of the fleet.
+    pub(super) fn answer_scopes(&self, now: Moment, ask: &Ask) -> Reply {
+        match ask {
+            Ask::Scopes => Reply::Scopes(self.scope_rows(now)),
+            Ask::GetFor { scope: Scope::All, version } => {
+                let of = |written: &&Written| version.is_none_or(|version| written.version == version);
+                Reply::Scoped(self.fleet.history().filter(of).last().map(as_scoped))
+            }
+            Ask::GetFor { scope, version } => {
+                let of = |scoped: &&Scoped| version.is_none_or(|version| scoped.version == version);
+                Reply::Scoped(self.fleet.scopes().history(scope).filter(of).last().cloned())
+            }
+            Ask::HistoryFor(Scope::All) => Reply::HistoryFor(self.fleet.history().map(as_scoped).collect()),
+            Ask::HistoryFor(scope) => {
+                Reply::HistoryFor(self.fleet.scopes().history(scope).cloned().collect())
+            }
+            Ask::SettingsOf(name) => Reply::Merged(self.settings_for(name)),
+            Ask::Localities => {
+                let members = self.heard.iter().flat_map(|of| heard(now, of, &self.localities));
+                let rows = members.map(|(name, _, locality)| (name.to_string(), locality.clone()));
+                Reply::Localities(rows.collect())
+            }
+            _ => Reply::Done,
+        }
+    }
+}
+
+impl Daemon {
+    /// Checks a write where scopes are in play. What is to be answered instead of proposing it, if anything is.
+    pub(super) fn checked(&self, scope: &Scope, write: &Write) -> Result<Option<Reply>, Refused> {
+        let Some(life) = &self.life else { return Err(Refused::NotLeader(None)) };
+        if *scope != Scope::All
+            && let Some((place, why)) = self.older_voter(life)
+        {
+            return Ok(Some(Reply::Refused(format!(
+                "not before all daemons speak version {VERSION}: place {place} {why}"
+            ))));
+        }
+        if *scope == Scope::All && life.fleet.scopes().is_empty() {
+            return Ok(None);
+        }
+        let found = life.check_scoped(self.now, &self.template, scope, write);
+        Ok(found.err().map(Reply::Faulty))
+    }
+
+    /// A voter that has not greeted with this version, and what is known of it. Danger: a replica of an older version passes
+    /// over what it can't read, and its state differs from then on.
+    fn older_voter(&self, life: &Life) -> Option<(u16, String)> {
+        let own = life.replica.id();
+        let speaks = |id: &Id| {
+            let peers = self.peers.iter().map(|(_, peer)| peer);
+            let of = peers.filter(|peer| peer.who == Some(Who::Replica(*id)));
+            of.map(|peer| peer.speaks).max()
+        };
+        let voters = life.replica.voters();
+        let others = voters.iter().filter(|id| **id != own);
+        others.map(|id| (id.place, speaks(id))).find_map(|(place, speaks)| match speaks {
+            Some(version) if version >= VERSION => None,
+            Some(version) => Some((place, format!("speaks {version}"))),
+            None => Some((place, "is not heard".to_string())),
+        })
+    }
+
+    /// A write that waits for another is asked again once that one's fate is known, or this replica leads no more.
+    pub(super) fn waits_for_another(&mut self, key: Key, number: u64, ask: &Ask) -> bool {
+        let scope = match ask {
+            Ask::Write(_) => &Scope::All,
+            Ask::WriteFor { scope, .. } => scope,
+            _ => return false,
+        };
+        let waits = self.life.as_ref().is_some_and(|life| life.waits(scope));
+        if waits {
+            self.held.push_back((key, number, ask.clone()));
+        }
+        waits
+    }
+
+    /// Those that have waited, as far as they wait no more.
+    pub(super) fn go_on(&mut self) {
+        for _ in 0..self.held.len() {
+            let Some((key, number, ask)) = self.held.pop_front() else { return };
+            self.asked(key, number, ask);
+        }
+    }
+}
--- a/crates/daemon/src/serve/work.rs
+++ b/crates/daemon/src/serve/work.rs
@@ -70,6 +70,7 @@
         }
         self.look_at_role();
         self.confirm();
+        self.go_on();
     }
 
     /// Asks a majority whether this replica leads, for all reports that wait by now. Danger: one that was stopped between two
@@ -116,6 +117,8 @@
         life.heard = (role == Role::Leader).then(|| Heard::new(self.now, terms));
         life.divider = (role == Role::Leader).then(|| Divider::new(self.now, generation));
         life.runner = (role == Role::Leader).then(Runner::new);
+        // What it holds and has not applied may have writes of settings of whoever led before.
+        (life.localities, life.unsettled) = (BTreeMap::new(), (life.replica.last().index, true));
     }
 
     pub(super) fn leader(&self) -> Option<u16> {
--- a/crates/fleet/src/talk.rs
+++ b/crates/fleet/src/talk.rs
@@ -182,6 +182,8 @@
     HistoryFor(Scope),
     /// What holds for this member.
     SettingsOf(String),
+    /// What each member that is heard says it belongs to.
+    Localities,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -276,6 +278,7 @@
     Scoped(Option<Scoped>),
     HistoryFor(Vec<Scoped>),
     Merged(Option<Merged>),
+    Localities(Vec<(String, Locality)>),
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
