Tests of scopes with real daemons

Real daemons and sidecars, and members by raw frames: precedence, who is told, conflicts, an empty scope, a member that moves, texts over the limit, newcomers, catch-up, a leader killed, version 2 beside 3.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1104,7 +1104,11 @@
             } else {
                 settings = fs::read_to_string(&file).map_err(named)?;
             }
-            let (settings, budgets, groups) = parted(&settings)?;
+            // What is put for a scope has none of its own, and is refused as it stands.
+            let (settings, budgets, groups) = match scope {
+                Scope::All => parted(&settings)?,
+                _ => (settings, Vec::new(), Vec::new()),
+            };
             let wish = Wish { scope, expects, by, why, id, seconds, json };
             write(&config, What::Put(settings, budgets, groups), wish)
         }
--- a/crates/daemon/src/serve/scopes.rs
+++ b/crates/daemon/src/serve/scopes.rs
@@ -167,8 +167,11 @@
             };
             if let Some(text) = &settings {
                 // Danger: what is no object has no keys, and would say nothing of itself when it is laid over others.
-                if !matches!(serde_json::from_str(text), Ok(Value::Object(_))) {
+                let Ok(Value::Object(fields)) = serde_json::from_str(text) else {
                     return Err(format!("for {scope}: settings: expected a JSON object"));
+                };
+                if let Some(key) = ["budgets", "groups"].into_iter().find(|key| fields.contains_key(*key)) {
+                    return Err(format!("for {scope}: settings.{key}: it is put for all, not for a scope"));
                 }
             }
             let (by, why, at_ms) = (write.by.clone(), write.why.clone(), write.at_ms);
--- /dev/null
+++ b/crates/daemon/tests/scopes.rs
@@ -0,0 +1,738 @@
+//! Settings for parts of a fleet: real daemons, real sidecars and members by raw frames, and what strikes them.
+
+use std::io::{Read, Write as _};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::Path;
+use std::thread;
+use std::time::Duration;
+
+use appledyke_consensus::Id;
+use appledyke_fleet::Version;
+use appledyke_fleet::evidence::Seen;
+use appledyke_fleet::scopes::{Locality, Scope};
+use appledyke_fleet::state::{SETTINGS_MOST, What, Write};
+use appledyke_fleet::talk::{Ask, Frame, Frames, OLDEST, Reply, Report, ScopeRow, Told, VERSION, Who};
+use appledyke_lab::rig::fleet::{Daemons, FLEET, PATIENCE, Shape, ask};
+use appledyke_lab::rig::links::Standing as Link;
+use appledyke_lab::rig::processes::beside;
+use appledyke_lab::rig::sidecars::{Sidecars, req};
+use serde_json::{Value, json};
+
+const BASE: &str = include_str!("../../../examples/sidecar.json");
+const BEAT_MS: u64 = 60;
+
+fn begun(name: &str) -> Daemons {
+    let root = std::env::temp_dir().join(format!("appledyke-scopes-{}-{name}", std::process::id()));
+    let program = Path::new(env!("CARGO_BIN_EXE_appledyke-daemon"));
+    let mut daemons = Daemons::new(&root, program, BASE, Shape::default()).unwrap();
+    daemons.begin().unwrap();
+    daemons
+}
+
+fn sidecars(daemons: &Daemons) -> Sidecars {
+    let root = daemons.root.join("sidecars");
+    Sidecars::new(&root, &beside("appledyke-sidecar").unwrap(), BASE, 2).unwrap()
+}
+
+fn start(sidecars: &mut Sidecars, daemons: &Daemons, name: &str, belongs: Value) {
+    sidecars.belongs(belongs);
+    let at: Vec<_> = daemons.places().map(|place| (place, daemons.at(place))).collect();
+    sidecars.start(name, &at, BEAT_MS).unwrap();
+}
+
+fn scope(text: &str) -> Scope {
+    text.parse().unwrap()
+}
+
+fn in_service(service: &str) -> Locality {
+    Locality { service: Some(service.into()), ..Locality::default() }
+}
+
+fn in_zone(zone: &str, service: &str) -> Locality {
+    Locality { zone: Some(zone.into()), ..in_service(service) }
+}
+
+/// Settings by which a req to this method is taken.
+fn with_method(name: &str) -> String {
+    let base: Value = serde_json::from_str(BASE).unwrap();
+    let mut methods = base["settings"]["methods"].clone();
+    methods[0]["name"] = name.into();
+    json!({ "methods": methods }).to_string()
+}
+
+/// Settings like no others, of about so many bytes.
+fn large(number: u64, bytes: usize) -> String {
+    let base: Value = serde_json::from_str(BASE).unwrap();
+    let method = &base["settings"]["methods"][0];
+    let each = method.to_string().len() + 12;
+    let methods = (0..bytes.div_ceil(each)).map(|at| {
+        let mut method = method.clone();
+        method["name"] = format!("m{number:06}{at:06}").into();
+        method
+    });
+    json!({ "methods": methods.collect::<Vec<_>>() }).to_string()
+}
+
+fn put(text: &str) -> What {
+    What::Put(text.to_string(), Vec::new(), Vec::new())
+}
+
+fn written(daemons: &mut Daemons, of: &str, what: What, expects: Option<Version>) -> Reply {
+    let write = daemons.a_write(what, expects);
+    daemons.ask(&Ask::WriteFor { scope: scope(of), write }, PATIENCE).unwrap()
+}
+
+fn committed(daemons: &mut Daemons, of: &str, text: &str) -> Version {
+    // Danger: all must speak version 3, which shows only once they have greeted each other.
+    let mut last = Reply::Done;
+    for _ in 0..400 {
+        last = written(daemons, of, put(text), None);
+        match &last {
+            Reply::Committed(version) => return *version,
+            Reply::Refused(why) if why.contains("not before all daemons") => {
+                thread::sleep(Duration::from_millis(25));
+            }
+            _ => break,
+        }
+    }
+    panic!("{last:?}")
+}
+
+fn rows(daemons: &Daemons) -> Vec<ScopeRow> {
+    match daemons.ask(&Ask::Scopes, PATIENCE).unwrap() {
+        Reply::Scopes(rows) => rows,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn row(daemons: &Daemons, of: &str) -> ScopeRow {
+    rows(daemons).into_iter().find(|row| row.scope == scope(of)).unwrap()
+}
+
+fn run(daemons: &Daemons, line: &[&str]) -> (Option<i32>, String) {
+    let config = daemons.configuration(1).display().to_string();
+    daemons.command(&[line, &["--config", &config]].concat()).unwrap()
+}
+
+/// A member by raw frames, of one connection.
+struct Raw {
+    stream: TcpStream,
+    frames: Frames,
+    report: Report,
+    speaks: u16,
+    /// Bytes that have come.
+    bytes: usize,
+}
+
+impl Raw {
+    fn greet(at: SocketAddr, name: &str, version: u16, locality: Option<Locality>) -> Raw {
+        let stream = TcpStream::connect(at).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        let report = Report { name: name.into(), incarnation: 1, process: 1, ..Report::default() };
+        let mut raw = Raw { stream, frames: Frames::default(), report, speaks: 0, bytes: 0 };
+        raw.send(&Frame::hello_as(version, FLEET, Who::Member { name: name.into() }));
+        match raw.next() {
+            Frame::Hello { version, .. } => raw.speaks = version,
+            other => panic!("{other:?}"),
+        }
+        if let Some(locality) = locality {
+            raw.send(&Frame::Belongs(locality));
+        }
+        raw
+    }
+
+    fn to(daemons: &Daemons, name: &str, locality: Locality) -> Raw {
+        Raw::greet(daemons.at(daemons.wait_for_leader().unwrap()), name, VERSION, Some(locality))
+    }
+
+    fn send(&mut self, frame: &Frame) {
+        let mut out = Vec::new();
+        assert!(frame.write(&mut out));
+        self.stream.write_all(&out).unwrap();
+    }
+
+    fn next(&mut self) -> Frame {
+        let mut piece = vec![0; 64 * 1024];
+        loop {
+            if let Some(frame) = self.frames.pop().unwrap() {
+                return frame;
+            }
+            let read = self.stream.read(&mut piece).unwrap();
+            assert!(read > 0, "the daemon ended the connection");
+            self.bytes += read;
+            self.frames.push(&piece[..read]);
+        }
+    }
+
+    /// Reports, and takes the settings that it is told: it knows them and acts on them from then on.
+    fn told(&mut self) -> Told {
+        self.report.number += 1;
+        self.send(&Frame::Report(self.report.clone()));
+        let told = loop {
+            match self.next() {
+                Frame::Told(told) if told.number == self.report.number => break told,
+                Frame::Told(_) => {}
+                other => panic!("{other:?}"),
+            }
+        };
+        if let Some((version, _)) = &told.settings {
+            assert!(*version > self.report.knows, "settings go only forwards");
+            (self.report.knows, self.report.version) = (*version, *version);
+        }
+        told
+    }
+
+    fn settings(&mut self) -> Option<(Version, Value)> {
+        let told = self.told().settings;
+        told.map(|(version, text)| (version, serde_json::from_str(&text).unwrap()))
+    }
+
+    /// Reports until it is told settings.
+    fn wait_for_settings(&mut self) -> (Version, Value) {
+        for _ in 0..800 {
+            if let Some(settings) = self.settings() {
+                return settings;
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+        panic!("{} is told nothing", self.report.name)
+    }
+}
+
+#[test]
+fn of_several_scopes_the_narrowest_holds_as_a_sidecar_shows_and_operators_see() {
+    let daemons = &mut begun("order");
+    let mut sidecars = sidecars(daemons);
+    let belongs = json!({"service": "menu", "zone": "a1", "region": "a"});
+    start(&mut sidecars, daemons, "s0", belongs);
+    start(&mut sidecars, daemons, "s1", json!({"service": "bar", "zone": "b1", "region": "a"}));
+    start(&mut sidecars, daemons, "s2", Value::Null);
+    let takes = |sidecars: &Sidecars, name: &str, method: &str| {
+        let waited = sidecars.wait(&format!("{name} takes {method}"), |sidecars| {
+            req(sidecars.at(name), &format!("/{method}/1")) == Some(200)
+        });
+        waited.unwrap();
+    };
+    let file = daemons.root.join("new.json").display().to_string();
+    let puts = |daemons: &Daemons, of: &str, method: &str, more: &[&str]| {
+        std::fs::write(&file, with_method(method)).unwrap();
+        let line = [&["put", file.as_str(), "--for", of, "--why", method], more].concat();
+        let (status, said) = run(daemons, &line);
+        assert_eq!(status, Some(0), "{said}");
+        said
+    };
+    let _ = committed(daemons, "all", &with_method("soup"));
+    ["s0", "s1", "s2"].iter().for_each(|name| takes(&sidecars, name, "soup"));
+    // Put in another order than they hold in.
+    puts(daemons, "zone=a1", "bread", &[]);
+    takes(&sidecars, "s0", "bread");
+    puts(daemons, "region=a", "wine", &[]);
+    takes(&sidecars, "s1", "wine");
+    takes(&sidecars, "s0", "bread");
+    puts(daemons, "service=menu", "stew", &[]);
+    takes(&sidecars, "s0", "stew");
+    puts(daemons, "member=s0", "cake", &[]);
+    takes(&sidecars, "s0", "cake");
+    assert_eq!(
+        (req(sidecars.at("s1"), "/wine/1"), req(sidecars.at("s2"), "/soup/1")),
+        (Some(200), Some(200))
+    );
+    // What is taken away uncovers what lies below.
+    assert_eq!(run(daemons, &["remove", "--for", "member=s0"]).0, Some(0));
+    takes(&sidecars, "s0", "stew");
+    puts(daemons, "service=menu", "tea", &["--expects", &row(daemons, "service=menu").version.to_string()]);
+    takes(&sidecars, "s0", "tea");
+    let (_, history) = run(daemons, &["history", "--for", "service=menu"]);
+    let first = history.split(' ').next().unwrap().to_string();
+    assert_eq!(
+        (history.lines().count(), run(daemons, &["rollback", &first, "--for", "service=menu"]).0),
+        (2, Some(0))
+    );
+    takes(&sidecars, "s0", "stew");
+    // Operators see the same.
+    let (_, of) = run(daemons, &["get", "--of", "s0"]);
+    assert!(of.contains("stew") && !of.contains("soup"), "{of}");
+    let (_, of) = run(daemons, &["get", "--of", "s1", "--json"]);
+    let of: Value = serde_json::from_str(&of).unwrap();
+    let scopes: Vec<&str> = of["of"].as_array().unwrap().iter().map(|row| row[0].as_str().unwrap()).collect();
+    assert_eq!((scopes, of["belongs"]["service"].as_str()), (vec!["all", "region=a"], Some("bar")));
+    assert_eq!(run(daemons, &["get", "--for", "zone=a1"]), (Some(0), with_method("bread") + "\n"));
+    assert_eq!(
+        run(daemons, &["get", "--for", "service=menu", "--version", &first]).1,
+        with_method("stew") + "\n"
+    );
+    let (status, said) = run(daemons, &["get", "--for", "member=s0"]);
+    assert!(status == Some(1) && said.contains("was removed with version"), "{said}");
+    let (_, members) = run(daemons, &["members"]);
+    assert!(
+        members
+            .lines()
+            .any(|line| line.starts_with("s0 ") && line.ends_with("service=menu zone=a1 region=a")),
+        "{members}"
+    );
+    daemons
+        .wait("all act on it", |daemons| rows(daemons).iter().all(|row| row.acting == row.members))
+        .unwrap();
+    let told: Vec<(String, u64)> =
+        rows(daemons).iter().map(|row| (row.scope.to_string(), row.members)).collect();
+    let told: Vec<(&str, u64)> = told.iter().map(|(scope, members)| (scope.as_str(), *members)).collect();
+    assert_eq!(told, [("all", 3), ("region=a", 2), ("zone=a1", 1), ("service=menu", 1), ("member=s0", 1)]);
+    let (_, said) = run(daemons, &["scopes"]);
+    assert!(
+        said.contains("2 members, 2 act on what holds for them") && said.contains("member=s0: "),
+        "{said}"
+    );
+    let (_, said) = run(daemons, &["scopes", "--json"]);
+    let said: Value = serde_json::from_str(&said).unwrap();
+    assert_eq!((&said[1]["scope"], &said[1]["behind"]), (&json!("region=a"), &json!(0)));
+    let (_, said) = run(daemons, &["status"]);
+    assert!(said.contains("scopes: settings for 3, behind: nobody"), "{said}");
+}
+
+#[test]
+fn only_members_whose_settings_change_are_told() {
+    let daemons = &mut begun("told");
+    let mut menu = Raw::to(daemons, "s0", in_service("menu"));
+    let mut bar = Raw::to(daemons, "s1", in_service("bar"));
+    let mut none = Raw::to(daemons, "s2", Locality::default());
+    let first = committed(daemons, "all", &with_method("soup"));
+    for raw in [&mut menu, &mut bar, &mut none] {
+        assert_eq!(raw.wait_for_settings().0, first);
+        raw.bytes = 0;
+    }
+    let text = large(1, 64 * 1024);
+    let version = committed(daemons, "service=menu", &text);
+    // Danger: told of all that is later than what they know, all members would take the text of one service.
+    for _ in 0..20 {
+        assert!(bar.settings().is_none() && none.settings().is_none());
+    }
+    let (told, settings) = menu.settings().unwrap();
+    assert_eq!(
+        (told, settings["methods"].as_array().unwrap().len()),
+        (version, text.matches("\"m000001").count())
+    );
+    assert!(menu.settings().is_none(), "once");
+    assert!(menu.bytes > text.len() && bar.bytes < 20 * 200, "{} and {} bytes", menu.bytes, bar.bytes);
+    // And what is for all is told to all, also those above whom something stands.
+    let third = committed(daemons, "all", &json!({"nInstances": 2}).to_string());
+    let (told, settings) = menu.settings().unwrap();
+    assert!(told == third && settings["nInstances"] == 2 && settings["methods"].is_array());
+    assert_eq!((bar.settings().unwrap().0, none.settings().unwrap().0), (third, third));
+}
+
+#[test]
+fn of_two_puts_at_once_for_one_scope_one_is_refused() {
+    let daemons = &mut begun("one-scope");
+    let holds = committed(daemons, "service=menu", &with_method("soup"));
+    for round in 0..5 {
+        let expects = row(daemons, "service=menu").version;
+        assert!(expects >= holds);
+        let writes: Vec<Write> = ["bread", "stew"]
+            .map(|method| daemons.a_write(put(&with_method(&format!("{method}{round}"))), Some(expects)))
+            .into();
+        let at = daemons.at(daemons.wait_for_leader().unwrap());
+        let asked = writes.into_iter().map(|write| {
+            let asked = Ask::WriteFor { scope: scope("service=menu"), write };
+            thread::spawn(move || ask(at, &asked, PATIENCE).unwrap())
+        });
+        let replies: Vec<Reply> =
+            asked.collect::<Vec<_>>().into_iter().map(|asked| asked.join().unwrap()).collect();
+        let won = replies.iter().filter(|reply| matches!(reply, Reply::Committed(_))).count();
+        let lost =
+            |reply: &&Reply| matches!(reply, Reply::Refused(why) if why.contains("another was expected"));
+        assert_eq!((won, replies.iter().filter(lost).count()), (1, 1), "{replies:?}");
+    }
+    // A version of another scope is not expected by this one.
+    let _ = committed(daemons, "all", &with_method("wine"));
+    let expects = row(daemons, "service=menu").version;
+    assert!(matches!(
+        written(daemons, "service=menu", put(&with_method("tea")), Some(expects)),
+        Reply::Committed(_)
+    ));
+}
+
+#[test]
+fn of_two_puts_at_once_that_are_faulty_only_together_one_is_refused_by_their_names() {
+    let daemons = &mut begun("together");
+    let mut both = Raw::to(daemons, "s0", in_zone("a1", "menu"));
+    let _ = committed(daemons, "all", &json!({"nInstances": 4}).to_string());
+    let _ = both.wait_for_settings();
+    for round in 0..5 {
+        let writes = [("service=menu", json!({"me": 3})), ("zone=a1", json!({"nInstances": 2}))];
+        let asked: Vec<Ask> = writes
+            .iter()
+            .map(|(of, text)| Ask::WriteFor {
+                scope: scope(of),
+                write: daemons.a_write(put(&text.to_string()), None),
+            })
+            .collect();
+        let at = daemons.at(daemons.wait_for_leader().unwrap());
+        // In one piece: the second is heard before the first is committed.
+        let mut stream = TcpStream::connect(at).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        let mut out = Vec::new();
+        Frame::hello(FLEET, Who::Operator).write(&mut out);
+        for (number, ask) in asked.into_iter().enumerate() {
+            Frame::Ask { number: number as u64, ask }.write(&mut out);
+        }
+        stream.write_all(&out).unwrap();
+        let (mut frames, mut piece, mut replies) = (Frames::default(), vec![0; 4096], Vec::new());
+        while replies.len() < 2 {
+            while let Some(frame) = frames.pop().unwrap() {
+                if let Frame::Reply { number, reply } = frame {
+                    replies.push((number, reply));
+                }
+            }
+            if replies.len() < 2 {
+                let read = stream.read(&mut piece).unwrap();
+                assert!(read > 0);
+                frames.push(&piece[..read]);
+            }
+        }
+        replies.sort_by_key(|(number, _)| *number);
+        let refused = "for zone=a1, service=menu: ";
+        assert!(
+            matches!(&replies[..], [(0, Reply::Committed(_)), (1, Reply::Faulty(why))] if why.starts_with(refused)),
+            "{round}: {replies:?}"
+        );
+        let (_, settings) = both.wait_for_settings();
+        assert_eq!((&settings["nInstances"], &settings["me"]), (&json!(4), &json!(3)));
+        assert!(matches!(written(daemons, "service=menu", What::Remove, None), Reply::Committed(_)));
+        let _ = both.wait_for_settings();
+    }
+}
+
+#[test]
+fn a_put_is_checked_whole_for_each_way_in_which_scopes_come_together() {
+    let daemons = &mut begun("checked");
+    let _ = committed(daemons, "all", &json!({"nInstances": 4}).to_string());
+    let _ = committed(daemons, "service=menu", &json!({"me": 3}).to_string());
+    let faulty = |reply: Reply, names: &str| {
+        assert!(matches!(&reply, Reply::Faulty(why) if why.starts_with(names)), "{names} {reply:?}");
+    };
+    // What is for all is checked below each scope that stands above it, also one with no members.
+    let fewer = json!({"nInstances": 2}).to_string();
+    faulty(written(daemons, "all", put(&fewer), None), "for service=menu: ");
+    faulty(
+        written(daemons, "service=menu", put("{\"methods\": []}"), None),
+        "for service=menu: settings.methods",
+    );
+    faulty(
+        written(daemons, "service=menu", put("[1]"), None),
+        "for service=menu: settings: expected a JSON object",
+    );
+    faulty(
+        written(daemons, "service=menu", put("{\"budgets\": []}"), None),
+        "for service=menu: settings.budgets",
+    );
+    // A zone is well by itself; with a member in both it is not.
+    let mut both = Raw::to(daemons, "s0", in_zone("a1", "menu"));
+    let _ = both.wait_for_settings();
+    faulty(written(daemons, "zone=a1", put(&fewer), None), "for zone=a1, service=menu: ");
+    assert!(matches!(written(daemons, "zone=b1", put(&fewer), None), Reply::Committed(_)));
+    // Taking away is checked too: what lies below may not be well without it.
+    let _ = committed(daemons, "region=a", &json!({"nInstances": 2}).to_string());
+    let _ = committed(daemons, "zone=c1", &json!({"nInstances": 4}).to_string());
+    let mut three = Raw::to(daemons, "s1", Locality { region: Some("a".into()), ..in_zone("c1", "menu") });
+    let _ = three.wait_for_settings();
+    faulty(written(daemons, "zone=c1", What::Remove, None), "for region=a, service=menu: ");
+}
+
+#[test]
+fn a_put_for_a_scope_without_members_is_committed_and_said_and_holds_for_who_comes() {
+    let daemons = &mut begun("nobody");
+    let _ = committed(daemons, "service=menu", &with_method("soup"));
+    let file = daemons.root.join("new.json").display().to_string();
+    std::fs::write(&file, with_method("bread")).unwrap();
+    let (status, said) = run(daemons, &["put", &file, "--for", "service=menu"]);
+    assert!(status == Some(0) && said.starts_with("committed: "), "{said}");
+    assert!(said.contains("nobody that is heard now belongs to service=menu"), "{said}");
+    let (_, said) = run(daemons, &["put", &file, "--for", "service=menu", "--json"]);
+    let told: Value = serde_json::from_str(&said).unwrap();
+    assert_eq!((told["outcome"].as_str(), told["members"].as_u64()), (Some("committed"), Some(0)));
+    let mut late = Raw::to(daemons, "s0", in_service("menu"));
+    assert_eq!(late.wait_for_settings().1["methods"][0]["name"], "bread");
+    daemons.wait("it is seen", |daemons| row(daemons, "service=menu").members == 1).unwrap();
+}
+
+#[test]
+fn a_member_that_comes_back_in_another_service_has_nothing_of_its_earlier_one() {
+    let daemons = &mut begun("moved");
+    let mut sidecars = sidecars(daemons);
+    start(&mut sidecars, daemons, "s0", json!({"service": "menu"}));
+    let _ = committed(daemons, "service=menu", &with_method("soup"));
+    sidecars.wait("it acts", |sidecars| req(sidecars.at("s0"), "/soup/1") == Some(200)).unwrap();
+    assert!(sidecars.keep("s0").exists());
+    // No daemon is there to say what holds: kept settings of another service would be taken for its own.
+    daemons.places().for_each(|place| daemons.kill(place));
+    sidecars.kill("s0");
+    start(&mut sidecars, daemons, "s0", json!({"service": "bar"}));
+    assert_eq!(
+        (req(sidecars.at("s0"), "/soup/1"), req(sidecars.at("s0"), "/menu/1")),
+        (Some(404), Some(200))
+    );
+    for place in daemons.places() {
+        daemons.start(place).unwrap();
+    }
+    daemons.wait_for_leader().unwrap();
+    let _ = committed(daemons, "service=bar", &with_method("wine"));
+    sidecars.wait("it acts", |sidecars| req(sidecars.at("s0"), "/wine/1") == Some(200)).unwrap();
+    daemons
+        .wait("it is seen", |daemons| {
+            (row(daemons, "service=bar").members, row(daemons, "service=menu").members) == (1, 0)
+        })
+        .unwrap();
+}
+
+#[test]
+fn a_member_without_a_locality_has_what_is_for_all_and_for_itself() {
+    let daemons = &mut begun("without");
+    let at = daemons.at(daemons.wait_for_leader().unwrap());
+    let first = committed(daemons, "all", &with_method("soup"));
+    let _ = committed(daemons, "service=menu", &with_method("bread"));
+    let own = committed(daemons, "member=s1", &json!({"nInstances": 2}).to_string());
+    for version in [OLDEST, VERSION] {
+        let mut plain = Raw::greet(at, "s0", version, None);
+        let (told, settings) = plain.wait_for_settings();
+        assert_eq!((told, settings["methods"][0]["name"].as_str()), (first, Some("soup")));
+        let (told, settings) = Raw::greet(at, "s1", version, None).wait_for_settings();
+        let name = settings["methods"][0]["name"].as_str();
+        assert_eq!((told, &settings["nInstances"], name), (own, &json!(2), Some("soup")));
+    }
+}
+
+#[test]
+fn texts_over_the_limit_are_refused_by_their_combination_and_size() {
+    let daemons = &mut begun("limit");
+    let whole = large(1, SETTINGS_MOST - 64 * 1024);
+    let _ = committed(daemons, "service=menu", &whole);
+    let over = large(2, SETTINGS_MOST + 1);
+    let reply = written(daemons, "service=menu", put(&over), None);
+    assert!(matches!(&reply, Reply::Faulty(why) if why.contains("bytes at the most")), "{reply:?}");
+    // Each has room by itself; together, for a member in both, they have not.
+    let mut both = Raw::to(daemons, "s0", in_zone("a1", "menu"));
+    let (version, _) = both.wait_for_settings();
+    let more = json!({"zoneNote": "x".repeat(96 * 1024)}).to_string();
+    let reply = written(daemons, "zone=a1", put(&more), None);
+    let Reply::Faulty(why) = &reply else { panic!("{reply:?}") };
+    let size: usize = why.split(' ').find_map(|word| word.parse().ok()).unwrap();
+    assert!(
+        why.starts_with("for zone=a1, service=menu: the settings would have ") && size > SETTINGS_MOST,
+        "{why}"
+    );
+    assert!(both.settings().is_none() && both.report.knows == version);
+    assert!(matches!(written(daemons, "zone=b1", put(&more), None), Reply::Committed(_)));
+}
+
+#[test]
+fn a_newcomer_in_the_middle_of_a_change_is_told_what_is_committed_and_then_what_comes_of_it() {
+    let daemons = &mut begun("newcomer");
+    let first = committed(daemons, "service=menu", &with_method("soup"));
+    let old = daemons.wait_for_leader().unwrap();
+    daemons.around(old, Link::cut());
+    let write = daemons.a_write(put(&with_method("bread")), None);
+    let (at, asked) = (daemons.at(old), Ask::WriteFor { scope: scope("service=menu"), write: write.clone() });
+    let waits = thread::spawn(move || ask(at, &asked, PATIENCE));
+    daemons
+        .wait("it is in the log", |daemons| {
+            daemons.status(old).is_some_and(|status| status.last > status.committed)
+        })
+        .unwrap();
+    // Danger: told what only the leader holds, it would act on what may never have been.
+    let mut newcomer = Raw::greet(at, "s0", VERSION, Some(in_service("menu")));
+    let (told, settings) = newcomer.wait_for_settings();
+    assert_eq!((told, &settings["methods"][0]["name"]), (first, &json!("soup")));
+    assert!(newcomer.settings().is_none());
+    daemons.around(old, Link::default());
+    let _ = waits.join().unwrap();
+    // Said again by its id, whatever became of it: it has its effect once.
+    let asked = Ask::WriteFor { scope: scope("service=menu"), write };
+    let mut reply = Reply::Done;
+    daemons
+        .wait("its fate is known", |daemons| matches!(daemons.ask(&asked, PATIENCE), Ok(Reply::Committed(_))))
+        .unwrap();
+    if let Ok(known) = daemons.ask(&asked, PATIENCE) {
+        reply = known;
+    }
+    let Reply::Committed(second) = reply else { panic!("{reply:?}") };
+    let leader = daemons.wait_for_leader().unwrap();
+    let mut later = Raw::greet(daemons.at(leader), "s0", VERSION, Some(in_service("menu")));
+    (later.report.knows, later.report.version) = (first, first);
+    let (told, settings) = later.wait_for_settings();
+    assert_eq!((told, &settings["methods"][0]["name"]), (second, &json!("bread")));
+}
+
+#[test]
+fn a_member_that_was_away_for_a_hundred_versions_is_told_one_text() {
+    let daemons = &mut begun("away");
+    let mut away = Raw::to(daemons, "s0", in_zone("a1", "menu"));
+    let _ = committed(daemons, "service=menu", &large(0, 16 * 1024));
+    let _ = away.wait_for_settings();
+    away.bytes = 0;
+    let mut last = (Version::default(), String::new());
+    for number in 1..=100 {
+        let (of, bytes) = if number % 3 == 0 { ("zone=a1", 64) } else { ("service=menu", 16 * 1024) };
+        last = match of {
+            "zone=a1" => (committed(daemons, of, &json!({"nInstances": number}).to_string()), last.1),
+            _ => {
+                let text = large(number, bytes);
+                (committed(daemons, of, &text), text)
+            }
+        };
+    }
+    let (told, settings) = away.settings().unwrap();
+    assert_eq!((told, &settings["nInstances"]), (last.0, &json!(99)));
+    assert_eq!(settings["methods"], serde_json::from_str::<Value>(&last.1).unwrap()["methods"]);
+    assert!(away.settings().is_none() && away.bytes < 20 * 1024, "{} bytes", away.bytes);
+}
+
+#[test]
+fn a_scoped_put_whose_leader_is_killed_has_its_effect_once_and_all_go_only_forwards() {
+    let daemons = &mut begun("killed");
+    let mut version = committed(daemons, "service=menu", &with_method("soup"));
+    for round in 0..3 {
+        let leader = daemons.wait_for_leader().unwrap();
+        let mut member = Raw::greet(daemons.at(leader), "s0", VERSION, Some(in_service("menu")));
+        assert_eq!(member.wait_for_settings().0, version);
+        let write = daemons.a_write(put(&with_method(&format!("bread{round}"))), Some(version));
+        let asked = Ask::WriteFor { scope: scope("service=menu"), write: write.clone() };
+        let (at, said) = (daemons.at(leader), asked.clone());
+        let first = thread::spawn(move || ask(at, &said, PATIENCE));
+        daemons.kill(leader);
+        let first = first.join().unwrap();
+        // Two are left, of which one has not said yet which version it speaks.
+        daemons.start(leader).unwrap();
+        let mut fate = None;
+        for _ in 0..400 {
+            match daemons.ask(&asked, PATIENCE) {
+                Ok(Reply::Committed(version)) => {
+                    fate = Some(version);
+                    break;
+                }
+                Ok(Reply::Refused(why)) if why.contains("not before all daemons") => {
+                    thread::sleep(Duration::from_millis(25));
+                }
+                other => panic!("{other:?}"),
+            }
+        }
+        let second = fate.unwrap();
+        assert!(second > version && !matches!(first, Ok(Reply::Committed(version)) if version != second));
+        daemons.wait_for_one_state().unwrap();
+        let Reply::HistoryFor(rows) = daemons.ask(&Ask::HistoryFor(scope("service=menu")), PATIENCE).unwrap()
+        else {
+            panic!()
+        };
+        assert_eq!(rows.iter().filter(|row| row.why == write.why).count(), 1, "{rows:?}");
+        assert!(rows.is_sorted_by_key(|row| row.version));
+        let mut again = Raw::to(daemons, "s0", in_service("menu"));
+        (again.report.knows, again.report.version) = (version, version);
+        assert_eq!(again.wait_for_settings().0, second);
+        version = second;
+    }
+}
+
+#[test]
+fn a_member_of_version_two_is_served_beside_those_of_three() {
+    let daemons = &mut begun("older");
+    let at = daemons.at(daemons.wait_for_leader().unwrap());
+    let (mut old, mut new) =
+        (Raw::greet(at, "s0", OLDEST, None), Raw::greet(at, "s1", VERSION, Some(in_service("menu"))));
+    // The lower of both is spoken.
+    assert_eq!((old.speaks, new.speaks), (OLDEST, VERSION));
+    let first = daemons.put(&with_method("soup")).unwrap();
+    assert_eq!((old.wait_for_settings().0, new.wait_for_settings().0), (first, first));
+    let second = committed(daemons, "service=menu", &with_method("bread"));
+    assert_eq!(new.wait_for_settings().0, second);
+    // It is told nothing of what it does not know, and what is put for all as ever.
+    assert!(old.settings().is_none());
+    let third = daemons.put(&with_method("stew")).unwrap();
+    let (told, settings) = old.wait_for_settings();
+    assert_eq!((told, &settings["methods"][0]["name"]), (third, &json!("stew")));
+    assert_eq!(new.wait_for_settings().1["methods"][0]["name"], "bread");
+    // What a member belongs to is no frame of version 2.
+    old.send(&Frame::Belongs(in_service("menu")));
+    let mut rest = Vec::new();
+    assert!(old.stream.read_to_end(&mut rest).is_ok_and(|_| rest.is_empty()), "the connection ends");
+}
+
+/// Takes greetings of version 2 alone, as a daemon of that version does, in the name of this replica.
+fn stand_in(id: Id) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            thread::spawn(move || {
+                let (mut frames, mut piece) = (Frames::default(), vec![0; 64 * 1024]);
+                loop {
+                    while let Ok(Some(frame)) = frames.pop() {
+                        let Frame::Hello { version, .. } = frame else { continue };
+                        let mut out = Vec::new();
+                        if version != OLDEST {
+                            let why = format!("frames here are of version {OLDEST}, not {version}");
+                            Frame::NotTaken(why).write(&mut out);
+                            let _ = stream.write_all(&out);
+                            return;
+                        }
+                        Frame::hello_as(OLDEST, FLEET, Who::Replica(id)).write(&mut out);
+                        let _ = stream.write_all(&out);
+                    }
+                    match stream.read(&mut piece) {
+                        Ok(read) if read > 0 => frames.push(&piece[..read]),
+                        _ => return,
+                    }
+                }
+            });
+        }
+    });
+    at
+}
+
+#[test]
+fn scoped_puts_are_refused_until_all_voters_speak_version_three() {
+    let daemons = &mut begun("voters");
+    let _ = committed(daemons, "service=menu", &with_method("soup"));
+    let leader = daemons.wait_for_leader().unwrap();
+    let other = daemons.places().find(|place| *place != leader).unwrap();
+    let id = daemons.status(other).unwrap().id;
+    let refused = |daemons: &mut Daemons, what: &str| {
+        let wanted = format!("not before all daemons speak version {VERSION}: place {other} {what}");
+        let write = daemons.a_write(put(&with_method("never")), None);
+        let asked = Ask::WriteFor { scope: scope("service=menu"), write };
+        daemons
+            .wait(
+                &wanted,
+                |daemons| matches!(daemons.ask(&asked, PATIENCE), Ok(Reply::Refused(why)) if why == wanted),
+            )
+            .unwrap();
+    };
+    daemons.kill(other);
+    daemons.link(leader, other).lead_to("127.0.0.1:1".parse().unwrap());
+    // Danger: what is left has a majority and would commit what an older replica passes over.
+    refused(daemons, "is not heard");
+    daemons.link(leader, other).lead_to(stand_in(id));
+    refused(daemons, "speaks 2");
+    // What is for all is written as ever.
+    daemons.put(&with_method("bread")).unwrap();
+    daemons.start(other).unwrap();
+    daemons.link(leader, other).reset();
+    let _ = committed(daemons, "service=menu", &with_method("stew"));
+    daemons.wait_for_one_state().unwrap();
+}
+
+#[test]
+fn what_members_have_learnt_is_heard_within_a_service() {
+    let daemons = &begun("evidence");
+    let mut writer = Raw::to(daemons, "s0", in_service("menu"));
+    let mut same = Raw::to(daemons, "s1", in_service("menu"));
+    let mut bar = Raw::to(daemons, "s2", in_service("bar"));
+    let mut none = Raw::to(daemons, "s3", Locality::default());
+    let seen = |sequence| Seen { sequence, age_ms: 0, endpoint: 5, method: 1, outcome: 1, part: 0.5 };
+    writer.report.seen = (1..=20).map(seen).collect();
+    writer.told();
+    assert_eq!((same.told().passed.len(), none.told().passed.len()), (20, 20));
+    // Danger: names of another service's endpoints crowd out those that it knows.
+    assert_eq!(bar.told().passed.len(), 0);
+    none.report.seen = vec![seen(1)];
+    none.told();
+    assert_eq!((bar.told().passed.len(), same.told().passed.len()), (1, 1));
+}
--- a/crates/lab/src/rig/sidecars.rs
+++ b/crates/lab/src/rig/sidecars.rs
@@ -303,7 +303,7 @@
         self.groups = json!(groups);
     }
 
-    /// What those which are started from now on belong to, by the key of their files.
+    /// What those which are started from now on belong to, as their files have it; null for nothing.
     pub fn belongs(&mut self, belongs: Value) {
         self.belongs = belongs;
     }
