--- a/crates/daemon/tests/scopes.rs
+++ b/crates/daemon/tests/scopes.rs
@@ -659,7 +659,8 @@
     assert!(old.stream.read_to_end(&mut rest).is_ok_and(|_| rest.is_empty()), "the connection ends");
 }
 
-/// Takes greetings of version 2 alone, as a daemon of that version does, in the name of this replica.
+/// Takes greetings of version 2 alone, as a daemon of that version does, in the name of this replica; what operators ask is
+/// done.
 fn stand_in(id: Id) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let at = listener.local_addr().unwrap();
@@ -669,8 +670,12 @@
                 let (mut frames, mut piece) = (Frames::default(), vec![0; 64 * 1024]);
                 loop {
                     while let Ok(Some(frame)) = frames.pop() {
-                        let Frame::Hello { version, .. } = frame else { continue };
                         let mut out = Vec::new();
+                        if let Frame::Ask { number, .. } = frame {
+                            Frame::Reply { number, reply: Reply::Done }.write(&mut out);
+                            let _ = stream.write_all(&out);
+                        }
+                        let Frame::Hello { version, .. } = frame else { continue };
                         if version != OLDEST {
                             let why = format!("frames here are of version {OLDEST}, not {version}");
                             Frame::NotTaken(why).write(&mut out);
@@ -740,3 +745,40 @@
     none.told();
     assert_eq!((bar.told().passed.len(), same.told().passed.len()), (1, 1));
 }
+
+#[test]
+fn what_an_earlier_process_of_a_voter_has_greeted_with_does_not_count() {
+    let daemons = &mut begun("replaced");
+    let _ = committed(daemons, "service=menu", &with_method("soup"));
+    let leader = daemons.wait_for_leader().unwrap();
+    let other = daemons.places().find(|place| *place != leader).unwrap();
+    let id = daemons.status(other).unwrap().id;
+    // The leader's own connection to that place stands, and nobody is at its other end any more.
+    daemons.link(leader, other).stand(Link::cut());
+    daemons.kill(other);
+    let mut stream = TcpStream::connect(daemons.at(leader)).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    let (mut out, mut frames, mut piece) = (Vec::new(), Frames::default(), vec![0; 4096]);
+    Frame::hello_as(OLDEST, FLEET, Who::Replica(id)).write(&mut out);
+    stream.write_all(&out).unwrap();
+    while frames.pop().unwrap().is_none() {
+        let read = stream.read(&mut piece).unwrap();
+        assert!(read > 0);
+        frames.push(&piece[..read]);
+    }
+    let reply = written(daemons, "service=menu", put(&with_method("never")), None);
+    let wanted = format!("place {other} speaks 2");
+    assert!(matches!(&reply, Reply::Refused(why) if why.ends_with(&wanted)), "{reply:?}");
+}
+
+#[test]
+fn operators_are_answered_by_a_daemon_of_version_two_and_told_what_it_does_not_know() {
+    let at = stand_in(Id { place: 1, life: 1 });
+    let one = |asked: &Ask, sent: &mut bool| appledyke_daemon::ask::one(at, FLEET, asked, PATIENCE, sent);
+    let mut sent = false;
+    assert_eq!(one(&Ask::Status, &mut sent), Ok(Reply::Done));
+    // Danger: sent all the same it could not be read, and a write of unknown fate would be told.
+    let mut sent = false;
+    let why = one(&Ask::Scopes, &mut sent).unwrap_err();
+    assert!(!sent && why.contains("speaks version 2, which knows nothing of scopes"), "{why}");
+}
