--- a/crates/fleet/src/evidence.rs
+++ b/crates/fleet/src/evidence.rs
@@ -166,7 +166,9 @@
         while self.count > MOST
             && let Some((_, largest)) = self.sizes.last().copied()
         {
-            self.change(largest, |ring| drop(ring.pop_front()));
+            self.change(largest, |ring| {
+                ring.pop_front();
+            });
         }
     }
 
--- a/crates/fleet/tests/scopes.rs
+++ b/crates/fleet/tests/scopes.rs
@@ -510,11 +510,11 @@
     fn told(&self, fleet: &Fleet) -> Option<(Version, Value)> {
         let (version, settings) = settings_of(fleet, "s1", &locality())?;
         let scopes = [scope("zone=a1"), scope("service=menu")];
-        let lasts = scopes.iter().filter_map(|scope| fleet.scopes().last(scope));
+        let mut lasts = scopes.iter().filter_map(|scope| fleet.scopes().last(scope));
         let all = fleet.settings().map(|written| written.version);
         let restored = (fleet.version().generation > 0).then(|| fleet.version());
         let version = match self.fault {
-            Fault::OfWhoWins => lasts.last().map(|last| last.version).or(all).unwrap_or(version),
+            Fault::OfWhoWins => lasts.next_back().map(|last| last.version).or(all).unwrap_or(version),
             Fault::RemovedUnseen => {
                 let there = lasts.filter(|last| last.settings.is_some()).map(|last| last.version);
                 there.chain(all).chain(restored).max().unwrap_or(version)
--- a/crates/fleet/tests/version_2/mod.rs
+++ b/crates/fleet/tests/version_2/mod.rs
@@ -63,7 +63,7 @@
 }
 
 fn write(id: u64, what: What) -> Write {
-    let expects = (id % 2 == 0).then(|| version(id));
+    let expects = id.is_multiple_of(2).then(|| version(id));
     Write {
         id: WriteId(7, id),
         expects,
