Scoped puts wait for all voters only until the first; plays put for scopes

One voter that is away would hold up all that is put for a part of the fleet: once a scoped put is committed all have spoken version 3, and there is no way back.

--- a/crates/daemon/src/serve/scopes.rs
+++ b/crates/daemon/src/serve/scopes.rs
@@ -270,10 +270,13 @@
     /// Checks a write where scopes are in play. What is to be answered instead of proposing it, if anything is.
     pub(super) fn checked(&self, scope: &Scope, write: &Write) -> Result<Option<Reply>, Refused> {
         let Some(life) = &self.life else { return Err(Refused::NotLeader(None)) };
+        // Where something was put before, all spoke this version then; and one that is away must not hold up the rest.
         if *scope != Scope::All
+            && life.fleet.scopes().is_empty()
             && let Some((place, why)) = self.older_voter(life)
         {
-            return Ok(Some(Reply::Refused(format!(
+            // Danger: one that was replaced without knowing it would refuse for good what another has taken.
+            return Ok(Some(Reply::Faulty(format!(
                 "not before all daemons speak version {VERSION}: place {place} {why}"
             ))));
         }
--- a/crates/lab/src/rig/play.rs
+++ b/crates/lab/src/rig/play.rs
@@ -17,6 +17,7 @@
 use appledyke_fleet::members::Standing as Member;
 use appledyke_fleet::outs::{Amount, Group};
 use appledyke_fleet::releases::{Course, FORMAT, GoesBack, Moves, Order, Plan, Release};
+use appledyke_fleet::scopes::{Locality, Scope, Scoped};
 use appledyke_fleet::state::{What, Write, WriteId, Written};
 use appledyke_fleet::talk::{Ask, Frame, Frames, Reply, Report, Who};
 use oorandom::Rand64;
@@ -142,6 +143,9 @@
     /// Releases of all sidecars, one after another for as long as the run lasts: the most that may be out at once.
     #[serde(default)]
     pub release_most: Option<u32>,
+    /// Settings are put for parts of the fleet in turn with those for all, and sidecars belong to these.
+    #[serde(default)]
+    pub scopes: bool,
     /// Faults drawn by the seed, beside those that are stated.
     #[serde(default)]
     pub drawn: usize,
@@ -262,12 +266,38 @@
     record: Mutex<Record>,
     budgets: Vec<Budget>,
     groups: Vec<Group>,
+    /// For which settings are put in turn.
+    scopes: Vec<Scope>,
     numbers: AtomicU64,
     /// Those that were struck, whether they are so still, until they are well again; and the most of the others that were out at once.
     excused: Mutex<BTreeMap<String, bool>>,
     out: Mutex<(usize, String)>,
 }
 
+/// For which settings are put in turn, where scopes are played.
+fn scopes(played: bool) -> Vec<Scope> {
+    let (zone, service) = (|| Scope::Zone("z1".into()), |name: &str| Scope::Service(name.into()));
+    match played {
+        false => vec![Scope::All],
+        true => vec![Scope::All, service("v0"), zone(), service("v1")],
+    }
+}
+
+/// What a sidecar's file says that it belongs to then: each second one to a service, every third to a zone too.
+fn belongs(number: usize) -> serde_json::Value {
+    let mut belongs = serde_json::json!({"service": format!("v{}", number % 2)});
+    if number.is_multiple_of(3) {
+        belongs["zone"] = "z1".into();
+    }
+    belongs
+}
+
+fn as_written(scoped: Scoped) -> Written {
+    let Scoped { version, settings, by, why, at_ms, back_to } = scoped;
+    let (settings, budgets, groups) = (settings.unwrap_or_default(), Vec::new(), Vec::new());
+    Written { version, settings, budgets, groups, by, why, at_ms, back_to }
+}
+
 impl Watchers {
     fn now(&self) -> u64 {
         self.start.elapsed().as_millis() as u64
@@ -293,6 +323,8 @@
                     Ok(Reply::NotLeader(Some(leader))) => places.sort_by_key(|place| *place != leader),
                     Ok(Reply::NotLeader(None)) => {}
                     Ok(Reply::Unknown(_)) => open = true,
+                    // Danger: what one finds faulty another may have taken before.
+                    Ok(Reply::Faulty(_)) if open => {}
                     Ok(reply) => return Ok(reply),
                     // Whether it was taken before the connection broke cannot be told.
                     Err(_) => open = true,
@@ -321,8 +353,12 @@
             at_ms: 0,
             what: What::Put(settings, self.budgets.clone(), self.groups.clone()),
         };
+        let asked = match &self.scopes[number as usize % self.scopes.len()] {
+            Scope::All => Ask::Write(write),
+            scope => Ask::WriteFor { scope: scope.clone(), write },
+        };
         let began = self.now();
-        let outcome = match self.ask(&Ask::Write(write), WRITE_IN) {
+        let outcome = match self.ask(&asked, WRITE_IN) {
             Ok(Reply::Committed(version)) => Outcome::Committed(version),
             Ok(Reply::Refused(_) | Reply::Faulty(_)) | Err(false) => Outcome::Refused,
             _ => Outcome::Unknown,
@@ -333,7 +369,10 @@
 
     fn read(&self) {
         let began = self.now();
-        let version = match self.ask(&Ask::Get(None), ONE_IN) {
+        let asked = if self.scopes.len() > 1 { Ask::Scopes } else { Ask::Get(None) };
+        let version = match self.ask(&asked, ONE_IN) {
+            // What was put last, for whomever.
+            Ok(Reply::Scopes(rows)) => rows.iter().map(|row| row.version).max().unwrap_or_default(),
             Ok(Reply::Settings(Some(written))) => written.version,
             Ok(Reply::Settings(None)) => Version::default(),
             _ => return,
@@ -343,17 +382,24 @@
     }
 
     fn history(&self) -> bool {
-        match self.ask(&Ask::History, WRITE_IN) {
-            Ok(Reply::History(rows)) => {
-                self.tell(|record| {
-                    let new: Vec<Written> =
-                        rows.into_iter().filter(|row| !record.history.contains(row)).collect();
-                    record.history.extend(new);
-                });
-                true
-            }
-            _ => false,
-        }
+        self.scopes.iter().all(|scope| {
+            let rows = match scope {
+                Scope::All => match self.ask(&Ask::History, WRITE_IN) {
+                    Ok(Reply::History(rows)) => rows,
+                    _ => return false,
+                },
+                scope => match self.ask(&Ask::HistoryFor(scope.clone()), WRITE_IN) {
+                    Ok(Reply::HistoryFor(rows)) => rows.into_iter().map(as_written).collect(),
+                    _ => return false,
+                },
+            };
+            self.tell(|record| {
+                let new: Vec<Written> =
+                    rows.into_iter().filter(|row| !record.history.contains(row)).collect();
+                record.history.extend(new);
+            });
+            true
+        })
     }
 
     /// Asks all health checks once, and counts those that say no and were not struck.
@@ -389,6 +435,12 @@
         let name = format!("stand-in-{place}");
         let (mut out, mut frames, mut piece) = (Vec::new(), Frames::default(), vec![0; 64 * 1024]);
         Frame::hello(FLEET, Who::Member { name: name.clone() }).write(&mut out);
+        // One of them has what is merged, which is the text of no version by itself.
+        let scoped = self.scopes.len() > 1 && place == 1;
+        if scoped {
+            let service = Some("v0".to_string());
+            Frame::Belongs(Locality { service, ..Locality::default() }).write(&mut out);
+        }
         let mut version = Version::default();
         while !self.over() {
             let report = Report {
@@ -414,7 +466,8 @@
             };
             if let Some((told, settings)) = told.settings {
                 version = told;
-                let seen = Seen { at: self.now(), who: who.clone(), life, version, settings: Some(settings) };
+                let settings = (!scoped).then_some(settings);
+                let seen = Seen { at: self.now(), who: who.clone(), life, version, settings };
                 self.tell(|record| record.seen.push(seen));
             }
             thread::sleep(Duration::from_millis(BEAT_MS));
@@ -512,6 +565,9 @@
         sidecars.alone(serde_json::Value::Object(alone.collect()));
     }
     for number in 0..scenario.sidecars {
+        if scenario.scopes {
+            sidecars.belongs(belongs(number));
+        }
         sidecars.start(&format!("s{number}"), &members, BEAT_MS)?;
     }
     let watchers = Arc::new(Watchers {
@@ -521,6 +577,7 @@
         record: Mutex::new(Record { places: scenario.daemons, ..Record::default() }),
         budgets: scenario.budget.clone(),
         groups,
+        scopes: scopes(scenario.scopes),
         numbers: AtomicU64::new(1),
         excused: Mutex::default(),
         out: Mutex::default(),
@@ -912,6 +969,9 @@
                         let version = self.operators.versions.get(&name).map_or("v0", String::as_str);
                         self.sidecars.version(version, false);
                     }
+                    if self.watchers.scopes.len() > 1 {
+                        self.sidecars.belongs(belongs(number));
+                    }
                     self.sidecars.start(&name, &self.members, BEAT_MS)?;
                 } else {
                     self.sidecars.process(&name).go_on();
