--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -171,6 +171,8 @@
     writes: BTreeMap<Index, Vec<Waiting>>,
     /// Writes of settings that wait until another one's fate is known.
     held: VecDeque<(Key, u64, Ask)>,
+    /// The one that is being checked.
+    checking: Option<scopes::Checking>,
     /// Digests of the state after some entries, by place.
     marks: BTreeMap<Index, BTreeMap<u16, u64>>,
     role: Option<Role>,
@@ -218,6 +220,7 @@
             confirming: None,
             writes: BTreeMap::new(),
             held: VecDeque::new(),
+            checking: None,
             marks: BTreeMap::new(),
             role: None,
             leaving: None,
@@ -341,7 +344,9 @@
         for (_, (key, number, _)) in std::mem::take(&mut self.reads) {
             self.reply(key, number, Reply::NotLeader(None));
         }
-        for (key, number, _) in std::mem::take(&mut self.held) {
+        let checking = self.checking.take().map(|checking| checking.whose());
+        let held = std::mem::take(&mut self.held).into_iter().map(|(key, number, _)| (key, number));
+        for (key, number) in checking.into_iter().chain(held) {
             self.reply(key, number, Reply::NotLeader(None));
         }
         let writes = std::mem::take(&mut self.writes).into_values().flatten();
--- a/crates/daemon/src/serve/operators.rs
+++ b/crates/daemon/src/serve/operators.rs
@@ -65,6 +65,11 @@
                 })
             }
         };
+        self.outcome(key, number, done);
+    }
+
+    /// Answers what has an answer already.
+    pub(super) fn outcome(&mut self, key: Key, number: u64, done: Result<Option<Reply>, Refused>) {
         match done {
             Ok(Some(reply)) => self.reply(key, number, reply),
             Ok(None) => {}
@@ -119,18 +124,10 @@
                 return Ok(Some(Reply::Faulty(what)));
             }
         }
-        if let Some(reply) = self.checked(scope, &write)? {
-            return Ok(Some(reply));
-        }
-        let command = match scope {
-            Scope::All => Command::Write(write),
-            scope => Command::Scoped(scope.clone(), write),
-        };
-        let proposed = self.propose(key, number, &command);
-        if let (Some(life), Ok(None)) = (&mut self.life, &proposed) {
-            life.proposed(scope);
+        if *scope == Scope::All && life.fleet.scopes().is_empty() {
+            return self.propose_settings(key, number, scope, write);
         }
-        proposed
+        self.check_scoped(key, number, scope, write)
     }
 
     /// Proposes what an operator asked for, who hears of its fate once that is known.
--- a/crates/daemon/src/serve/scopes.rs
+++ b/crates/daemon/src/serve/scopes.rs
@@ -1,15 +1,15 @@
 //! Settings for parts of the fleet: what holds for a member, kept until it changes; what is put is checked for all whom it
 //! would concern; and how each scope stands.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::iter;
 
-use appledyke::units::Moment;
+use appledyke::units::{Moment, Span};
 use appledyke_consensus::{Id, Refused, Role};
 use appledyke_fleet::Version;
 use appledyke_fleet::heard::Heard;
 use appledyke_fleet::scopes::{Locality, Scope, Scoped, Scopes};
-use appledyke_fleet::state::{Fleet, SETTINGS_MOST, What, Write, Written};
+use appledyke_fleet::state::{Command, Fleet, SETTINGS_MOST, What, Write, Written};
 use appledyke_fleet::talk::{Ask, Merged, Reply, ScopeRow, VERSION, Who};
 use appledyke_sidecar::launch::check_agreed;
 use appledyke_sidecar::net::slots::Key;
@@ -20,6 +20,9 @@
 /// Bytes of merged texts that are kept: each of the largest size for a hundred services. Past them all are made anew.
 const MERGED_BYTES_MOST: usize = 64 << 20;
 
+/// How long a write is checked before all else is looked after again: well under the shortest beat.
+const CHECK_FOR: Span = Span::from_millis(10);
+
 /// Texts that were merged, by locality and, for a member with a scope of its own, its name. Danger: made anew for each report
 /// they would cost a leader more than all else.
 #[derive(Default)]
@@ -85,14 +88,50 @@
     names.join(", ")
 }
 
-/// What is wrong with the settings as they would be, for each way in which scopes come together.
-fn check(
-    template: &Value,
-    all: Option<(Version, &str)>,
+/// A write of settings that is being checked, and what would hold if it were committed. Danger: for hundreds of services the
+/// whole takes longer than an election, so it goes on between what else there is to do.
+pub(super) struct Checking {
+    key: Key,
+    number: u64,
+    scope: Scope,
+    write: Write,
+    all: Option<(Version, String)>,
+    scopes: Scopes,
+    /// The ways in which scopes come together that are left to check, with a name and a locality for each.
+    ways: VecDeque<(Vec<Scope>, String, Locality)>,
+}
+
+impl Checking {
+    /// Who waits for its fate, by which question.
+    pub(super) fn whose(&self) -> (Key, u64) {
+        (self.key, self.number)
+    }
+
+    /// What is wrong with the settings as they would be for the next way; none once there is none left.
+    fn next(&mut self, template: &Value) -> Option<Result<(), String>> {
+        let (combination, name, locality) = self.ways.pop_front()?;
+        let all = self.all.as_ref().map(|(version, text)| (*version, text.as_str()));
+        let Some((_, merged)) = self.scopes.merged(all, &name, &locality) else { return Some(Ok(())) };
+        let told = |what: String| match &combination[..] {
+            [] => what,
+            scopes => format!("for {}: {what}", named(scopes)),
+        };
+        if merged.len() > SETTINGS_MOST {
+            let size = merged.len();
+            return Some(Err(told(format!(
+                "the settings would have {size} bytes, {SETTINGS_MOST} at the most"
+            ))));
+        }
+        Some(check_agreed(template, &merged).map_err(told))
+    }
+}
+
+/// The ways in which scopes come together where one has changed: among these members, and by themselves.
+fn ways(
     scopes: &Scopes,
     changed: &Scope,
     members: &[(&str, &Locality)],
-) -> Result<(), String> {
+) -> VecDeque<(Vec<Scope>, String, Locality)> {
     let there = |scope: &&Scope| scopes.last(scope).is_some_and(|last| last.settings.is_some());
     let above: Vec<&Scope> = match changed {
         Scope::All => scopes.iter().map(|(scope, _)| scope).filter(there).collect(),
@@ -103,19 +142,8 @@
     let (nobody, nowhere) = (String::new(), Locality::default());
     let base = iter::once((nobody.as_str(), &nowhere)).filter(|_| *changed == Scope::All);
     let concerned = members.iter().copied().filter(|(name, locality)| changed.holds(name, locality));
-    for (combination, (name, locality)) in scopes.combinations(base.chain(lone).chain(concerned)) {
-        let Some((_, merged)) = scopes.merged(all, name, locality) else { continue };
-        let told = |what: String| match &combination[..] {
-            [] => what,
-            scopes => format!("for {}: {what}", named(scopes)),
-        };
-        if merged.len() > SETTINGS_MOST {
-            let size = merged.len();
-            return Err(told(format!("the settings would have {size} bytes, {SETTINGS_MOST} at the most")));
-        }
-        check_agreed(template, &merged).map_err(told)?;
-    }
-    Ok(())
+    let ways = scopes.combinations(base.chain(lone).chain(concerned)).into_iter();
+    ways.map(|(combination, (name, locality))| (combination, name.to_string(), locality.clone())).collect()
 }
 
 fn as_scoped(written: &Written) -> Scoped {
@@ -133,14 +161,14 @@
         }
     }
 
-    /// What is wrong with a write where scopes are in play, or why there is no room for it.
-    fn check_scoped(
+    /// What is to be checked of a write where scopes are in play, or why there is no room for it.
+    fn checking(
         &self,
         now: Moment,
-        template: &Value,
+        (key, number): (Key, u64),
         scope: &Scope,
-        write: &Write,
-    ) -> Result<(), String> {
+        write: Write,
+    ) -> Result<Checking, String> {
         let fleet = &self.fleet;
         let mut scopes = fleet.scopes().clone();
         let mut all = fleet.settings().map(|written| (written.version, written.settings.clone()));
@@ -160,8 +188,7 @@
                 What::Back(version) => {
                     let back = scopes.history(scope).find(|scoped| scoped.version == *version);
                     // What is not kept is refused by the state.
-                    let Some(back) = back else { return Ok(()) };
-                    back.settings.clone()
+                    back.and_then(|back| back.settings.clone())
                 }
                 What::Remove => None,
             };
@@ -184,8 +211,8 @@
             .flat_map(|of| heard(now, of, &self.localities))
             .map(|(name, _, locality)| (name, locality))
             .collect();
-        let all = all.as_ref().map(|(version, text)| (*version, text.as_str()));
-        check(template, all, &scopes, scope, &members)
+        let ways = ways(&scopes, scope, &members);
+        Ok(Checking { key, number, scope: scope.clone(), write, all, scopes, ways })
     }
 
     /// How each part of the fleet stands for which something was put, all of it first.
@@ -267,8 +294,15 @@
 }
 
 impl Daemon {
-    /// Checks a write where scopes are in play. What is to be answered instead of proposing it, if anything is.
-    pub(super) fn checked(&self, scope: &Scope, write: &Write) -> Result<Option<Reply>, Refused> {
+    /// Begins to check a write where scopes are in play; it is proposed once that is done. What is to be answered at once, if
+    /// anything is.
+    pub(super) fn check_scoped(
+        &mut self,
+        key: Key,
+        number: u64,
+        scope: &Scope,
+        write: Write,
+    ) -> Result<Option<Reply>, Refused> {
         let Some(life) = &self.life else { return Err(Refused::NotLeader(None)) };
         // Where something was put before, all spoke this version then; and one that is away must not hold up the rest.
         if *scope != Scope::All
@@ -280,11 +314,13 @@
                 "not before all daemons speak version {VERSION}: place {place} {why}"
             ))));
         }
-        if *scope == Scope::All && life.fleet.scopes().is_empty() {
-            return Ok(None);
+        match life.checking(self.now, (key, number), scope, write) {
+            Ok(checking) => {
+                self.checking = Some(checking);
+                Ok(None)
+            }
+            Err(why) => Ok(Some(Reply::Faulty(why))),
         }
-        let found = life.check_scoped(self.now, &self.template, scope, write);
-        Ok(found.err().map(Reply::Faulty))
     }
 
     /// A voter that has not greeted with this version, and what is known of it. Danger: a replica of an older version passes
@@ -312,18 +348,55 @@
             Ask::WriteFor { scope, .. } => scope,
             _ => return false,
         };
-        let waits = self.life.as_ref().is_some_and(|life| life.waits(scope));
+        let waits = self.checking.is_some() || self.life.as_ref().is_some_and(|life| life.waits(scope));
         if waits {
             self.held.push_back((key, number, ask.clone()));
         }
         waits
     }
 
-    /// Those that have waited, as far as they wait no more.
+    /// Goes on with the write that is being checked, for a moment; then with those that have waited, as far as they wait no
+    /// more.
     pub(super) fn go_on(&mut self) {
+        let until = self.time() + CHECK_FOR;
+        while let Some(checking) = &mut self.checking {
+            let (key, number) = (checking.key, checking.number);
+            match checking.next(&self.template) {
+                Some(Ok(())) if self.time() >= until => return,
+                Some(Ok(())) => {}
+                Some(Err(why)) => {
+                    self.checking = None;
+                    self.reply(key, number, Reply::Faulty(why));
+                }
+                None => {
+                    let Some(checking) = self.checking.take() else { return };
+                    let done = self.propose_settings(key, number, &checking.scope, checking.write);
+                    self.outcome(key, number, done);
+                }
+            }
+        }
         for _ in 0..self.held.len() {
             let Some((key, number, ask)) = self.held.pop_front() else { return };
             self.asked(key, number, ask);
         }
     }
+
+    /// Proposes a write of settings that is well.
+    pub(super) fn propose_settings(
+        &mut self,
+        key: Key,
+        number: u64,
+        scope: &Scope,
+        write: Write,
+    ) -> Result<Option<Reply>, Refused> {
+        let command = match scope {
+            Scope::All => Command::Write(write),
+            scope => Command::Scoped(scope.clone(), write),
+        };
+        let proposed = self.propose(key, number, &command);
+        if let (Some(life), Ok(None)) = (&mut self.life, &proposed) {
+            life.proposed(scope);
+        }
+        proposed
+    }
 }
--- a/crates/daemon/src/serve/work.rs
+++ b/crates/daemon/src/serve/work.rs
@@ -119,6 +119,11 @@
         life.runner = (role == Role::Leader).then(Runner::new);
         // What it holds and has not applied may have writes of settings of whoever led before.
         (life.localities, life.unsettled) = (BTreeMap::new(), (life.replica.last().index, true));
+        // Danger: what was checked against the state of an earlier term may be faulty with what another leader committed.
+        if let Some((key, number)) = self.checking.take().map(|checking| checking.whose()) {
+            let leader = self.leader();
+            self.reply(key, number, Reply::NotLeader(leader));
+        }
     }
 
     pub(super) fn leader(&self) -> Option<u16> {
