--- a/crates/daemon/src/configuration.rs
+++ b/crates/daemon/src/configuration.rs
@@ -62,6 +62,9 @@
     /// Records of others that a member hears with an answer, and when it returns.
     #[serde(default = "evidence_each")]
     pub evidence_each: usize,
+    /// The same for a member that names its service: what the largest services book with a record a member a beat.
+    #[serde(default = "evidence_service")]
+    pub evidence_service: usize,
     #[serde(default = "evidence_return")]
     pub evidence_return: usize,
     #[serde(default)]
@@ -86,6 +89,10 @@
 fn compare_every() -> u64 {
     64
 }
+fn evidence_service() -> usize {
+    80
+}
+
 fn evidence_each() -> usize {
     32
 }
--- a/crates/daemon/src/serve/members.rs
+++ b/crates/daemon/src/serve/members.rs
@@ -54,7 +54,8 @@
         let passed = if report.catches_up {
             self.evidence.catch_up(now, service, writer, &mut peer.cursor, c.evidence_return)
         } else {
-            self.evidence.tell(now, service, writer, &mut peer.cursor, c.evidence_each)
+            let most = if service == 0 { c.evidence_each } else { c.evidence_service };
+            self.evidence.tell(now, service, writer, &mut peer.cursor, most)
         };
         let mut told = Told { apart: true, passed, number: report.number, ..Told::default() };
         if let Some(life) = &mut self.life {
