The test of a frame that version 2 does not know ends before the daemon would by itself

The daemon ends such a connection by itself after a while; the test now ends before that, so that it sees the refusal of the frame and nothing else.

--- a/crates/daemon/tests/scopes.rs
+++ b/crates/daemon/tests/scopes.rs
@@ -655,6 +655,8 @@
     // What a member belongs to is no frame of version 2.
     old.send(&Frame::Belongs(in_service("menu")));
     let mut rest = Vec::new();
+    // Well before the daemon ends what is silent.
+    old.stream.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
     assert!(old.stream.read_to_end(&mut rest).is_ok_and(|_| rest.is_empty()), "the connection ends");
 }
 
