A limit on what a sidecar adds is compared both ways, and no row is within one below zero

Cause: `a_limit_that_nothing_keeps_is_status_1…` took 0.000001 ms for a limit that nothing keeps. What is added is the difference of two p99, each by the machine's chance too, and on a busy machine it was -2.064 ms (3.198 direct, 1.134 through): within every limit, exit 0. The test was wrong on that, and so was the verdict: a sidecar takes nothing off a call, so such a row measured the machine.

Change: a row whose direct calls took longer by more than the limit is void, as is one of which no direct call was served (it had added nothing, and was within every limit). So a limit below zero is kept by no row whatever the machine does, and the test takes that; it also asks for the reason in the result and for no rate carried. `--most-ms` refuses NaN and infinity, over which no difference is.

Test changed: `a_rate_is_not_carried…` gives its good row direct calls, as one without is void now, and has more rows. Seen to fail with the verdict as before: `a_rate_is_not_carried…` (-2.064 ms within 0.46) and `bad_options…` (NaN began a measurement). With the change 11 of 11 passed.

--- a/crates/lab/src/added.rs
+++ b/crates/lab/src/added.rs
@@ -710,16 +710,33 @@
     }
 }
 
-/// Why a row's rate isn't carried.
+/// # Errors
+/// The option, if no difference can be compared with it.
+pub fn check_most(most_ms: f64) -> Result<(), String> {
+    match most_ms.is_finite() {
+        true => Ok(()),
+        false => Err(format!("--most-ms: expected a number of milliseconds, not {most_ms}")),
+    }
+}
+
+/// Why a row's rate isn't carried; empty where it is. What was added is compared both ways, in milliseconds, so a limit
+/// below zero is kept by no row.
 pub fn over(row: &Row, most_ms: f64) -> Vec<String> {
     let mut over = Vec::new();
+    let added = row.added_p99[0];
     if row.void {
         over.push("void, with its void pairs shown: the tool itself was late".to_string());
-    } else if row.added_p99[0] > most_ms {
+    } else if row.direct.served == 0 {
+        // Danger: without anything to compare it would have added nothing, and be within every limit.
+        over.push("void: no direct call was served".to_string());
+    } else if added > most_ms {
+        over.push(format!("adds {added:.3} ms for 99 in 100, {:.3} over {most_ms}", added - most_ms));
+    } else if added < -most_ms {
+        // Danger: a sidecar takes nothing off a call. What is measured below zero is the machine's doing, and what it does
+        // by more than the limit one way it may do the other way: a row would be within the limit by chance.
         over.push(format!(
-            "adds {:.3} ms for 99 in 100, {:.3} over {most_ms}",
-            row.added_p99[0],
-            row.added_p99[0] - most_ms
+            "void: direct calls took {:.3} ms more for 99 in 100, which is no sidecar's doing and over {most_ms}",
+            -added
         ));
     }
     if row.core >= CORE_FULL {
@@ -749,6 +766,7 @@
     mut told: impl FnMut(&Row),
 ) -> Result<Measured, String> {
     plan.check()?;
+    check_most(most_ms)?;
     let (start, load_before) = (Instant::now(), load_average());
     let mut rates = plan.rates.clone();
     rates.sort_by(f64::total_cmp);
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -199,7 +199,7 @@
     /// the seed of all chance
     #[argh(option, default = "1")]
     seed: u64,
-    /// most that may be added for 99 in 100 calls, in milliseconds; more is exit 1
+    /// most that may be added for 99 in 100 calls, in milliseconds; exit 1 where a row is over it or void
     #[argh(option)]
     most_ms: Option<f64>,
     /// the sidecar's program; beside this one if not said
@@ -471,12 +471,13 @@
         seed: asked.seed,
     };
     plan.check()?;
+    let most_ms = asked.most_ms.unwrap_or(added::TARGET_MS);
+    added::check_most(most_ms)?;
     let sidecar = asked.sidecar.map_or_else(|| beside("appledyke-sidecar"), Ok)?;
     let folder = std::env::temp_dir().join(format!("appledyke-added-{}", std::process::id()));
     let base = include_str!("../../../examples/sidecar.json");
     let place = added::Place { sidecar: &sidecar, folder: &folder, base };
     println!("{}", added::HEAD);
-    let most_ms = asked.most_ms.unwrap_or(added::TARGET_MS);
     let measured = added::measure(&plan, most_ms, &place, |row| println!("{}", row.text()));
     let _ = std::fs::remove_dir_all(&folder);
     let measured = measured?;
--- a/crates/lab/tests/added.rs
+++ b/crates/lab/tests/added.rs
@@ -161,18 +161,33 @@
 #[test]
 fn a_rate_is_not_carried_over_the_target_a_core_unserved_or_void() {
     let through = Ends { calls: 1000, served: 995, rejected: 5, ..Ends::default() };
-    let good = Row { added_p99: [0.4, 0.3, 0.5], core: 0.5, through, ..Row::default() };
+    let direct = Ends { calls: 1000, served: 1000, ..Ends::default() };
+    let good = Row { added_p99: [0.4, 0.3, 0.5], core: 0.5, direct, through, ..Row::default() };
     assert_eq!(over(&good, 0.46), Vec::<String>::new());
+    let less = Row { added_p99: [-0.4, -0.5, 0.1], ..good.clone() };
+    assert_eq!(over(&less, 0.46), Vec::<String>::new());
     let bad = Ends { served: 980, rejected: 20, ..through };
     for (row, why) in [
         (Row { added_p99: [0.5, 0.4, 0.6], ..good.clone() }, "0.500 ms for 99 in 100, 0.040 over 0.46"),
         (Row { core: 0.96, ..good.clone() }, "0.96 of a core"),
         (Row { through: bad, ..good.clone() }, "2.0% rejected"),
         (Row { void: true, ..good.clone() }, "void"),
+        // Danger: on a busy machine direct calls were the slower ones, and the row was within every limit. Seen as such.
+        (
+            Row { added_p99: [-2.064, -2.1, -2.0], ..good.clone() },
+            "void: direct calls took 2.064 ms more for 99 in 100",
+        ),
+        // Danger: so was a row that had nothing to compare.
+        (Row { direct: Ends::default(), through: Ends::default(), ..good.clone() }, "void: no direct call"),
     ] {
         let said = over(&row, 0.46);
         assert!(said.len() == 1 && said[0].contains(why), "{said:?}");
     }
+    // Nothing is within a limit below zero, whichever way the difference falls.
+    for added in [-3.0, -0.000002, -0.000001, 0.0, 0.000001, 3.0] {
+        let row = Row { added_p99: [added; 3], ..good.clone() };
+        assert_eq!(over(&row, -0.000001).len(), 1, "{added}");
+    }
 }
 
 #[test]
@@ -252,18 +267,22 @@
         ]);
         lab.arg(&out).args(more).output().unwrap()
     };
-    // Over, or void on a machine that is busy: both are told, and neither is kept.
-    let done = run(&["--most-ms", "0.000001"]);
+    // Over, or void on a machine that is busy: both are told, and neither is kept. Danger: a difference of two p99 on a busy
+    // machine may have either sign, and a limit just above zero was kept where it fell below.
+    let done = run(&["--most-ms", "-0.000001"]);
     let text = String::from_utf8(done.stdout).unwrap();
     assert_eq!(done.status.code(), Some(1), "{text}");
     assert!(text.contains("OVER: ") && text.contains("load average"), "{text}");
     let result: serde_json::Value = serde_json::from_slice(&std::fs::read(&out).unwrap()).unwrap();
     std::fs::remove_file(&out).unwrap();
-    assert_eq!(result["most_ms"], 0.000001);
+    assert_eq!(result["most_ms"], -0.000001);
+    let told = result["lists"][0]["rows"][0]["over"][0].as_str().unwrap().to_string();
+    assert!(text.contains(&format!("OVER: {told}")), "{text}");
     assert_eq!(
         result["lists"][0]["rows"][0]["direct"]["calls"],
         result["lists"][0]["rows"][0]["through"]["calls"]
     );
+    assert_eq!(result["lists"][0]["carries"], serde_json::Value::Null);
     // Without a limit there is no verdict.
     assert_eq!(run(&[]).status.code(), Some(0));
     std::fs::remove_file(&out).unwrap();
@@ -279,6 +298,9 @@
         (&["--instances", "0"], "--instances"),
         (&["--seconds", "NaN"], "--seconds"),
         (&["--seconds", "600"], "--seconds"),
+        // Danger: no difference is over it, so all rows would be within it.
+        (&["--most-ms", "NaN"], "--most-ms"),
+        (&["--most-ms", "inf"], "--most-ms"),
         (&["--sidecar", "/nowhere/at-all", "--rates", "10", "--seconds", "0.1"], "/nowhere/at-all"),
     ] {
         let mut lab = Command::new(env!("CARGO_BIN_EXE_appledyke-lab"));
