--- a/crates/lab/src/rig/fleet.rs
+++ b/crates/lab/src/rig/fleet.rs
@@ -226,6 +226,17 @@
         at.ok_or("no address".to_string())
     }
 
+    /// The same of all, the leader first if there is one.
+    ///
+    /// # Errors
+    /// The one that has not said so.
+    pub fn own_addresses(&mut self) -> Result<Vec<(u16, SocketAddr)>, String> {
+        let leader = self.leader();
+        let mut places: Vec<u16> = self.places().collect();
+        places.sort_by_key(|place| Some(*place) != leader);
+        places.into_iter().map(|place| Ok((place, self.own_address(place)?))).collect()
+    }
+
     pub fn running(&self, place: u16) -> bool {
         self.processes.contains_key(&place)
     }
--- a/crates/lab/src/rig/measure.rs
+++ b/crates/lab/src/rig/measure.rs
@@ -149,7 +149,7 @@
             Shape { election_ms: 1000, beat_ms: 100, lease_ms: 5000, compact_every: 512, ..Shape::default() };
         let mut daemons = self.fleet("members", shape)?;
         let leader = daemons.wait_for_leader()?;
-        let mut holders = Holders::new(daemons.own_address(leader)?, beat, &[]);
+        let mut holders = Holders::new(daemons.own_addresses()?, beat, &[]);
         holders.come(members, 0);
         daemons.wait("all are members", |fleet| {
             matches!(fleet.ask(&Ask::Members, PATIENCE), Ok(Reply::Members(rows))
@@ -182,7 +182,7 @@
         let write = daemons.a_write(What::Put("{}".to_string(), rows, Vec::new()), None);
         daemons.ask(&Ask::Write(write), PATIENCE)?;
         let leader = daemons.wait_for_leader()?;
-        let mut holders = Holders::new(daemons.own_address(leader)?, beat, &of);
+        let mut holders = Holders::new(daemons.own_addresses()?, beat, &of);
         holders.come(members, WANTS);
         daemons.wait("all have their parts", |_| {
             (0..members).all(|who| of.iter().all(|of| holders.holds(who, *of) >= WANTS))
