A leader's work for budgets grows with the members, no more by their square

Cause: each report of a member was answered with a look at every part of every budget for earlier processes of its name; each division looked for every holder among all that are heard; and an entry that grants to many added up all parts for each of them. Change: earlier processes are found by their place in the order, holders by a search in it, and the room is kept through an entry. What an entry comes to is the same.

--- a/crates/daemon/src/serve/members.rs
+++ b/crates/daemon/src/serve/members.rs
@@ -18,10 +18,7 @@
     let holder = Holder { name: report.name.clone(), incarnation: report.incarnation };
     if report.alone {
         // An earlier process of this name has ended: what it held is free.
-        let earlier =
-            Thing::ALL.into_iter().flat_map(|of| fleet.budgets().parts(of)).map(|(holder, _)| holder);
-        let earlier =
-            earlier.filter(|other| other.name == holder.name && other.incarnation < holder.incarnation);
+        let earlier = Thing::ALL.into_iter().flat_map(|of| fleet.budgets().earlier(of, &holder));
         earlier.for_each(|earlier| divider.ended(now, earlier));
     }
     divider.report(now, &holder, &report.uses, report.standing == Standing::Gone);
--- a/crates/fleet/src/budgets.rs
+++ b/crates/fleet/src/budgets.rs
@@ -193,6 +193,13 @@
         self.parts.get(&of)?.get(holder)
     }
 
+    /// Holders of a part of a budget that are earlier processes of this one's name.
+    pub fn earlier(&self, of: Thing, holder: &Holder) -> impl Iterator<Item = &Holder> {
+        let first = Holder { name: holder.name.clone(), incarnation: 0 };
+        let range = self.parts.get(&of).map(|parts| parts.range(first..holder.clone()));
+        range.into_iter().flatten().map(|(earlier, _)| earlier)
+    }
+
     /// What all holders may be using.
     pub fn counted(&self, of: Thing) -> u64 {
         self.parts(of).map(|(_, part)| part.counted).sum()
@@ -219,8 +226,9 @@
             Change::Grant(of, sets) => {
                 self.blind = false;
                 // What is lowered in the same entry makes no room in it: it is counted with until it is released.
+                let mut room = self.room(*of);
                 for (holder, granted) in sets {
-                    self.grant(index, *of, holder, *granted);
+                    room -= self.grant(index, *of, holder, *granted, room);
                 }
             }
             Change::Release(of, sets) => {
@@ -238,19 +246,20 @@
         }
     }
 
-    fn grant(&mut self, index: Index, of: Thing, holder: &Holder, granted: u64) {
-        let room = self.room(of);
+    /// What of the room it takes.
+    fn grant(&mut self, index: Index, of: Thing, holder: &Holder, granted: u64, room: u64) -> u64 {
         let stated = self.stated.contains_key(&of);
         let parts = self.parts.entry(of).or_default();
         let part = parts.get(holder).copied().unwrap_or_default();
         let more = granted.saturating_sub(part.counted);
         if granted == part.granted || more > room || !stated && granted > part.granted {
-            return;
+            return 0;
         }
         let counted = part.counted.max(granted);
         if counted > 0 {
             parts.insert(holder.clone(), Part { granted, counted, since: index });
         }
+        more
     }
 
     /// What holders may be using is not known any more, as after a restore.
--- a/crates/fleet/src/divide.rs
+++ b/crates/fleet/src/divide.rs
@@ -180,6 +180,7 @@
     ) -> Vec<(Holder, u64)> {
         let granted = |holder: &Holder| budgets.part(of, holder).map_or(0, |part| part.granted);
         let here = |heard: &Heard| heard.ended.is_none() && now.since(heard.answered) <= LEASE;
+        // In the order of holders.
         let wants: Vec<(&Holder, f64)> = self
             .heard
             .iter()
@@ -198,7 +199,7 @@
         // Danger: a leader that is new has heard nobody, and takes nothing back before a lease of its own has passed.
         let knows_all = now.since(self.since) > LEASE;
         for (holder, part) in budgets.parts(of) {
-            let absent = !wants.iter().any(|(other, _)| *other == holder);
+            let absent = wants.binary_search_by(|(other, _)| (*other).cmp(holder)).is_err();
             if absent && part.granted > 0 && (knows_all || self.heard.contains_key(holder)) {
                 lowered.push((holder.clone(), 0));
             }
