A daemon's backlog holds all members that come together

Cause: the listener had the usual backlog of 128. When a leader is lost 2,400 members come to the next one within a tenth of a second; those for whom there is no room are dropped without a word, and the system tries again after a second, then two. Change: the backlog is as large as the bound on connections; the system's own bound holds beside it. socket2, which the sidecar uses already, listens.

--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -22,6 +22,7 @@
 use serde_json::Value;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook_mio::v1_0::Signals;
+use socket2::{Domain, Protocol, Socket, Type};
 
 use crate::configuration::Configuration;
 use crate::folder::{Closed, Folder};
@@ -45,6 +46,9 @@
 const UNSENT_MOST: usize = 64 << 20;
 /// Connections at once: a large fleet's sidecars, and some.
 const CONNECTIONS_MOST: usize = 12_000;
+/// Connections that may wait to be taken: all that there may be, as members come together when a leader is lost. The system
+/// has a bound of its own.
+const BACKLOG: i32 = CONNECTIONS_MOST as i32;
 /// In which a greeting must have come.
 const GREETING_IN: Span = Span::from_millis(3000);
 /// Wait before a daemon that was not reached is tried again.
@@ -58,6 +62,17 @@
 /// Comparisons of the state that are kept: daemons reach the same entry at different moments.
 const MARKS_MOST: usize = 8;
 
+/// Danger: with the usual backlog of 128 most members of a large fleet that come together are dropped by the system without a
+/// word, and each tries again after a second, then two more, while its patience is over before.
+fn listen(at: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(at), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&at.into())?;
+    socket.listen(BACKLOG)?;
+    Ok(TcpListener::from_std(socket.into()))
+}
+
 struct Peer {
     connection: Connection,
     frames: Frames,
@@ -191,7 +206,7 @@
             .register(&mut signals, SIGNALS, Interest::READABLE)
             .map_err(|e| format!("signals: {e}"))?;
         let told = |e: io::Error| format!("listen: {}: {e}", configuration.listen);
-        let mut listener = TcpListener::bind(configuration.listen).map_err(told)?;
+        let mut listener = listen(configuration.listen).map_err(told)?;
         poll.registry().register(&mut listener, LISTENER, Interest::READABLE).map_err(told)?;
         let now = Moment::default();
         let dials = configuration.others().into_iter().map(|(place, at)| (place, (at, None, now))).collect();
