A member does not go back at each word to a leader that it has just lost

Cause: followers name a killed leader until the next one is elected. A member went to it at each such word, was refused, and asked the next follower 50 to 100 ms later: 13 dials of the lost leader and as many of followers a second, each with a greeting and a whole report; some 60,000 a second for 2,400 members, on the daemons that are to elect. Change: for two beats after a daemon was lost or not reached another's word that it leads is not followed; the member stays with the one that answers, which tells it settings. A word of another leader is followed at once. Two beats are less than a lease, so grants are renewed in time.

--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -22,6 +22,9 @@
 const PATIENCE_BEATS: f64 = 3.0;
 /// Most that is waited between two rounds over all daemons that were not reached, in beats: they come back together.
 const PAUSE_BEATS_MOST: f64 = 8.0;
+/// Beats for which a daemon that was not reached, or was lost, is not gone to because another says that it leads: less than
+/// leases last, so that what it grants is renewed in time once it is reached again.
+const UNREACHED_BEATS: f64 = 2.0;
 /// Records that are kept for the daemons, and told in one report.
 const BOOKED_MOST: usize = 256;
 const TOLD_MOST: usize = 64;
@@ -99,6 +102,8 @@
     leaderless: Option<Moment>,
     /// Daemons that were tried in vain since one answered.
     vain: u32,
+    /// Which was lost last, or not reached, and when.
+    lost: Option<(usize, Moment)>,
     next_beat: Moment,
     standing: Standing,
     acts_on: Version,
@@ -156,6 +161,7 @@
             unscoped: false,
             leaderless: None,
             vain: 0,
+            lost: None,
             next_beat: first,
             standing: Standing::Joining,
             acts_on: version,
@@ -345,6 +351,7 @@
             return;
         }
         self.vain += 1;
+        self.lost = Some((self.at, now));
         self.at = (self.at + 1) % self.setup.daemons.len().max(1);
         let rounds = self.vain / self.setup.daemons.len().max(1) as u32;
         let pause = 2.0_f64.powi(rounds.min(10) as i32).min(PAUSE_BEATS_MOST);
@@ -447,9 +454,13 @@
         (self.vain, self.heard_at, self.catches_up) = (0, Some(now), false);
         // Whether it is there is the leader's to know.
         let leader = told.leader.filter(|_| !told.leads);
+        // Danger: followers name a leader that was killed until the next one is elected. A fleet that goes to it at each word
+        // dials some ten times a second a member, and keeps those who elect busy with it.
+        let lost = self.lost.filter(|(_, at)| now.since(*at) < self.setup.beat * UNREACHED_BEATS);
         if let Some(leader) =
             leader.and_then(|leader| self.setup.daemons.iter().position(|place| *place == leader))
             && leader != self.at
+            && lost.is_none_or(|(at, _)| at != leader)
         {
             self.at = leader;
             self.link = Link::Dialed(now);
