Scale run: what late members and late loops were doing is told

Cause: a run at 2,400 was void, and broke the 18 s for up to 35 members, and nothing said why. Change: each hollow member keeps its last steps to a daemon (dials, up, greeted, answered and by whom, left, broken, takes); of the five that took the longest the run tells them. A loop that was late tells its longest turn: how long it ran, and how long it waited for a core, by the system's account. What is due on a way that is not up yet no longer keeps a hollow loop busy. What a service's members are to act on is asked for until the leader has heard what they belong to: after an election the run took the text for all in its place, and said that a version had two texts.

--- a/crates/lab/src/scale/hollow.rs
+++ b/crates/lab/src/scale/hollow.rs
@@ -2,9 +2,12 @@
 //! list, and no data path. Some hundreds share this loop. It measures how late it was itself: a run in which it was is void.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::fmt;
+use std::fs::File;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io::{ErrorKind, Read, Write};
 use std::net::SocketAddr;
+use std::os::unix::fs::FileExt;
 use std::sync::mpsc::{Receiver, channel};
 use std::time::Duration;
 
@@ -40,6 +43,8 @@
 const LOOK: Span = Span::from_millis(1000);
 /// Until a timer that is due and moves nothing is looked at again.
 const AGAIN: Span = Span::from_millis(1);
+/// Steps of a member's way to its daemons that are kept: some rounds over all of them.
+const STEPS_MOST: usize = 256;
 /// Rows of lateness, each twice as late as the one before, the first up to a microsecond.
 pub const LATENESS: usize = 32;
 
@@ -118,6 +123,8 @@
     Wants { who: Vec<u32>, of: Vec<Thing>, wants: u64 },
     /// What all here believe that they may use, at this moment.
     Sums { at_ns: u64 },
+    /// Say what these members' last steps were.
+    Steps(Vec<u32>),
     /// Say what was counted; the worst is counted anew from here.
     Mark,
     /// The loop stands still: the flaw that the measure of its lateness must show.
@@ -135,6 +142,57 @@
     pub text: u64,
 }
 
+/// What a member did, or met, on its way to a daemon that answers: told of those that were late.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum What {
+    Raised,
+    Dropped,
+    Dialed(u16),
+    /// The connection is up; the daemon has greeted, in this version of the frames.
+    Up(u16),
+    Greeted(u16, u16),
+    /// The first answer over a connection, or one that says something else than the one before: whether it leads, whom it
+    /// takes for the leader, and whether it does not serve.
+    Answered {
+        place: u16,
+        leads: bool,
+        leader: Option<u16>,
+        apart: bool,
+    },
+    /// The member has left it: no answer came in time, or none that is of use.
+    Left(u16),
+    /// The connection ended, or was refused.
+    Broken(u16),
+    Takes(Version),
+}
+
+impl fmt::Display for What {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            What::Raised => write!(f, "started"),
+            What::Dropped => write!(f, "down"),
+            What::Dialed(place) => write!(f, "dials {place}"),
+            What::Up(place) => write!(f, "{place} up"),
+            What::Greeted(place, version) => write!(f, "{place} greets with version {version}"),
+            What::Answered { place, apart: true, .. } => write!(f, "{place} does not serve"),
+            What::Answered { place, leads: true, .. } => write!(f, "{place} answers as leader"),
+            What::Answered { place, leader: Some(leader), .. } => {
+                write!(f, "{place} answers that {leader} leads")
+            }
+            What::Answered { place, .. } => write!(f, "{place} answers and knows no leader"),
+            What::Left(place) => write!(f, "leaves {place}"),
+            What::Broken(place) => write!(f, "connection to {place} broken"),
+            What::Takes(version) => write!(f, "takes {version}"),
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Step {
+    pub at_ns: u64,
+    pub what: What,
+}
+
 /// Bytes and frames over connections to one daemon, from here and back.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Wire {
@@ -144,6 +202,48 @@
     pub frames_in: u64,
 }
 
+/// One turn of the loop, from when it was to wake: what it was busy with, and what it waited for. What is left of its length
+/// it slept, as it does before sums are taken.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Turn {
+    pub took_us: u64,
+    /// On a core, and ready to run while others had the cores.
+    pub ran_us: u64,
+    pub waited_us: u64,
+    pub events: u64,
+    pub timers: u64,
+}
+
+impl fmt::Display for Turn {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let ms = |us: u64| us as f64 / 1e3;
+        write!(
+            f,
+            "its longest turn took {:.1} ms, ran for {:.1}, waited for a core for {:.1}; {} events, {} timers",
+            ms(self.took_us),
+            ms(self.ran_us),
+            ms(self.waited_us),
+            self.events,
+            self.timers
+        )
+    }
+}
+
+/// The time that this thread has run, and was ready to run while others did, in nanoseconds, by the system's account.
+struct Schedule(Option<File>);
+
+impl Schedule {
+    fn read(&self) -> [u64; 2] {
+        let mut line = [0; 64];
+        let Some(read) = self.0.as_ref().and_then(|file| file.read_at(&mut line, 0).ok()) else {
+            return [0; 2];
+        };
+        let line = String::from_utf8_lossy(&line[..read]).into_owned();
+        let mut words = line.split_whitespace().map(|word| word.parse().unwrap_or(0));
+        [words.next().unwrap_or(0), words.next().unwrap_or(0)]
+    }
+}
+
 /// Counted since the start, but for the worst, which is since the last mark.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Counts {
@@ -158,7 +258,7 @@
     pub late_worst_us: u64,
     /// Beats by how late they were made.
     pub lateness: Vec<u64>,
-    pub turn_worst_us: u64,
+    pub turn_worst: Turn,
     pub wires: BTreeMap<u16, Wire>,
     pub list_bytes: u64,
     pub list_reads: u64,
@@ -189,6 +289,7 @@
         late_us: u64,
         sums: Vec<(Thing, u64)>,
     },
+    Steps(Vec<(u32, Vec<Step>)>),
     Mark(Box<Counts>),
 }
 
@@ -198,7 +299,8 @@
     path: Path,
     up: bool,
     frames: Frames,
-    greeted: bool,
+    /// What the last answer over it said: whether it leads, who does, and whether it does not serve.
+    said: Option<(bool, Option<u16>, bool)>,
     unsent: Vec<u8>,
     /// What is on its way over a long path, and when it arrives.
     late_out: VecDeque<(Moment, Vec<u8>)>,
@@ -255,11 +357,15 @@
     lives: Vec<Option<Life>>,
     timers: BTreeSet<(Moment, u32)>,
     next: Vec<Option<Moment>>,
+    /// The last steps of each, whichever incarnation took them.
+    steps: Vec<VecDeque<Step>>,
     cut: BTreeSet<(u32, u16)>,
     /// By the marks of hollow members' names.
     service_of: HashMap<u32, u32>,
     marks: HashMap<u32, Vec<u32>>,
     each: u32,
+    /// Timers that came due in this turn of the loop.
+    timed: u64,
     counts: Counts,
     said: Vec<Said>,
     /// The text that was taken last, and its digest.
@@ -311,10 +417,12 @@
             lives: (0..count).map(|_| None).collect(),
             timers: BTreeSet::new(),
             next: vec![None; count],
+            steps: vec![VecDeque::new(); count],
             cut: BTreeSet::new(),
             service_of,
             marks,
             each: 0,
+            timed: 0,
             counts,
             said: Vec::new(),
             text: (String::new(), digest("")),
@@ -327,6 +435,14 @@
         &self.setup.members[self.setup.mine[at] as usize]
     }
 
+    fn step(&mut self, at: usize, what: What) {
+        let steps = &mut self.steps[at];
+        if steps.len() == STEPS_MOST {
+            steps.pop_front();
+        }
+        steps.push_back(Step { at_ns: now().nanos(), what });
+    }
+
     /// Those of the named ones that are here.
     fn here(&self, who: &[u32]) -> Vec<usize> {
         who.iter().filter_map(|who| self.setup.mine.iter().position(|mine| mine == who)).collect()
@@ -364,6 +480,7 @@
             drains_for: Span::ZERO,
             wants: Vec::new(),
         });
+        self.step(at, What::Raised);
         self.schedule(at);
         incarnation
     }
@@ -373,7 +490,8 @@
             let member = life.member.asker.until().map_or(life.member.next(), |u| u.min(life.member.next()));
             let watch = if life.watch.is_none() { Some(life.watch_at) } else { None };
             let conn = life.conn.as_ref().filter(|conn| !self.cut.contains(&self.pair(at, conn.place)));
-            let out = conn.and_then(|conn| Some(conn.late_out.front()?.0));
+            // Danger: what is due on a way that is not up yet would be due all the time, and keep the loop busy with nothing.
+            let out = conn.filter(|conn| conn.up).and_then(|conn| Some(conn.late_out.front()?.0));
             let back = conn.and_then(|conn| Some(conn.late_in.front()?.0));
             [watch, out, back, life.back_at].into_iter().flatten().fold(member, Moment::min)
         });
@@ -453,6 +571,11 @@
     }
 
     fn broken(&mut self, at: usize) {
+        if let Some(place) =
+            self.lives[at].as_ref().and_then(|life| life.conn.as_ref()).map(|conn| conn.place)
+        {
+            self.step(at, What::Broken(place));
+        }
         self.close(at);
         if let Some(life) = &mut self.lives[at] {
             life.member.broken(now());
@@ -462,6 +585,7 @@
     fn dial(&mut self, at: usize, place: u16) {
         self.close(at);
         self.counts.dials += 1;
+        self.step(at, What::Dialed(place));
         let region = self.spec(at).region as usize;
         let daemon = self.setup.daemons.iter().find(|daemon| daemon.place == place);
         let Some(daemon) = daemon.copied() else { return };
@@ -482,7 +606,7 @@
                     path,
                     up: false,
                     frames: Frames::default(),
-                    greeted: false,
+                    said: None,
                     unsent: Vec::new(),
                     late_out: VecDeque::new(),
                     late_in: VecDeque::new(),
@@ -530,7 +654,10 @@
                 Some(false) => return,
                 None => return self.broken(at),
             }
+            let place = conn.place;
+            self.step(at, What::Up(place));
         }
+        let Some(conn) = self.lives[at].as_mut().and_then(|life| life.conn.as_mut()) else { return };
         while conn.late_out.front().is_some_and(|(due, _)| *due <= now) {
             let (_, bytes) = conn.late_out.pop_front().expect("there is one");
             conn.unsent.extend_from_slice(&bytes);
@@ -576,12 +703,22 @@
         let done = match frame {
             Frame::Hello { .. } => {
                 let Ok((_, speaks)) = greeted(&frame, FLEET, VERSION) else { return false };
-                if let Some(conn) = &mut life.conn {
-                    conn.greeted = true;
+                let done = life.member.up(now, speaks);
+                if let Some(place) = life.conn.as_ref().map(|conn| conn.place) {
+                    self.step(at, What::Greeted(place, speaks));
+                }
+                done
+            }
+            Frame::Told(told) => {
+                let said = (told.leads, told.leader, told.apart);
+                let done = life.member.told(now, told);
+                if let Some(conn) = life.conn.as_mut().filter(|conn| conn.said != Some(said)) {
+                    conn.said = Some(said);
+                    let (place, (leads, leader, apart)) = (conn.place, said);
+                    self.step(at, What::Answered { place, leads, leader, apart });
                 }
-                life.member.up(now, speaks)
+                done
             }
-            Frame::Told(told) => life.member.told(now, told),
             Frame::OutTold { ask, refused } => {
                 if !life.member.asker.answered(ask, refused.is_none()) {
                     return true;
@@ -604,13 +741,20 @@
         for what in done {
             match what {
                 Do::Dial(place) => self.dial(at, place),
-                Do::Close => self.close(at),
+                Do::Close => {
+                    let conn = self.lives[at].as_ref().and_then(|life| life.conn.as_ref());
+                    if let Some(place) = conn.map(|conn| conn.place) {
+                        self.step(at, What::Left(place));
+                    }
+                    self.close(at);
+                }
                 Do::Belongs(locality) => self.send(at, &Frame::Belongs(locality)),
                 Do::Send(report) => self.send(at, &Frame::Report(*report)),
                 Do::Take(version, settings) => {
                     let Some(life) = &mut self.lives[at] else { return };
                     life.member.acts_on(version);
                     let (incarnation, at_ns) = (life.incarnation, now().nanos());
+                    self.step(at, What::Takes(version));
                     // The same for hundreds: the digest is found once.
                     if self.text.0 != settings {
                         self.text = (settings.clone(), digest(&settings));
@@ -730,7 +874,7 @@
         }
         self.counts.versions = versions;
         let counts = self.counts.clone();
-        (self.counts.late_worst_us, self.counts.turn_worst_us) = (0, 0);
+        (self.counts.late_worst_us, self.counts.turn_worst) = (0, Turn::default());
         counts
     }
 
@@ -751,6 +895,7 @@
                 let who = here.iter().map(|at| self.setup.mine[*at]).collect();
                 for at in here {
                     self.lives[at] = None;
+                    self.step(at, What::Dropped);
                     self.schedule(at);
                 }
                 self.said.push(Said::Dropped { at_ns: now().nanos(), who });
@@ -798,6 +943,11 @@
                 let sums = self.sums();
                 self.said.push(Said::Sums { at_ns, late_us, sums });
             }
+            Order::Steps(who) => {
+                let steps = |at: usize| (self.setup.mine[at], self.steps[at].iter().copied().collect());
+                let rows = self.here(&who).into_iter().map(steps).collect();
+                self.said.push(Said::Steps(rows));
+            }
             Order::Mark => {
                 let counts = self.mark();
                 self.said.push(Said::Mark(Box::new(counts)));
@@ -810,6 +960,7 @@
     fn all_due(&mut self) {
         while let Some((next, at)) = self.timers.first().copied().filter(|(next, _)| *next <= now()) {
             let at = at as usize;
+            self.timed += 1;
             self.due(at);
             if self.next[at] == Some(next) {
                 // Danger: one that stays due for ever would keep the loop for itself.
@@ -874,14 +1025,16 @@
     let setup: Setup = setup.map_err(|e| format!("hollow: {e}"))?;
     let mut hollow = Hollow::new(setup, poll.registry().try_clone().map_err(named)?);
     say(&Said::Ready);
+    let schedule = Schedule(File::open("/proc/thread-self/schedstat").ok());
     let (mut events, mut wants_at) = (Events::with_capacity(EVENTS), now() + WANTS_EVERY);
     loop {
         let wait = hollow.poll_for().min(wants_at.since(now()));
+        let (wakes_at, [ran, waited]) = (now() + wait, schedule.read());
         match poll.poll(&mut events, Some(Duration::from_nanos(wait.nanos()))) {
             Err(e) if e.kind() != ErrorKind::Interrupted => return Err(named(e)),
             _ => {}
         }
-        let began = now();
+        let began = now().min(wakes_at);
         hollow.all_due();
         for event in &events {
             match event.token() {
@@ -903,7 +1056,12 @@
             hollow.order(order);
         }
         std::mem::take(&mut hollow.said).iter().all(say);
-        let turn = now().since(began).nanos() / 1000;
-        hollow.counts.turn_worst_us = hollow.counts.turn_worst_us.max(turn);
+        let (took_us, timers) = (now().since(began).nanos() / 1000, std::mem::take(&mut hollow.timed));
+        if took_us > hollow.counts.turn_worst.took_us {
+            let [ran_until, waited_until] = schedule.read();
+            let (ran_us, waited_us) = ((ran_until - ran) / 1000, (waited_until - waited) / 1000);
+            let events = events.iter().count() as u64;
+            hollow.counts.turn_worst = Turn { took_us, ran_us, waited_us, events, timers };
+        }
     }
 }
--- a/crates/lab/src/scale/referee.rs
+++ b/crates/lab/src/scale/referee.rs
@@ -305,6 +305,16 @@
     }
 }
 
+/// The longest that a member took for a change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Longest {
+    pub member: usize,
+    pub from: Moment,
+    /// When it acted on it; the moment of asking if it has not.
+    pub until: Moment,
+    pub version: Version,
+}
+
 /// The worst of several that broke one rule, and how many there were.
 struct Worst<T> {
     worst: T,
@@ -325,6 +335,7 @@
     members: Vec<Member>,
     changes: Vec<Committed>,
     caught_up: Vec<u64>,
+    longest: BTreeMap<usize, Longest>,
     /// Of each change, and whether it was acted on again: who was too late.
     late: BTreeMap<(usize, bool), Worst<u64>>,
     /// What each version was first seen to be, and where.
@@ -383,6 +394,7 @@
             members: members.into_iter().map(member).collect(),
             changes: Vec::new(),
             caught_up: Vec::new(),
+            longest: BTreeMap::new(),
             late: BTreeMap::new(),
             texts: BTreeMap::new(),
             broken: Vec::new(),
@@ -496,6 +508,11 @@
                 continue;
             };
             let waited = at.since(from);
+            let longest = Longest { member, from, until: at, version: change.settings.version };
+            let known = self.longest.entry(member).or_insert(longest);
+            if waited > known.until.since(known.from) {
+                *known = longest;
+            }
             if waited > limit {
                 worse(&mut self.late, (wait.change, wait.again), waited.nanos(), at, &name);
             }
@@ -509,6 +526,26 @@
         }
     }
 
+    /// The members that took the longest, each for the change that it took the longest for; those that still wait, by now.
+    pub fn longest(&self, now: Moment, most: usize) -> Vec<Longest> {
+        let mut all = self.longest.clone();
+        for (member, known) in self.members.iter().enumerate() {
+            for wait in &known.waits {
+                let Some(from) = wait.from else { continue };
+                let version = self.changes[wait.change].settings.version;
+                let open = Longest { member, from, until: now, version };
+                let longest = all.entry(member).or_insert(open);
+                if now.since(from) > longest.until.since(longest.from) {
+                    *longest = open;
+                }
+            }
+        }
+        let mut all: Vec<Longest> = all.into_values().collect();
+        all.sort_by_key(|one| (std::cmp::Reverse(one.until.since(one.from)), one.member));
+        all.truncate(most);
+        all
+    }
+
     /// Whatever is seen as a version must be the same text everywhere.
     fn text(&mut self, at: Moment, settings: Settings, place: &str) {
         let seen = self.texts.entry((settings.scope, settings.version));
--- a/crates/lab/src/scale/run.rs
+++ b/crates/lab/src/scale/run.rs
@@ -45,6 +45,11 @@
 const BUDGETS_BYTES: usize = 1024;
 const KILLED_BYTES: usize = 64 * 1024;
 const KILLED_AFTER: Duration = Duration::from_millis(3);
+/// Members that took the longest through faults are told of, so many, with what they did from so long before on.
+const SLOWEST: usize = 5;
+const STEPS_BEFORE: Span = Span::from_millis(5000);
+/// A member says that it takes a text just before it says that it acts on it.
+const STEPS_AFTER: Span = Span::from_millis(1);
 
 fn quantile(times: &mut [f64], part: f64) -> f64 {
     times.sort_by(f64::total_cmp);
@@ -522,6 +527,7 @@
             thread::sleep(REAL_EVERY);
         }
         let mut said = schedule.said();
+        said.push(format!("the faults began at {:.3} s by the machine's clock", begin.nanos() as f64 / 1e9));
         let took = |put: &Put| put.at.since(put.began).nanos() as f64 / 1e6;
         let mut all: Vec<f64> = puts.iter().map(took).collect();
         said.push(format!(
@@ -542,6 +548,7 @@
         said.push(format!(
             "{asked} members asked to go out: {out} went, {refused} were refused or not answered"
         ));
+        said.extend(self.slowest(begin)?);
         Ok(said)
     }
 
@@ -579,6 +586,31 @@
         }
     }
 
+    /// What those did that took the longest for a change since this moment.
+    fn slowest(&mut self, begin: Moment) -> Result<Vec<String>, String> {
+        let world = &mut self.world;
+        let longest = world.referee.longest(now(), SLOWEST);
+        let steps = world.steps(&longest.iter().map(|one| one.member).collect::<Vec<_>>())?;
+        let after = |at: Moment| (at.nanos() as f64 - begin.nanos() as f64) / 1e9;
+        let said = longest.iter().map(|one| {
+            let (name, took) = (&world.shape.members[one.member].name, one.until.since(one.from).secs());
+            let mut line = format!(
+                "{name} took {took:.3} s for {} from {:.3} s on, daemons {:?}:",
+                one.version,
+                after(one.from),
+                world.shape.daemons_for(one.member)
+            );
+            for step in steps.get(&one.member).into_iter().flatten() {
+                let at = Moment::from_nanos(step.at_ns);
+                if at + STEPS_BEFORE >= one.from && at <= one.until + STEPS_AFTER {
+                    line += &format!(" {:.3} {};", after(at), step.what);
+                }
+            }
+            line
+        });
+        Ok(said.collect())
+    }
+
     fn lateness(&mut self, start: &[Counts]) -> Result<(), String> {
         let end = self.world.marks()?;
         let mut rows = vec![0; hollow::LATENESS];
@@ -649,9 +681,10 @@
         run.change(None, Some(service))?;
     }
     let last = round + 1 == scenario.rounds && Some(&size) == scenario.sizes.iter().max();
-    let faults = if last { run.faults(seed)? } else { Vec::new() };
+    let mut faults = if last { run.faults(seed)? } else { Vec::new() };
     run.lateness(&start)?;
     let Run { mut world, played } = run;
+    faults.append(&mut world.late);
     world.hear();
     let referee = std::mem::replace(&mut world.referee, super::referee::Referee::new(scenario.limits, []));
     let judgement = referee.judge(now());
--- a/crates/lab/src/scale/world.rs
+++ b/crates/lab/src/scale/world.rs
@@ -15,7 +15,7 @@
 use serde_json::json;
 
 use super::children::Told;
-use super::hollow::{self, Acts, Counts, Order, Said, Spec, digest};
+use super::hollow::{self, Acts, Counts, Order, Said, Spec, Step, digest};
 use super::machine::{self, Taken};
 use super::referee::{Referee, Settings};
 use super::scenario::Scenario;
@@ -77,6 +77,8 @@
     pub hollows: Vec<Told<Said>>,
     /// From a region to a daemon, for real sidecars.
     ways: BTreeMap<(usize, u16), Link>,
+    /// Hollow loops that were late, each with its longest turn in that time.
+    pub late: Vec<String>,
     /// What was told since this was last emptied.
     pub acts: Vec<Acts>,
     /// The version that each real sidecar was last seen to act on, and the texts of all.
@@ -269,6 +271,7 @@
             lists,
             hollows,
             ways,
+            late: Vec::new(),
             acts: Vec::new(),
             real_acts: BTreeMap::new(),
             texts: BTreeMap::new(),
@@ -420,12 +423,32 @@
             if let Said::Mark(counts) = said {
                 let late = Span::from_nanos(counts.late_worst_us * 1000);
                 self.referee.looped(Moment::from_nanos(counts.at_ns), &format!("hollow{at}"), late);
+                if late > Span::from_millis(self.scenario.limits.late_ms) {
+                    let (at_s, late, turn) =
+                        (counts.at_ns as f64 / 1e9, late.secs() * 1e3, counts.turn_worst);
+                    self.late.push(format!("{at_s:.3} s: hollow{at} was late by {late:.0} ms: {turn}"));
+                }
                 all.push(*counts);
             }
         }
         Ok(all)
     }
 
+    /// What hollow members did last on their way to a daemon.
+    ///
+    /// # Errors
+    /// That a hollow process does not answer.
+    pub fn steps(&mut self, who: &[usize]) -> Result<BTreeMap<usize, Vec<Step>>, String> {
+        self.tell(&Order::Steps(who.iter().map(|at| *at as u32).collect()))?;
+        let mut all = BTreeMap::new();
+        for said in self.answers()? {
+            if let Said::Steps(rows) = said {
+                all.extend(rows.into_iter().map(|(member, steps)| (member as usize, steps)));
+            }
+        }
+        Ok(all)
+    }
+
     /// Of each budget, what the members of each hollow process believe together that they may use at one moment.
     ///
     /// # Errors
@@ -537,8 +560,19 @@
         let concerns: Vec<usize> = self.shape.services[service].members.clone().collect();
         // What they are to act on is another text than was put: the daemons have made one of two.
         let name = self.shape.members[concerns[0]].name.clone();
-        let Reply::Merged(Some(merged)) = self.daemons.ask(&Ask::SettingsOf(name.clone()), PATIENCE)? else {
-            return Err(format!("nobody says what holds for {name}"));
+        // Danger: a leader that is new has not heard yet what its members belong to, and says what holds for all.
+        let until = Instant::now() + PATIENCE;
+        let merged = loop {
+            let said = self.daemons.ask(&Ask::SettingsOf(name.clone()), PATIENCE)?;
+            match said {
+                Reply::Merged(Some(merged)) if merged.locality.is_some() && merged.version >= version => {
+                    break merged;
+                }
+                other if Instant::now() >= until => {
+                    return Err(format!("nobody says what holds for {name}: {other:?}"));
+                }
+                _ => std::thread::sleep(LOOK),
+            }
         };
         self.hear();
         let text = digest(&merged.settings);
--- a/crates/lab/tests/scale.rs
+++ b/crates/lab/tests/scale.rs
@@ -115,6 +115,10 @@
         "{:?}",
         last.faults
     );
+    // Who took the longest is told, with what it did: a killed leader is left, and another one asked.
+    let slow: Vec<&String> = last.faults.iter().filter(|said| said.contains(" s on, daemons ")).collect();
+    assert!(slow.len() == 5 && slow.iter().any(|said| said.contains("; ")), "{:?}", last.faults);
+    assert!(slow.iter().all(|said| said.contains("takes 0.")), "{slow:#?}");
     assert_eq!(last.judgement.pairs.len(), 2, "{:?}", last.judgement.unjudged);
     // Its figures over two sizes make lines, and its drawing is one.
     let fits = played.fits();
@@ -162,6 +166,16 @@
     let void = &played.fleets[0].judgement.void;
     assert!(void.iter().any(|why| why.contains("hollow0")), "{void:?}");
     assert!(played.lateness[0].late > 0 && played.text().contains("VOID at 16"), "{}", played.text());
+    // And why: it was neither at work nor kept waiting for a core, but stood still for so long.
+    let said = &played.fleets[0].faults;
+    let turn =
+        said.iter().find(|said| said.contains("hollow0 was late by")).unwrap_or_else(|| panic!("{said:?}"));
+    let figure = |after: &str| -> f64 {
+        let rest = turn.split(after).nth(1).unwrap_or_else(|| panic!("{turn}"));
+        rest.trim().split([' ', ';', ',']).next().unwrap().parse().unwrap_or_else(|_| panic!("{turn}"))
+    };
+    assert!(figure("its longest turn took") >= 2200.0, "{turn}");
+    assert!(figure("ran for") + figure("waited for a core for") < 2200.0, "{turn}");
 }
 
 /// Danger: a member that is hollow in its protocol, too, would show a fleet that isn't there.
--- a/crates/lab/tests/scale_referee.rs
+++ b/crates/lab/tests/scale_referee.rs
@@ -434,3 +434,27 @@
     }
     assert!(toml::from_str::<Limits>("colour=1").is_err());
 }
+
+#[test]
+fn who_took_the_longest_is_known_with_those_that_still_wait() {
+    let mut referee = referee();
+    (0..MEMBERS).for_each(|member| referee.back(ms(100), member, 1));
+    referee.committed(ms(1000), settings(1), None);
+    for member in (0..MEMBERS).filter(|member| *member != 7) {
+        referee.acts(ms(1010 + member as u64), member, 1, settings(1));
+    }
+    // One was down at first, and counts from its return.
+    referee.away(ms(1500), 3);
+    referee.committed(ms(2000), settings(2), None);
+    referee.back(ms(3000), 3, 2);
+    referee.acts(ms(3500), 3, 2, settings(2));
+    let longest = referee.longest(ms(4000), 2);
+    let rows: Vec<_> = longest.iter().map(|one| (one.member, one.from, one.until, one.version)).collect();
+    assert_eq!(
+        rows,
+        [(7, ms(1000), ms(4000), settings(1).version), (0, ms(2000), ms(4000), settings(2).version)]
+    );
+    let three = referee.longest(ms(2100), MEMBERS);
+    let three = three.iter().find(|one| one.member == 3).unwrap();
+    assert_eq!((three.from, three.until), (ms(3000), ms(3500)));
+}
