Evidence to a member of a service: names once a connection, then by index

Cause: with one record a member a beat an answer's records were most of what a sidecar hears of control. A record takes 33 bytes: its writer's mark 5, incarnation 9, sequence 2, age 2, endpoint's and method's marks 5 each, outcome 1, part 4. All but 7 of these say what the connection has heard before, or nearly.

Change: over version 3, to a member that names its service, writers with their incarnations and marks of names go once and then by an index of one byte, sequences as steps (crates/fleet/src/evidence_coding.rs, pure; Frame::ToldCoded, last in its enum). Ages and parts stay as they are, so what is heard is the same. Tables are bounded to 256 entries; what finds no room goes as before. A faulty answer's records are passed over with a line in the log, the rest of it is taken, and the member catches up by tables that begin anew. Version 2 is as it was, to the byte.

The daemon's test of evidence by service takes coded answers, and checks who is told so.

--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -10,6 +10,7 @@
 use appledyke_fleet::Version;
 use appledyke_fleet::divide::Divider;
 use appledyke_fleet::evidence::{Cursor, Evidence};
+use appledyke_fleet::evidence_coding::Encoder;
 use appledyke_fleet::heard::Heard;
 use appledyke_fleet::runner::Runner;
 use appledyke_fleet::scopes::Locality;
@@ -89,6 +90,8 @@
     /// Up to where a member has heard, and which process of it this is.
     cursor: Cursor,
     incarnation: u64,
+    /// How others' records are coded for a member.
+    encoder: Encoder,
 }
 
 impl Peer {
@@ -106,6 +109,7 @@
             dialed,
             cursor,
             incarnation,
+            encoder: Encoder::default(),
         }
     }
 }
--- a/crates/daemon/src/serve/members.rs
+++ b/crates/daemon/src/serve/members.rs
@@ -8,7 +8,7 @@
 use appledyke_fleet::limits::Grant;
 use appledyke_fleet::members::Standing;
 use appledyke_fleet::state::{Command, Fleet};
-use appledyke_fleet::talk::{Frame, Report, Told};
+use appledyke_fleet::talk::{Frame, Report, Told, VERSION};
 use appledyke_sidecar::net::slots::Key;
 
 use super::{Daemon, Whom};
@@ -81,7 +81,15 @@
                 told.settings = life.texts.later(&life.fleet, &report.name, &peer.locality, knows);
             }
         }
-        self.send(key, &Frame::Told(told));
+        let Some(peer) = self.peers.get_mut(key).filter(|peer| service != 0 && peer.speaks >= VERSION) else {
+            return self.send(key, &Frame::Told(told));
+        };
+        if report.catches_up {
+            peer.encoder.reset();
+        }
+        let (coded, rest) = peer.encoder.encode(std::mem::take(&mut told.passed));
+        told.passed = rest;
+        self.send(key, &Frame::ToldCoded(told, coded));
     }
 
     /// A member asks whether it may go out: an entry of the log says so, or why not.
--- a/crates/daemon/tests/scopes.rs
+++ b/crates/daemon/tests/scopes.rs
@@ -9,6 +9,7 @@
 use appledyke_consensus::Id;
 use appledyke_fleet::Version;
 use appledyke_fleet::evidence::Seen;
+use appledyke_fleet::evidence_coding::Decoder;
 use appledyke_fleet::scopes::{Locality, Scope};
 use appledyke_fleet::state::{SETTINGS_MOST, What, Write};
 use appledyke_fleet::talk::{Ask, Frame, Frames, OLDEST, Reply, Report, ScopeRow, Told, VERSION, Who};
@@ -125,6 +126,9 @@
     speaks: u16,
     /// Bytes that have come.
     bytes: usize,
+    decoder: Decoder,
+    /// Answers whose records came coded.
+    coded: usize,
 }
 
 impl Raw {
@@ -132,7 +136,8 @@
         let stream = TcpStream::connect(at).unwrap();
         stream.set_read_timeout(Some(PATIENCE)).unwrap();
         let report = Report { name: name.into(), incarnation: 1, process: 1, ..Report::default() };
-        let mut raw = Raw { stream, frames: Frames::default(), report, speaks: 0, bytes: 0 };
+        let (frames, decoder) = (Frames::default(), Decoder::default());
+        let mut raw = Raw { stream, frames, report, speaks: 0, bytes: 0, decoder, coded: 0 };
         raw.send(&Frame::hello_as(version, FLEET, Who::Member { name: name.into() }));
         match raw.next() {
             Frame::Hello { version, .. } => raw.speaks = version,
@@ -175,6 +180,14 @@
             match self.next() {
                 Frame::Told(told) if told.number == self.report.number => break told,
                 Frame::Told(_) => {}
+                Frame::ToldCoded(mut told, coded) => {
+                    let mut passed = self.decoder.decode(&coded).unwrap();
+                    passed.append(&mut told.passed);
+                    self.coded += 1;
+                    if told.number == self.report.number {
+                        break Told { passed, ..told };
+                    }
+                }
                 other => panic!("{other:?}"),
             }
         };
@@ -757,6 +770,17 @@
     none.report.seen = vec![seen(1)];
     none.told();
     assert_eq!((bar.told().passed.len(), same.told().passed.len()), (1, 1));
+    // Who has said its service hears coded records, and who has not, or speaks version 2, what it always has.
+    assert_eq!((same.coded, bar.coded, none.coded), (2, 2, 0));
+    let at = daemons.at(daemons.wait_for_leader().unwrap());
+    let mut older = Raw::greet(at, "s4", OLDEST, None);
+    assert_eq!((older.told().passed.len(), older.coded), (21, 0));
+    // Danger: who has lost what it knew would understand nothing any more.
+    same.report.catches_up = true;
+    same.decoder = Decoder::default();
+    // Of the one endpoint the latest four.
+    let caught = same.told().passed;
+    assert_eq!(caught.iter().map(|passed| passed.seen.sequence).collect::<Vec<_>>(), [18, 19, 20, 1]);
 }
 
 #[test]
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod budgets;
 pub mod divide;
 pub mod evidence;
+pub mod evidence_coding;
 pub mod health;
 pub mod heard;
 pub mod limits;
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -9,6 +9,7 @@
 
 use crate::budgets::Stamp;
 use crate::evidence::{self, KEPT, Known, Passed, Seen};
+use crate::evidence_coding::{Coded, Decoder};
 use crate::health::Figures;
 use crate::limits::Limits;
 use crate::members::Standing;
@@ -75,6 +76,8 @@
     /// Say so in the log, for operators: it is told when it changes.
     Twin(bool),
     Superseded(bool),
+    /// Say in the log what was wrong with a part of an answer that is passed over.
+    Faulty(String),
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -114,6 +117,8 @@
     told: u64,
     answered: u64,
     known: Known,
+    /// Of the connection that is up.
+    decoder: Decoder,
     catches_up: bool,
     /// When the latest reports were made.
     asked: VecDeque<(u64, Moment)>,
@@ -171,6 +176,7 @@
             told: 0,
             answered: 0,
             known: Known::default(),
+            decoder: Decoder::default(),
             catches_up: true,
             asked: VecDeque::new(),
             reports: 0,
@@ -340,6 +346,7 @@
         (self.speaks, self.up_since) = (speaks, now);
         // This daemon may be another than the last, and know nothing: what it has heard before, it does not count twice.
         (self.told, self.answered, self.leaderless) = (0, 0, None);
+        self.decoder = Decoder::default();
         let belongs = self.setup.locality.clone().filter(|_| speaks >= VERSION).map(Do::Belongs);
         let report = Do::Send(self.report(now));
         belongs.into_iter().chain([report]).collect()
@@ -380,6 +387,32 @@
         }
     }
 
+    /// A daemon's answer with coded records. Where these are faulty the rest of it is taken all the same, and the next report asks
+    /// for what has been missed, by dictionaries that begin anew.
+    pub fn told_coded(&mut self, now: Moment, mut told: Told, coded: &Coded) -> Vec<Do> {
+        if !matches!(self.link, Link::On(_)) {
+            return Vec::new();
+        }
+        let fault = match self.decoder.decode(coded) {
+            Ok(mut passed) => {
+                passed.append(&mut told.passed);
+                told.passed = passed;
+                None
+            }
+            Err(why) => {
+                // Danger: of one writer only later records count, so those behind would hide the ones that are asked for again.
+                told.passed.clear();
+                Some(why)
+            }
+        };
+        let mut done = self.told(now, told);
+        if let Some(why) = fault {
+            self.catches_up = true;
+            done.push(Do::Faulty(why));
+        }
+        done
+    }
+
     /// A daemon's answer.
     pub fn told(&mut self, now: Moment, told: Told) -> Vec<Do> {
         if !matches!(self.link, Link::On(_)) {
--- a/crates/fleet/src/talk.rs
+++ b/crates/fleet/src/talk.rs
@@ -6,6 +6,7 @@
 
 use crate::budgets::{Budget, Stamp, Thing};
 use crate::evidence::{Passed, Seen};
+use crate::evidence_coding::Coded;
 use crate::health::Figures;
 use crate::limits::{Grant, Use};
 use crate::members::Standing;
@@ -117,6 +118,7 @@
     pub apart: bool,
     /// Committed settings that are later than what the member acts on.
     pub settings: Option<(Version, String)>,
+    /// Of `ToldCoded` those that were left, behind the coded ones.
     pub passed: Vec<Passed>,
     pub twin: bool,
     pub superseded: bool,
@@ -318,6 +320,8 @@
     },
     /// What a member belongs to: right behind the greeting, where both sides speak version 3.
     Belongs(Locality),
+    /// An answer whose records are coded: to a member that has said which service it belongs to, where both sides speak version 3.
+    ToldCoded(Told, Coded),
 }
 
 impl Frame {
--- a/crates/lab/src/scale/hollow.rs
+++ b/crates/lab/src/scale/hollow.rs
@@ -443,6 +443,16 @@
         steps.push_back(Step { at_ns: now().nanos(), what });
     }
 
+    /// What a daemon's answer said (`Conn::said`), if that is new.
+    fn answered(&mut self, at: usize, said: (bool, Option<u16>, bool)) {
+        let conn = self.lives[at].as_mut().and_then(|life| life.conn.as_mut());
+        if let Some(conn) = conn.filter(|conn| conn.said != Some(said)) {
+            conn.said = Some(said);
+            let (place, (leads, leader, apart)) = (conn.place, said);
+            self.step(at, What::Answered { place, leads, leader, apart });
+        }
+    }
+
     /// Those of the named ones that are here.
     fn here(&self, who: &[u32]) -> Vec<usize> {
         who.iter().filter_map(|who| self.setup.mine.iter().position(|mine| mine == who)).collect()
@@ -712,11 +722,13 @@
             Frame::Told(told) => {
                 let said = (told.leads, told.leader, told.apart);
                 let done = life.member.told(now, told);
-                if let Some(conn) = life.conn.as_mut().filter(|conn| conn.said != Some(said)) {
-                    conn.said = Some(said);
-                    let (place, (leads, leader, apart)) = (conn.place, said);
-                    self.step(at, What::Answered { place, leads, leader, apart });
-                }
+                self.answered(at, said);
+                done
+            }
+            Frame::ToldCoded(told, coded) => {
+                let said = (told.leads, told.leader, told.apart);
+                let done = life.member.told_coded(now, told, &coded);
+                self.answered(at, said);
                 done
             }
             Frame::OutTold { ask, refused } => {
@@ -789,6 +801,7 @@
                     let done = self.lives[at].as_mut().map(|life| life.member.stands(now(), standing));
                     self.carry_out(at, done.unwrap_or_default());
                 }
+                Do::Faulty(what) => eprintln!("{}: {what}", self.spec(at).name),
                 Do::Twin(_) | Do::Superseded(_) => {}
             }
         }
--- a/crates/sidecar/src/fleet.rs
+++ b/crates/sidecar/src/fleet.rs
@@ -483,6 +483,10 @@
                         let done = self.member.told(turn.now, told);
                         news.extend(self.carry_out(done, turn));
                     }
+                    Ok(Some(Frame::ToldCoded(told, coded))) => {
+                        let done = self.member.told_coded(turn.now, told, &coded);
+                        news.extend(self.carry_out(done, turn));
+                    }
                     // Danger: what was said before is known to the member by now, and is not told again.
                     Ok(Some(Frame::NotTaken(why))) => {
                         self.greetings.entry(place).or_default().refused();
@@ -574,6 +578,7 @@
                     log::error!("fleet: a later process has taken this name; end this one")
                 }
                 Do::Superseded(false) => log::info!("fleet: this process is known by its name again"),
+                Do::Faulty(what) => log::warn!("fleet: {what}"),
             }
         }
         self.time(turn);
