--- a/crates/daemon/src/serve/members.rs
+++ b/crates/daemon/src/serve/members.rs
@@ -81,7 +81,7 @@
                 told.settings = life.texts.later(&life.fleet, &report.name, &peer.locality, knows);
             }
         }
-        // Who has said its service speaks version 3; who has not hears the whole fleet, and would fill its tables in vain.
+        // Who has said its service speaks version 3; who has not hears the whole fleet, and would fill dictionaries in vain.
         let Some(peer) = self.peers.get_mut(key).filter(|_| service != 0) else {
             return self.send(key, &Frame::Told(told));
         };
