No bytes of an answer with coded records harm a member

Cause: an index comes from outside, and a member that ends by it takes its traffic with it.

Change: 20,000 answers with up to three bytes altered, read and told to a member; some are taken, some refused, by their names.

--- a/crates/fleet/tests/evidence_coding.rs
+++ b/crates/fleet/tests/evidence_coding.rs
@@ -8,7 +8,7 @@
 use appledyke_fleet::limits::Limits;
 use appledyke_fleet::member::{Do, Member, Setup};
 use appledyke_fleet::scopes::Locality;
-use appledyke_fleet::talk::{Frame, Frames, Report, Told, VERSION};
+use appledyke_fleet::talk::{Frame, Frames, Report, Told, VERSION, Who};
 use oorandom::Rand64;
 
 fn passed(writer: u32, sequence: u64, endpoint: u32) -> Passed {
@@ -31,7 +31,7 @@
 
 fn over_the_wire(told: Told, coded: Coded) -> (Told, Coded) {
     let mut frames = Frames::default();
-    frames.push(&bytes(&Frame::hello("zilina", appledyke_fleet::talk::Who::Operator)));
+    frames.push(&bytes(&Frame::hello("zilina", Who::Operator)));
     frames.push(&bytes(&Frame::ToldCoded(told, coded)));
     frames.pop().unwrap();
     match frames.pop() {
@@ -256,3 +256,34 @@
     member.broken(at(3100));
     assert_eq!(member.told_coded(at(3101), told(), &good()), []);
 }
+
+/// Danger: a member that ends by what a daemon says takes its traffic with it.
+#[test]
+fn no_answer_can_do_harm() {
+    let mut chance = Rand64::new(9);
+    let good = bytes(&Frame::ToldCoded(told(), good()));
+    let (mut taken, mut refused) = (0, 0);
+    for _ in 0..20_000 {
+        let mut all = bytes(&Frame::hello("zilina", Who::Operator));
+        let mut answer = good.clone();
+        for _ in 0..1 + chance.rand_range(0..3) {
+            // Behind the length.
+            let at = 4 + chance.rand_range(0..answer.len() as u64 - 4) as usize;
+            answer[at] = chance.rand_u64() as u8;
+        }
+        all.extend(answer);
+        let mut frames = Frames::default();
+        frames.push(&all);
+        let mut member = member();
+        while let Ok(Some(frame)) = frames.pop() {
+            if let Frame::ToldCoded(told, coded) = frame {
+                let done = member.told_coded(at(1001), told, &coded);
+                match done.iter().any(|what| matches!(what, Do::Faulty(_))) {
+                    true => refused += 1,
+                    false => taken += 1,
+                }
+            }
+        }
+    }
+    assert!(taken > 1000 && refused > 1000, "{taken} {refused}");
+}
