A cold endpoint is sent what is drawn for a window, not what has been saved up

Cause: `Choice::credit` went by the running fall window, and took the first requests of a rush for the rate of all the time since its last look; and each instance kept a whole send at least (`sends.max(1.0)`).

Change: where one endpoint of the circle is warm, each fall window draws how many sends a cold one has: its gain by the windows that are over, and a part by chance. Nothing is kept from one window to the next, and a rush can't raise the gain of its own window, so what all instances send is binomial. What a rare draw gives is used by weight; half as much again is drawn, as some goes unused. Where all are cold it goes on as before: a rush has nowhere else to go.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -17,7 +17,7 @@
 
 use std::collections::{HashMap, VecDeque};
 
-use crate::figures::{Chance, Habit, Rate, Rolling, Slope, Usual, halved, smoothed};
+use crate::figures::{Chance, Habit, Rate, Rolling, Slope, Usual, accrued, halved, mean, smoothed};
 use crate::known::{Endpoint, Req, WriteOut};
 use crate::news::Told;
 use crate::terms::{Effect, Group, Method, Terms};
@@ -74,7 +74,8 @@
 // Rules.
 const ANSWER_TICKS: f64 = 2.0; // before the budget ends: a write-out's outcome, then the final answer
 const REPEAT_TICKS: f64 = 4.0; // before a group forgets: a repeat has yet to arrive, once connected
-const COLD_FLOOR: f64 = 4.0; // sends in a fall window to a started endpoint, from all, if none is known
+const COLD_FLOOR: f64 = 4.0; // sends in a fall window to a started endpoint, from all, where none is warm
+const COLD_DRAWN: (f64, f64) = (1.5, 0.01); // times the gain, as some goes unused; least that weight makes up
 const ASK_SHARE: f64 = 0.5; // of the stated asking time, to wait before subscribing or asking again
 const GONE_KEPT: Span = Span::from_millis(60_000); // for an endpoint that is gone: it may yet come back
 // Reported loads.
@@ -235,9 +236,7 @@
         e.leave(read);
         let mark = e.entry.mark;
         self.close_idle(endpoint);
-        if self.terms.reply_slots.is_some() {
-            self.readers(now);
-        }
+        self.readers(now);
         let excused = read && outcome == Outcome::Overdue;
         let tells = !matches!(outcome, Outcome::Recalled | Outcome::NeverSent | Outcome::Rejected);
         // What never ran there has not got as far as to what its key stands for.
@@ -260,7 +259,8 @@
     /// distrusted for no fault of it, and slow readers would take all buffers from the others. It is against
     /// whatever keeps answers behind endpoints, and hurts where one of a few endpoints hangs.
     fn readers(&mut self, now: Moment) {
-        let (mut longest, mut reading) = ((Span::ZERO, 0), 0);
+        let Some(slots) = self.terms.reply_slots else { return };
+        let mut reading = Vec::new();
         for (at, r) in self.reqs.iter_mut().enumerate().filter_map(|(at, r)| Some((at, r.as_mut()?))) {
             let out = r.write_outs.last_mut().filter(|w| w.ended.is_none() && !r.streaming);
             let Some(w) = out else { continue };
@@ -273,12 +273,11 @@
                 e.in_flight -= 1;
             }
             if w.read && !r.closed {
-                reading += 1;
-                longest = longest.max((age, at));
+                reading.push((age, at));
             }
         }
-        if reading as f64 > self.terms.reply_slots.unwrap_or(0) as f64 * READ.1 {
-            self.end(longest.1);
+        if reading.len() as f64 > slots as f64 * READ.1 {
+            self.end(reading.into_iter().max().expect("more than none").1);
         }
     }
 
@@ -305,10 +304,8 @@
         if own && (outcome == Outcome::Saturated || late_error) {
             e.hasty_until = now + HASTY;
         }
-        let (down, fade) = (
-            matches!(outcome, Outcome::RefusedConnection | Outcome::Severed),
-            halved(e.distrust_at, now, DISTRUST_HALF),
-        );
+        let down = matches!(outcome, Outcome::RefusedConnection | Outcome::Severed);
+        let fade = halved(e.distrust_at, now, DISTRUST_HALF);
         (e.distrust_at, e.distrust) = (now, e.distrust.iter().map(|score| score * fade).collect());
         let failed = if satisfied {
             let usual = self.usual.heard(kind, method, secs, SMOOTHING);
@@ -430,15 +427,14 @@
     pub fn listed(&mut self, now: Moment, endpoint: usize, entry: Entry) {
         self.endpoints.resize_with(self.endpoints.len().max(endpoint + 1), || None);
         let distrust = vec![0.0; self.terms.methods.len()];
-        let fresh =
-            || Endpoint { entry, heard_at: now, credit_at: now, distrust, new: true, ..Default::default() };
+        let (heard_at, credit) = (now, (0.0, now));
+        let fresh = || Endpoint { entry, heard_at, credit, distrust, new: true, ..Default::default() };
         let e = self.endpoints[endpoint].get_or_insert_with(fresh);
         if entry.started > e.entry.started {
-            // A new process: what the old one earned or lost says nothing of it.
-            (e.latency, e.new) = (None, true);
+            // A new process: what the old one earned or lost says nothing of it. Danger: many instances that
+            // each send at once would push it over, however little each sends.
+            (e.latency, e.new, e.credit) = (None, true, (self.chance.part(), now));
             e.distrust.fill(0.0);
-            // Danger: many instances that each send at once would push it over, however little each sends.
-            (e.credit, e.credit_at) = (self.chance.part(), now);
         }
         e.drained = entry.standing == Standing::Draining || e.drained && entry.started == e.entry.started;
         (e.listed, e.gone_at) = (true, now);
@@ -542,23 +538,20 @@
         if self.asks(now, req) {
             return;
         }
-        let picked = if self.asks == 0 && !within && self.crowded(now, method) {
-            None
-        } else {
-            // Where all are well above the mean, any will do; the draw still follows the weights.
-            let r = self.reqs[req].as_ref().expect("looked up above");
-            let (open, above) = self.open_endpoints(now, r);
-            self.chance.drawn(&open).or_else(|| self.chance.drawn(&above))
-        };
-        match picked {
+        if self.asks == 0 && !within && self.crowded(now, method) {
+            return self.hold(now, req);
+        }
+        // Where all are well above the mean, any will do; the draw still follows the weights.
+        let r = self.reqs[req].as_ref().expect("looked up above");
+        let (open, above) = self.open_endpoints(now, r);
+        match self.chance.drawn(&open).or_else(|| self.chance.drawn(&above)) {
             Some(endpoint) => self.send(now, req, endpoint, further),
             None => self.hold(now, req),
         }
     }
 
     fn send(&mut self, now: Moment, req: usize, endpoint: usize, further: bool) {
-        let cold = self.endpoints[endpoint].as_ref().filter(|e| e.cold_share(now, &self.terms) < 1.0);
-        let credit = cold.map(|e| self.credit(now, e) - 1.0);
+        let credit = self.endpoints[endpoint].as_ref().map_or(0.0, |e| self.credit(now, e).0 - 1.0);
         let off = self.endpoints[endpoint].as_ref().and_then(|e| self.load_off(e));
         let r = self.reqs[req].as_mut().expect("only open reqs are sent");
         r.write_outs.push(WriteOut { endpoint, sent: now, ended: None, read: false, off });
@@ -572,7 +565,7 @@
             self.out.push_back(Decision::Wake { at });
         }
         e.in_flight += 1;
-        (e.credit, e.credit_at) = credit.map_or((e.credit, e.credit_at), |credit| (credit, now));
+        e.credit = (credit, now);
         self.sends.count();
         self.purse -= f64::from(u8::from(further));
         self.out.push_back(Decision::Send { req, endpoint, give_up });
@@ -723,15 +716,18 @@
         kept
     }
 
-    /// Sends that a cold endpoint may get now: it gains what falls to its share of a whole warm one in a fall
-    /// window, and keeps no more than that.
-    fn credit(&self, now: Moment, e: &Endpoint) -> f64 {
-        let place = |e: &Endpoint| e.cold_share(now, &self.terms) * e.trust(now, None);
-        let places = self.kept().into_iter().map(|(_, e)| place(e)).sum::<f64>();
-        let per_place = (self.sends.in_window() / places.max(1.0)).max(COLD_FLOOR / self.terms.instances);
-        let sends = per_place * e.cold_share(now, &self.terms);
-        let windows = now.since(e.credit_at).secs() / self.terms.fall_window.secs().max(1e-9);
-        (e.credit + sends * windows).min(sends.max(1.0))
+    /// Sends that a cold endpoint may get now, and its share of a warm one's in a fall window, to draw by.
+    /// Danger: what many idle instances save up, or take for a rate as a rush begins, they send at one moment.
+    /// So a draw lasts one window and goes by those that are over. If all are cold, a rush has no other way.
+    fn credit(&self, now: Moment, e: &Endpoint) -> (f64, Option<f64>) {
+        let share = |e: &Endpoint| e.cold_share(now, &self.terms);
+        let kept = if share(e) < 1.0 { self.kept() } else { return (1.0, None) };
+        let places = kept.iter().map(|(_, e)| share(e) * e.trust(now, None)).sum::<f64>().max(1.0);
+        if kept.iter().any(|(_, e)| share(e) >= 1.0) {
+            return (e.credit.0, Some(self.sends.settled() / places * share(e)));
+        }
+        let gain = (self.sends.in_window() / places).max(COLD_FLOOR / self.terms.instances) * share(e);
+        (accrued(e.credit, now, gain, self.terms.fall_window), None)
     }
 
     /// This instance's part of the bound, at an endpoint of its circle.
@@ -814,7 +810,7 @@
         for (endpoint, e, trust) in used {
             let (share, (place, weight)) = (e.cold_share(now, &self.terms), weight(e, trust));
             // Danger: a burst onto a started endpoint can spend its budget before the window has passed.
-            let spent = share < 1.0 && self.credit(now, e) < 1.0;
+            let (credit, gain) = self.credit(now, e);
             let (full, crowded) = if asked {
                 let late = r.size * self.expected(now, e, r.method) > ASKED_BOUND * m.latency_budget.secs();
                 (late, expects(e, weight) > ASKED_MARGIN * usual)
@@ -826,10 +822,10 @@
                 let full = e.in_flight as f64 >= (bound * share).max(1.0);
                 (full && !r.within, takes(e) > FITS.0 * left || e.in_flight as f64 + 1.0 > room)
             };
-            if spent || full || takes(e) > FITS.1 * left {
+            if credit < 1.0 || full || takes(e) > FITS.1 * left {
                 continue;
             }
-            let weight = weight * self.home_weight(e);
+            let weight = weight * self.home_weight(e) / gain.unwrap_or(1.0).clamp(COLD_DRAWN.1, 1.0);
             let tried = if r.write_outs.iter().any(|w| w.endpoint == endpoint) { TRIED_WEIGHT } else { 1.0 };
             if crowded { &mut above } else { &mut open }.push((endpoint, weight * tried));
         }
@@ -853,28 +849,32 @@
 
     /// Sets the fractions anew, once every solve interval or when the list has changed.
     fn solve(&mut self, now: Moment) {
-        self.sends.roll(now, self.terms.fall_window);
+        let over = self.sends.roll(now, self.terms.fall_window);
+        for at in 0..if over || self.solved.is_none() { self.endpoints.len() } else { 0 } {
+            let anew = self.endpoints[at].as_ref().filter(|e| over || e.new);
+            let Some(gain) = anew.and_then(|e| self.credit(now, e).1) else { continue };
+            let drawn = (COLD_DRAWN.0 * gain + self.chance.part(), now);
+            self.endpoints[at].iter_mut().for_each(|e| e.credit = drawn);
+        }
         self.answers.roll(now, self.terms.fall_window);
         if self.solved.is_some_and(|at| now.since(at) < SOLVE_EVERY) {
             return;
         }
         self.solved = Some(now);
         // Danger: one that stops answering would keep its good latency, so what is out counts with its age.
-        let mut oldest = vec![0.0_f64; self.endpoints.len()];
+        let mut ages = vec![0.0_f64; self.endpoints.len()];
         for r in self.reqs.iter().flatten() {
             let usual = self.usual.of(r.method).unwrap_or(f64::MAX);
             for w in r.write_outs.iter().filter(|w| w.ended.is_none() && !w.read) {
-                oldest[w.endpoint] = oldest[w.endpoint].max(now.since(w.sent).secs() / (usual * r.size));
+                ages[w.endpoint] = ages[w.endpoint].max(now.since(w.sent).secs() / (usual * r.size));
             }
         }
         self.keys.retain(|_, window| window.sums(now).0 > 0.0);
-        for (e, age) in self.endpoints.iter_mut().zip(&oldest).filter_map(|(e, age)| Some((e.as_mut()?, age)))
-        {
-            e.fraction = e.latency.map_or(e.fraction, |latency| 1.0 / latency.max(*age).max(1e-3));
+        for (e, age) in self.endpoints.iter_mut().zip(ages).filter_map(|(e, age)| Some((e.as_mut()?, age))) {
+            e.fraction = e.latency.map_or(e.fraction, |latency| 1.0 / latency.max(age).max(1e-3));
         }
         let heard = self.ready().filter(|(_, e)| e.latency.is_some());
-        let (sum, count) = heard.fold((0.0, 0.0), |(sum, count), (_, e)| (sum + e.fraction, count + 1.0));
-        let mean = if count > 0.0 { sum / count } else { 1.0 };
+        let mean = mean(heard.map(|(_, e)| e.fraction)).unwrap_or(1.0);
         for (at, slot) in self.endpoints.iter_mut().enumerate() {
             let Some(e) = slot else { continue };
             e.fraction = e.latency.map_or(mean, |_| e.fraction);
--- a/src/figures.rs
+++ b/src/figures.rs
@@ -23,6 +23,26 @@
     0.5_f64.powf(now.since(since).secs() / half.secs())
 }
 
+/// The mean of all, if there are any.
+pub fn mean(all: impl Iterator<Item = f64>) -> Option<f64> {
+    let (sum, count) = all.fold((0.0, 0.0), |(sum, count), one| (sum + one, count + 1.0));
+    (count > 0.0).then(|| sum / count)
+}
+
+/// What a token bucket holds by now that gains so many tokens in each `window`: as many, or one, at the most.
+///
+/// ```
+/// use appledyke::{figures::accrued, units::{Moment, Span}};
+/// let (empty, window) = ((0.0, Moment::default()), Span::from_millis(1000));
+/// let after = |windows: f64| Moment::default() + window * windows;
+/// assert_eq!((accrued(empty, after(0.5), 4.0, window), accrued(empty, after(9.0), 4.0, window)), (2.0, 4.0));
+/// assert_eq!(accrued(empty, after(9.0), 0.5, window), 1.0);
+/// ```
+pub fn accrued((held, since): (f64, Moment), now: Moment, gain: f64, window: Span) -> f64 {
+    let windows = now.since(since).secs() / window.secs().max(1e-9);
+    (held + gain * windows).min(gain.max(1.0))
+}
+
 /// How much one figure changes with another, over the latest pairs, from nought to one.
 ///
 /// ```
@@ -186,6 +206,7 @@
     since: Moment,
     running: f64,
     last: f64,
+    settled: f64,
 }
 
 impl Rate {
@@ -198,15 +219,25 @@
     }
 
     /// Begins another window if the running one is over. Danger: counted over a window of before, what is sent in one of
-    /// another length would be off by as much.
-    pub fn roll(&mut self, now: Moment, window: Span) {
+    /// another length would be off by as much. Whether another has begun.
+    pub fn roll(&mut self, now: Moment, window: Span) -> bool {
         if window != self.window {
             let part = window.secs() / self.window.secs().max(1e-9);
             (self.running, self.last, self.window) = (self.running * part, self.last * part, window);
+            self.settled *= part;
         }
-        if now.since(self.since) >= self.window {
+        let over = now.since(self.since) >= self.window;
+        if over {
+            self.settled = self.running * self.window.secs() / now.since(self.since).secs().max(1e-9);
             (self.running, self.last, self.since) = (0.0, self.running, now);
         }
+        over
+    }
+
+    /// In a window, by all the time up to when the running one began; nought before. What counts now moves it only
+    /// once the running window is over.
+    pub fn settled(&self) -> f64 {
+        self.settled
     }
 
     /// In a window: the greater of the two.
@@ -253,8 +284,6 @@
 
     /// In the mean of the kinds that are known.
     pub fn of(&self, method: usize) -> Option<f64> {
-        let known = self.0.iter().filter_map(|methods| *methods.get(method)?);
-        let (count, sum) = known.fold((0.0, 0.0), |(count, sum), usual| (count + 1.0, sum + usual));
-        (count > 0.0).then(|| sum / count)
+        mean(self.0.iter().filter_map(|methods| *methods.get(method)?))
     }
 }
--- a/src/known.rs
+++ b/src/known.rs
@@ -43,11 +43,10 @@
     pub distrust: Vec<f64>, // by method
     pub distrust_at: Moment,
     pub in_flight: usize,
-    pub others: Option<f64>, // reqs in hand as last reported, less those from here
-    pub others_at: Moment,   // when that came
-    pub probed: bool,        // it is being asked for
-    pub credit: f64,         // sends that a cold endpoint may still get, as of a moment
-    pub credit_at: Moment,
+    pub others: Option<f64>,   // reqs in hand as last reported, less those from here
+    pub others_at: Moment,     // when that came
+    pub probed: bool,          // it is being asked for
+    pub credit: (f64, Moment), // sends that a cold endpoint may still get, as of a moment
     pub gone_at: Moment,
     pub drained: bool,       // it has been listed as draining since it started
     pub doubted: bool,       // the list calls it gone, or has lost it, and it may be sent to all the same
