--- a/src/choice.rs
+++ b/src/choice.rs
@@ -717,7 +717,7 @@
     }
 
     /// Sends that a cold endpoint may get now, and its share of a warm one's in a fall window, to draw by.
-    /// Danger: what many idle instances save up, or take for a rate as a rush begins, they send at one moment.
+    /// Danger: what many idle instances save up, or take for a rate as a rush begins, they send at once.
     /// So a draw lasts one window and goes by those that are over. If all are cold, a rush has no other way.
     fn credit(&self, now: Moment, e: &Endpoint) -> (f64, Option<f64>) {
         let share = |e: &Endpoint| e.cold_share(now, &self.terms);
