A rush that is beyond chance feeds a cold endpoint within its window

Change: what the running window has beyond the settled rate, less three sends to each endpoint, counts for the part of the window that has passed; so the first requests of a rush are no rate, at one instance or at a thousand.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -76,6 +76,7 @@
 const REPEAT_TICKS: f64 = 4.0; // before a group forgets: a repeat has yet to arrive, once connected
 const COLD_FLOOR: f64 = 4.0; // sends in a fall window to a started endpoint, from all, where none is warm
 const COLD_DRAWN: (f64, f64) = (1.5, 0.01); // times the gain, as some goes unused; least that weight makes up
+const COLD_RUSH: f64 = 3.0; // sends to each in a running window, beyond the rate, that tell of no rate as yet
 const ASK_SHARE: f64 = 0.5; // of the stated asking time, to wait before subscribing or asking again
 const GONE_KEPT: Span = Span::from_millis(60_000); // for an endpoint that is gone: it may yet come back
 // Reported loads.
@@ -716,18 +717,19 @@
         kept
     }
 
-    /// Sends that a cold endpoint may get now, and its share of a warm one's in a fall window, to draw by.
-    /// Danger: what many idle instances save up, or take for a rate as a rush begins, they send at once.
-    /// So a draw lasts one window and goes by those that are over. If all are cold, a rush has no other way.
-    fn credit(&self, now: Moment, e: &Endpoint) -> (f64, Option<f64>) {
+    /// Sends that a cold endpoint may get now, and more in a rush; its part in a fall window, to draw by.
+    /// Danger: a burst can spend its budget at once. So can what many idle instances save up, or take for a
+    /// rate as a rush begins; so a draw lasts one window. If all are cold, a rush has no other way.
+    fn credit(&self, now: Moment, e: &Endpoint) -> (f64, f64, Option<f64>) {
         let share = |e: &Endpoint| e.cold_share(now, &self.terms);
-        let kept = if share(e) < 1.0 { self.kept() } else { return (1.0, None) };
+        let kept = if share(e) < 1.0 { self.kept() } else { return (1.0, 0.0, None) };
         let places = kept.iter().map(|(_, e)| share(e) * e.trust(now, None)).sum::<f64>().max(1.0);
         if kept.iter().any(|(_, e)| share(e) >= 1.0) {
-            return (e.credit.0, Some(self.sends.settled() / places * share(e)));
+            let more = (self.sends.risen() / places - COLD_RUSH).max(0.0) * self.sends.passed(now) * share(e);
+            return (e.credit.0, more, Some(self.sends.settled() / places * share(e)));
         }
         let gain = (self.sends.in_window() / places).max(COLD_FLOOR / self.terms.instances) * share(e);
-        (accrued(e.credit, now, gain, self.terms.fall_window), None)
+        (accrued(e.credit, now, gain, self.terms.fall_window), 0.0, None)
     }
 
     /// This instance's part of the bound, at an endpoint of its circle.
@@ -809,8 +811,7 @@
         let usual = usual / (used.len() as f64).max(1.0);
         for (endpoint, e, trust) in used {
             let (share, (place, weight)) = (e.cold_share(now, &self.terms), weight(e, trust));
-            // Danger: a burst onto a started endpoint can spend its budget before the window has passed.
-            let (credit, gain) = self.credit(now, e);
+            let (credit, more, gain) = self.credit(now, e);
             let (full, crowded) = if asked {
                 let late = r.size * self.expected(now, e, r.method) > ASKED_BOUND * m.latency_budget.secs();
                 (late, expects(e, weight) > ASKED_MARGIN * usual)
@@ -822,7 +823,7 @@
                 let full = e.in_flight as f64 >= (bound * share).max(1.0);
                 (full && !r.within, takes(e) > FITS.0 * left || e.in_flight as f64 + 1.0 > room)
             };
-            if credit < 1.0 || full || takes(e) > FITS.1 * left {
+            if credit + more < 1.0 || full || takes(e) > FITS.1 * left {
                 continue;
             }
             let weight = weight * self.home_weight(e) / gain.unwrap_or(1.0).clamp(COLD_DRAWN.1, 1.0);
@@ -852,7 +853,7 @@
         let over = self.sends.roll(now, self.terms.fall_window);
         for at in 0..if over || self.solved.is_none() { self.endpoints.len() } else { 0 } {
             let anew = self.endpoints[at].as_ref().filter(|e| over || e.new);
-            let Some(gain) = anew.and_then(|e| self.credit(now, e).1) else { continue };
+            let Some(gain) = anew.and_then(|e| self.credit(now, e).2) else { continue };
             let drawn = (COLD_DRAWN.0 * gain + self.chance.part(), now);
             self.endpoints[at].iter_mut().for_each(|e| e.credit = drawn);
         }
@@ -873,8 +874,7 @@
         for (e, age) in self.endpoints.iter_mut().zip(ages).filter_map(|(e, age)| Some((e.as_mut()?, age))) {
             e.fraction = e.latency.map_or(e.fraction, |latency| 1.0 / latency.max(age).max(1e-3));
         }
-        let heard = self.ready().filter(|(_, e)| e.latency.is_some());
-        let mean = mean(heard.map(|(_, e)| e.fraction)).unwrap_or(1.0);
+        let mean = mean(self.ready().filter_map(|(_, e)| e.latency.and(Some(e.fraction)))).unwrap_or(1.0);
         for (at, slot) in self.endpoints.iter_mut().enumerate() {
             let Some(e) = slot else { continue };
             e.fraction = e.latency.map_or(mean, |_| e.fraction);
--- a/src/figures.rs
+++ b/src/figures.rs
@@ -240,6 +240,16 @@
         self.settled
     }
 
+    /// What counts in the running window, beyond a settled one.
+    pub fn risen(&self) -> f64 {
+        self.running - self.settled
+    }
+
+    /// The part of the running window that has passed.
+    pub fn passed(&self, now: Moment) -> f64 {
+        (now.since(self.since).secs() / self.window.secs().max(1e-9)).min(1.0)
+    }
+
     /// In a window: the greater of the two.
     pub fn in_window(&self) -> f64 {
         self.running.max(self.last)
