What comes in one moment of a rush is no rate for a cold endpoint, however much it is

Cause: what went beyond the settled rate by more than three sends to each endpoint counted for all of the running window that had passed, also before it came; so a larger moment late in a window would still have been a rate. Change: each send counts for the time since.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -76,7 +76,7 @@
 const REPEAT_TICKS: f64 = 4.0; // before a group forgets: a repeat has yet to arrive, once connected
 const COLD_FLOOR: f64 = 4.0; // sends in a fall window to a started endpoint, from all, where none is warm
 const COLD_DRAWN: (f64, f64) = (1.5, 0.01); // times the gain, as some goes unused; least that weight makes up
-const COLD_RUSH: f64 = 3.0; // sends to each in a running window, beyond the rate, that tell of no rate as yet
+const COLD_RUSH: f64 = 3.0; // sends to each in a running window, beyond the rate, that tell of no other rate
 const ASK_SHARE: f64 = 0.5; // of the stated asking time, to wait before subscribing or asking again
 const GONE_KEPT: Span = Span::from_millis(60_000); // for an endpoint that is gone: it may yet come back
 // Reported loads.
@@ -288,7 +288,7 @@
         let Some(budget) = self.terms.methods.get(method).map(|m| m.latency_budget) else { return };
         let (secs, own, in_vain) = ((budget.secs() * part).max(1e-6), own.is_some(), own == Some(true));
         let Some(Some(e)) = self.endpoints.get_mut(endpoint) else { return };
-        self.answers.count();
+        self.answers.count(now);
         let (kind, satisfied) = (e.entry.kind, outcome == Outcome::Satisfied);
         let usual = self.usual.at(kind, method);
         if let (Some(x), Some(usual)) = (load, usual.filter(|_| satisfied || outcome == Outcome::Overdue)) {
@@ -567,7 +567,7 @@
         }
         e.in_flight += 1;
         e.credit = (credit, now);
-        self.sends.count();
+        self.sends.count(now);
         self.purse -= f64::from(u8::from(further));
         self.out.push_back(Decision::Send { req, endpoint, give_up });
     }
@@ -725,7 +725,7 @@
         let kept = if share(e) < 1.0 { self.kept() } else { return (1.0, 0.0, None) };
         let places = kept.iter().map(|(_, e)| share(e) * e.trust(now, None)).sum::<f64>().max(1.0);
         if kept.iter().any(|(_, e)| share(e) >= 1.0) {
-            let more = (self.sends.risen() / places - COLD_RUSH).max(0.0) * self.sends.passed(now) * share(e);
+            let more = self.sends.risen(now, COLD_RUSH * places) / places * share(e);
             return (e.credit.0, more, Some(self.sends.settled() / places * share(e)));
         }
         let gain = (self.sends.in_window() / places).max(COLD_FLOOR / self.terms.instances) * share(e);
--- a/src/figures.rs
+++ b/src/figures.rs
@@ -207,6 +207,7 @@
     running: f64,
     last: f64,
     settled: f64,
+    counted_after: f64, // what of the window had passed as each of the running ones counted, in sum
 }
 
 impl Rate {
@@ -214,8 +215,9 @@
         Rate { window, since: now, ..Rate::default() }
     }
 
-    pub fn count(&mut self) {
+    pub fn count(&mut self, now: Moment) {
         self.running += 1.0;
+        self.counted_after += self.passed(now);
     }
 
     /// Begins another window if the running one is over. Danger: counted over a window of before, what is sent in one of
@@ -228,8 +230,8 @@
         }
         let over = now.since(self.since) >= self.window;
         if over {
-            self.settled = self.running * self.window.secs() / now.since(self.since).secs().max(1e-9);
-            (self.running, self.last, self.since) = (0.0, self.running, now);
+            self.settled = self.running / self.passed(now).max(1e-9);
+            (self.running, self.last, self.since, self.counted_after) = (0.0, self.running, now, 0.0);
         }
         over
     }
@@ -240,14 +242,24 @@
         self.settled
     }
 
-    /// What counts in the running window, beyond a settled one.
-    pub fn risen(&self) -> f64 {
-        self.running - self.settled
+    /// What counts in the running window beyond a settled one and `least`, each for the part of a window that has passed
+    /// since: what comes in one moment is no rate as yet.
+    ///
+    /// ```
+    /// use appledyke::{figures::Rate, units::{Moment, Span}};
+    /// let (start, window) = (Moment::default(), Span::from_millis(1000));
+    /// let mut rate = Rate::new(start, window);
+    /// (0..10).for_each(|_| rate.count(start + window * 0.25));
+    /// let risen = |at: f64, least: f64| rate.risen(start + window * at, least);
+    /// assert_eq!((risen(0.25, 0.0), risen(0.5, 0.0), risen(0.75, 2.0)), (0.0, 2.5, 3.5));
+    /// ```
+    pub fn risen(&self, now: Moment, least: f64) -> f64 {
+        ((self.running - least) * self.passed(now) - self.counted_after - self.settled).max(0.0)
     }
 
-    /// The part of the running window that has passed.
-    pub fn passed(&self, now: Moment) -> f64 {
-        (now.since(self.since).secs() / self.window.secs().max(1e-9)).min(1.0)
+    /// The running window, in parts of a whole one.
+    fn passed(&self, now: Moment) -> f64 {
+        now.since(self.since).secs() / self.window.secs().max(1e-9)
     }
 
     /// In a window: the greater of the two.
