--- a/crates/lab/src/scale/run.rs
+++ b/crates/lab/src/scale/run.rs
@@ -600,6 +600,9 @@
                 after(one.from),
                 world.shape.daemons_for(one.member)
             );
+            if world.shape.members[one.member].real {
+                line += " a real sidecar, whose steps are not known";
+            }
             for step in steps.get(&one.member).into_iter().flatten() {
                 let at = Moment::from_nanos(step.at_ns);
                 if at + STEPS_BEFORE >= one.from && at <= one.until + STEPS_AFTER {
