A crowd of half heads passes through the places in 0.2 s at most; who writes slowly stays

Cause: half a head was safe from making room for a second from its accept (`FRESH`), whether it went on or not, so a crowd that sends half a head and rests took a second for each filling of the places, and a health check waited behind all of it. Among those that could go the oldest went first, so a client that writes slowly went before a crowd that rests.

Change: once others have waited outside for a second, whoever has brought nothing for 0.1 s may go (`PAUSE_MOST`, which takes the place of `FRESH_CROWDED` and holds for silent ones as before); for a new client nobody goes that has brought something within that time. Those that have brought nothing for longest go first. Half a req that goes is told 503 with the time to come back, where its connection was closed without a word before.

Tests: `gone` in descriptors.rs held that half heads end without a word; it now holds that they are told 503 with `Retry-After` and `Connection: close` before the end, and all others nothing. Seen to fail: without the new rule for half heads the health check's test; with age in place of the pause, and with the rule for a new client left out, the slow writer's; untold, four tests.

--- a/crates/sidecar/src/net/clients.rs
+++ b/crates/sidecar/src/net/clients.rs
@@ -41,11 +41,22 @@
 const LEAVE_IDLE: Span = Span::from_millis(300);
 /// The same for the rest of a req that it has begun: clients may be slow.
 const LEAVE_BEGUN: Span = Span::from_millis(1200);
-/// How long a new connection is safe from making room: it was opened for a req, which is on its way.
+/// How long a new connection, or one with part of a req, is safe from making room: the rest is on its way.
 const FRESH: Span = Span::from_millis(1000);
-/// The same for one that has brought nothing, once others have waited outside for `FRESH` on end. Danger: a crowd that
-/// says nothing goes through the places once in that time, and whoever asks for health waits behind all of it.
-const FRESH_CROWDED: Span = Span::from_millis(100);
+/// Once others have waited outside for `FRESH` on end, only who has brought something within this time is. Danger: a crowd
+/// that rests, silent or with half a head, goes through the places once in that time, and whoever asks for health waits
+/// behind all of it. Age alone would take those first that write slowly: for a new client none goes that has not paused so long.
+const PAUSE_MOST: Span = Span::from_millis(100);
+/// In which the health check is answered behind a crowd that fills the backlog: the shortest time by which an answer of it
+/// has to have been heard, after a drain. And the fewest places of clients that this holds for: what 256 descriptors
+/// leave them, the least that is expected, while two processes share these.
+const HEALTH_IN: Span = Span::from_millis(4000);
+const PLACES_LEAST: u64 = 80;
+const _: () = {
+    let fillings = (BACKLOG as u64).div_ceil(PLACES_LEAST);
+    let each = PAUSE_MOST.nanos() + ACCEPT_AGAIN.nanos();
+    assert!(FRESH.nanos() + fillings * each <= HEALTH_IN.nanos());
+};
 /// Buffers that are read and thrown away at one event, of a connection that is being closed.
 const DISCARD_TURNS: usize = 64;
 /// Bytes that are read beyond a message to find whether a client's end stands behind them.
@@ -92,6 +103,8 @@
     body_until: Option<Moment>,
     /// When it came, or was last answered.
     since: Moment,
+    /// When it has brought something last, or since then.
+    heard: Moment,
     answered: bool,
     deadline: Option<Moment>,
 }
@@ -270,7 +283,7 @@
         loop {
             // One more than the most may come in, as only then it is known that room is needed.
             let full = turn.room < 0 || self.slots.len() > self.most;
-            if full && !self.make_room(turn, &mut brought) {
+            if full && !self.make_room_for(true, turn, &mut brought) {
                 self.hold_back(turn);
                 break;
             }
@@ -281,7 +294,7 @@
                 Err(e) => {
                     self.lacks_descriptor = connection::lacks_descriptor(&e);
                     let make = self.lacks_descriptor && std::mem::take(&mut may_make);
-                    if make && self.make_room(turn, &mut brought) {
+                    if make && self.make_room_for(true, turn, &mut brought) {
                         continue;
                     }
                     // Danger: told at each try, it would keep all other lines out of the log.
@@ -307,6 +320,7 @@
                     seen: 0,
                     body_until: None,
                     since: turn.now,
+                    heard: turn.now,
                     answered: false,
                     deadline: None,
                 })
@@ -333,14 +347,17 @@
     }
 
     /// Closes the connection that has been idle for longest. Danger: clients that never end a req could keep
-    /// all others out, so these go next.
+    /// all others out, so these go next, and first those that have brought nothing for longest.
     pub fn make_room(&mut self, turn: &mut Turn, brought: &mut Vec<Key>) -> bool {
+        self.make_room_for(false, turn, brought)
+    }
+
+    fn make_room_for(&mut self, new_client: bool, turn: &mut Turn, brought: &mut Vec<Key>) -> bool {
         let crowded = self.held_since.is_some_and(|since| turn.now.since(since) >= FRESH);
-        let silent_for = if crowded { FRESH_CROWDED } else { FRESH };
         loop {
-            let may_go = self.slots.iter();
-            let may_go = may_go.filter(|(key, c)| c.may_go(turn.now, silent_for) && !brought.contains(key));
-            let Some((key, _)) = may_go.min_by_key(|(_, c)| (c.begun(), c.since)) else { return false };
+            let may_go = self.slots.iter().filter(|(_, c)| c.may_go(turn.now, crowded, new_client));
+            let may_go = may_go.filter(|(key, _)| !brought.contains(key));
+            let Some((key, _)) = may_go.min_by_key(|(_, c)| (c.begun(), c.heard)) else { return false };
             if self.close_unread(key, turn) {
                 return true;
             }
@@ -349,16 +366,24 @@
     }
 
     /// Danger: a req that the kernel already holds is taken; so a last look before a connection goes that
-    /// waits for one.
+    /// waits for one. Who has brought part of a req is told to come again.
     fn close_unread(&mut self, key: Key, turn: &mut Turn) -> bool {
         let Some(client) = self.slots.get_mut(key) else { return false };
         let before = client.connection.input.len();
         let works = client.connection.fill(http::MESSAGE_MOST).is_ok() && !client.connection.ended;
         let goes = !works || client.connection.input.len() == before;
-        if goes {
-            self.close(key, turn);
+        if !goes {
+            client.heard = turn.now;
+            return false;
         }
-        goes
+        if works && client.begun() {
+            self.head.clear();
+            http::own_answer(&mut self.head, 503, Some(ACCEPT_AGAIN), false);
+            // All that came has been read, so this arrives; one that takes no more has gone.
+            let _ = client.connection.send(&[&self.head]);
+        }
+        self.close(key, turn);
+        true
     }
 
     fn close(&mut self, key: Key, turn: &mut Turn) {
@@ -383,6 +408,7 @@
         let Some(client) = self.slots.get_mut(key) else { return };
         (client.stage, client.timed, client.leave_given, client.since) =
             (Stage::Reading, false, false, turn.now);
+        client.heard = turn.now;
         (client.coming, client.full_since, client.seen, client.body_until) = (None, None, 0, None);
         self.time_out(key, turn.now + IDLE_MOST, turn);
     }
@@ -425,8 +451,11 @@
     /// answer, as the next req may have come already.
     pub fn ready(&mut self, key: Key, terms: &Terms, turn: &mut Turn) -> Said {
         let Some(client) = self.slots.get_mut(key) else { return Said::Nothing };
-        let unsent = client.connection.unsent();
+        let (unsent, before) = (client.connection.unsent(), client.connection.input.len());
         let works = client.connection.flush().is_ok() && client.connection.fill(http::MESSAGE_MOST).is_ok();
+        if client.connection.input.len() > before {
+            client.heard = turn.now;
+        }
         let moved = client.connection.unsent() < unsent;
         client.full_since = client.connection.full.then(|| client.full_since.unwrap_or(turn.now));
         if matches!(client.stage, Stage::Closing) {
@@ -832,13 +861,14 @@
 
     /// Danger: a first req that comes just after its connection was closed is lost, as its client does not
     /// send it again. One between reqs does so with the next.
-    fn may_go(&self, now: Moment, silent_for: Span) -> bool {
-        let safe_for = match self.begun() {
-            true => FRESH,
-            false if self.answered => Span::from_nanos(1),
-            false => silent_for,
-        };
-        (self.idle() || self.begun()) && now.since(self.since) >= safe_for
+    fn may_go(&self, now: Moment, crowded: bool, for_new_client: bool) -> bool {
+        if self.idle() && self.answered {
+            return now > self.since;
+        }
+        let (rests, old) = (now.since(self.heard) >= PAUSE_MOST, now.since(self.since) >= FRESH);
+        // Danger: for a new client, which may be of a crowd, one goes that writes slowly. What has come whole comes first.
+        let goes = if for_new_client { rests && (crowded || old) } else { old || rests && crowded };
+        (self.idle() || self.begun()) && goes
     }
 
     fn reading(&self) -> bool {
--- a/crates/sidecar/tests/crossings/descriptors.rs
+++ b/crates/sidecar/tests/crossings/descriptors.rs
@@ -1,12 +1,12 @@
 //! Descriptors that run out: idle clients fill them, and the list, the endpoints, operators and the health check get
 //! theirs all the same.
 
-use std::io::{Read, Write};
+use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{Receiver, channel};
 use std::sync::{Arc, Condvar, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::stand_ins::{
     Client, Endpoint, OPEN, Sidecar, asked, configuration, entry, list, list_of, list_that_tells, message,
@@ -16,6 +16,18 @@
 const HEALTH: &str = "GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n";
 /// Longer than a connection is safe from making room before its req is whole.
 const SAFE_FOR: Duration = Duration::from_millis(1050);
+/// Idle clients that are made ready for most tests.
+const CROWD: usize = 8;
+/// Places of clients in a process that may open `LIMIT`, and one that is taken before another goes.
+const PLACES: usize = 23;
+const LIMIT: u64 = 64;
+/// More than go through these within anybody's patience at a second for each filling.
+const LONG_CROWD: usize = 400;
+/// Between two bytes of a client that writes slowly, and less than one may pause.
+const SLOWLY: Duration = Duration::from_millis(45);
+const PAUSE: Duration = Duration::from_millis(90);
+/// Tries at writing without a pause, which a busy machine may prevent.
+const TRIES: usize = 20;
 
 /// How idle clients hold their connections.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -36,9 +48,9 @@
     client
 }
 
-/// So many clients that are in the process, idle, and may go for room.
-fn crowd(sidecar: &Sidecar, idle: Idle, clients: usize) -> Vec<Client> {
-    let mut crowd: Vec<_> = (0..clients).map(|_| resting(sidecar)).collect();
+/// Clients that are in the process, idle, and may go for room.
+fn crowd(sidecar: &Sidecar, idle: Idle) -> Vec<Client> {
+    let mut crowd: Vec<_> = (0..CROWD).map(|_| resting(sidecar)).collect();
     if idle == Idle::HalfHead {
         // Nothing is awaited here: it is time that has to pass.
         std::thread::sleep(SAFE_FOR);
@@ -57,10 +69,24 @@
     });
 }
 
-/// How many of these have been ended, without a word.
-fn gone(crowd: &mut [Client]) -> usize {
-    let ended: Vec<_> = crowd.iter_mut().filter(|client| !client.rests()).collect();
-    ended.into_iter().map(|client| assert!(client.closed(), "it is told something")).count()
+/// How many of these have been ended: without a word, but for the crowd's own with half a head, which are told to come
+/// again.
+fn gone(crowd: &mut [Client], idle: Idle) -> usize {
+    let ended: Vec<_> = crowd.iter_mut().zip(0..).filter(|(client, _)| !client.rests()).collect();
+    let each = ended.into_iter().map(|(client, place)| {
+        if idle == Idle::HalfHead && place < CROWD {
+            let answer = client.answer();
+            assert!(comes_again(&answer), "it is told {answer}");
+        }
+        assert!(client.closed(), "it is told something");
+    });
+    each.count()
+}
+
+/// Whether this tells that a req never ran, when to come again, and that its connection ends.
+fn comes_again(answer: &str) -> bool {
+    let says = |line| answer.contains(line);
+    answer.starts_with("HTTP/1.1 503 ") && says("Retry-After: ") && says("Connection: close")
 }
 
 /// A list's service that is down, and ends each call at once, until it is told to be up. From then on calls go to the
@@ -74,7 +100,7 @@
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             if is_up.load(Ordering::SeqCst) {
-                message(&mut std::io::BufReader::new(&stream));
+                message(&mut BufReader::new(&stream));
                 if tell.send(stream).is_err() {
                     return;
                 }
@@ -174,12 +200,70 @@
     drop(crowd);
 }
 
+/// A crowd that comes, each with half a head, and rests.
+fn half_heads(sidecar: &Sidecar) -> Vec<Client> {
+    let half_head = |_| {
+        let mut client = Client::connect(sidecar);
+        client.send("GET /view/1 HT");
+        client
+    };
+    (0..LONG_CROWD).map(half_head).collect()
+}
+
+/// Danger: of a crowd that sends half a head and rests each was safe for a second, and the health check waited behind all
+/// that came before it.
+#[test]
+fn the_health_check_does_not_wait_for_long_behind_a_crowd_of_half_heads() {
+    let (text, ..) = settings(&[]);
+    let sidecar = Sidecar::start_within(&text, LIMIT);
+    let mut crowd = half_heads(&sidecar);
+    let mut check = Client::connect(&sidecar);
+    check.send(HEALTH);
+    assert_eq!(check.status(), "200");
+    // Who went for it was told so. The last ones may have had all their time meanwhile.
+    let told = crowd.iter_mut().filter(|client| !client.rests()).map(|client| client.answer());
+    let (come_again, others): (Vec<_>, Vec<_>) = told.partition(|answer| comes_again(answer));
+    assert!(come_again.len() >= LONG_CROWD - PLACES, "{}", come_again.len());
+    assert!(others.iter().all(|answer| answer.starts_with("HTTP/1.1 408 ")), "{others:?}");
+}
+
+/// Danger: who writes slowly is older than a crowd that comes after it, and went before all of that; and once it is older
+/// than what is safe at all it went with that.
+#[test]
+fn a_client_that_writes_slowly_is_served_beside_a_crowd_of_half_heads() {
+    let endpoint = Endpoint::start(|_| ok("menu"));
+    let (text, ..) = settings(&[endpoint.at]);
+    for _ in 0..TRIES {
+        let sidecar = Sidecar::start_within(&text, LIMIT);
+        let mut slow = TcpStream::connect(sidecar.at).unwrap();
+        slow.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+        let (mut crowd, pause) = std::thread::scope(|scope| {
+            let crowd = scope.spawn(|| half_heads(&sidecar));
+            let (mut wrote, mut pause) = (Instant::now(), Duration::ZERO);
+            for byte in b"GET /view/1 HTTP/1.1\r\nX-Txn: 1\r\n\r\n" {
+                // One that has been turned away meanwhile hears of it below.
+                let _ = slow.write_all(&[*byte]);
+                pause = pause.max(wrote.elapsed());
+                wrote = Instant::now();
+                std::thread::sleep(SLOWLY);
+            }
+            (crowd.join().unwrap(), pause)
+        });
+        let answer = message(&mut BufReader::new(&slow));
+        let turned_away = crowd.iter_mut().filter(|client| !client.rests()).count();
+        if pause < PAUSE && turned_away > PLACES {
+            return assert!(answer.ends_with("menu"), "{answer}");
+        }
+    }
+    panic!("the machine is too busy to write slowly");
+}
+
 /// Danger: a caller for whom there was no descriptor brings no further event, and waited for the next caller.
 #[test]
 fn an_operator_is_answered_when_no_descriptor_is_free() {
     each(|idle, free| {
         let (sidecar, _watch) = watching(&[]);
-        let mut crowd = crowd(&sidecar, idle, 8);
+        let mut crowd = crowd(&sidecar, idle);
         leave_free(&sidecar, &mut crowd, free);
         let mut callers: Vec<_> = (0..2).map(|_| sidecar.caller()).collect();
         for caller in &mut callers {
@@ -189,7 +273,7 @@
             assert!(answer.ends_with("EOF\n"), "{idle:?}, {free} free: {answer}");
         }
         // One for each, and one more for the look whether another waits.
-        assert!(gone(&mut crowd) <= 3, "{idle:?}, {free} free");
+        assert!(gone(&mut crowd, idle) <= 3, "{idle:?}, {free} free");
     });
 }
 
@@ -198,7 +282,7 @@
 fn the_health_check_is_answered_when_no_descriptor_is_free() {
     each(|idle, free| {
         let (sidecar, _watch) = watching(&[]);
-        let mut crowd = crowd(&sidecar, idle, 8);
+        let mut crowd = crowd(&sidecar, idle);
         leave_free(&sidecar, &mut crowd, free);
         let mut checks: Vec<_> = (0..2).map(|_| Client::connect(&sidecar)).collect();
         for check in &mut checks {
@@ -206,7 +290,7 @@
             assert_eq!(check.status(), "200", "{idle:?}, {free} free");
         }
         // One for each, and one more for the look whether another waits.
-        assert!(gone(&mut crowd) <= 3, "{idle:?}, {free} free");
+        assert!(gone(&mut crowd, idle) <= 3, "{idle:?}, {free} free");
     });
 }
 
@@ -217,11 +301,11 @@
     each(|idle, free| {
         let (text, up, calls) = settings(&[]);
         let sidecar = Sidecar::start(&text);
-        let mut crowd = crowd(&sidecar, idle, 8);
+        let mut crowd = crowd(&sidecar, idle);
         leave_free(&sidecar, &mut crowd, free);
         up.store(true, Ordering::SeqCst);
         let mut watch = calls.recv_timeout(Duration::from_secs(5)).expect("it is called");
-        let gone = gone(&mut crowd);
+        let gone = gone(&mut crowd, idle);
         // One may have gone for a call that was under way before.
         assert!(gone <= 2, "{idle:?}, {free} free: {gone} gone");
         watch.write_all(OPEN).unwrap();
@@ -235,7 +319,7 @@
         let endpoint = Endpoint::start(|_| ok("menu"));
         let (sidecar, _watch) = watching(&[endpoint.at]);
         let mut client = resting(&sidecar);
-        let mut crowd = crowd(&sidecar, idle, 8);
+        let mut crowd = crowd(&sidecar, idle);
         // It is not the one that has rested for longest.
         client.send(HEALTH);
         assert_eq!(client.status(), "200");
@@ -324,7 +408,7 @@
 fn settings_are_read_again_when_no_descriptor_is_free() {
     each(|idle, free| {
         let (sidecar, _watch) = watching(&[]);
-        let mut crowd = crowd(&sidecar, idle, 8);
+        let mut crowd = crowd(&sidecar, idle);
         let (at, calls) = list();
         let other = asked(&configuration(at, 1024, "null"));
         std::fs::write(&sidecar.file, other).unwrap();
@@ -373,7 +457,7 @@
     let text = asked(&configuration(list_that_tells(&list_of(1, true, &[])), 1024, "null"));
     let old = Sidecar::start_with(&text, &variables);
     until("it is ready", || old.told("ready\n").starts_with("200 "));
-    let mut crowd = crowd(&old, Idle::Rests, 8);
+    let mut crowd = crowd(&old, Idle::Rests);
     let mut check = resting(&old);
     let beside = format!("\"listen\":\"{}\"", old.at);
     let new = Sidecar::start_with(&text.replace("\"listen\":\"127.0.0.1:0\"", &beside), &variables);
