The backlog holds 1024 with or without a second address

Cause: where no second address is set the listener had the backlog of its library, 128, and not 1024 as the comment said. A health check's connect behind a crowd of 128 is lost and made again by its machine after 1, 3 and 7 s, each time behind whoever came meanwhile.

Change: one way to listen; only the sharing of the port depends on the second address.

--- a/crates/sidecar/src/net/clients.rs
+++ b/crates/sidecar/src/net/clients.rs
@@ -61,7 +61,8 @@
 const DISCARD_TURNS: usize = 64;
 /// Bytes that are read beyond a message to find whether a client's end stands behind them.
 const SIGHT_MORE: usize = 16 * 1024;
-/// Connections that may wait to be taken, as many as with a listener that is not shared.
+/// Connections that may wait to be taken. Danger: the connect of a health check that finds it full is lost, and made again
+/// by its machine after 1, 3 and 7 s.
 const BACKLOG: i32 = 1024;
 /// Until accepting is tried again where there was no room.
 const ACCEPT_AGAIN: Span = Span::from_millis(100);
@@ -227,10 +228,10 @@
     (connections as f64 * CLIENTS_SHARE) as usize
 }
 
-fn listen_beside_others(at: SocketAddr) -> io::Result<TcpListener> {
+fn listen(at: SocketAddr, shared: bool) -> io::Result<TcpListener> {
     let socket = Socket::new(Domain::for_address(at), Type::STREAM, Some(Protocol::TCP))?;
     socket.set_reuse_address(true)?;
-    socket.set_reuse_port(true)?;
+    socket.set_reuse_port(shared)?;
     socket.set_nonblocking(true)?;
     socket.bind(&at.into())?;
     socket.listen(BACKLOG)?;
@@ -240,7 +241,7 @@
 impl Clients {
     /// `shared`: another process may listen at the same address.
     pub fn listen(at: SocketAddr, shared: bool, turn: &mut Turn) -> io::Result<Clients> {
-        let mut listener = if shared { listen_beside_others(at)? } else { TcpListener::bind(at)? };
+        let mut listener = listen(at, shared)?;
         turn.registry.register(&mut listener, Peer::Listener.token(), Interest::READABLE)?;
         Ok(Clients {
             listener: Some(listener),
--- a/crates/sidecar/tests/crossings/descriptors.rs
+++ b/crates/sidecar/tests/crossings/descriptors.rs
@@ -8,9 +8,11 @@
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
+use socket2::{Domain, Socket, Type};
+
 use crate::stand_ins::{
-    Client, Endpoint, OPEN, Sidecar, asked, configuration, entry, list, list_of, list_that_tells, message,
-    ok, until,
+    Client, Endpoint, OPEN, Sidecar, asked, configuration, connecting, entry, list, list_of, list_that_tells,
+    message, ok, until,
 };
 
 const HEALTH: &str = "GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n";
@@ -227,6 +229,26 @@
     assert!(others.iter().all(|answer| answer.starts_with("HTTP/1.1 408 ")), "{others:?}");
 }
 
+/// Danger: a connect that finds no room in the backlog is lost, and made again by its machine after 1, 3 and 7 s, behind
+/// whoever comes meanwhile.
+#[test]
+fn a_crowd_waits_in_the_backlog_whether_or_not_there_is_a_second_address() {
+    let plain = configuration(list().0, 1024, "null");
+    for text in [asked(&plain), plain] {
+        let sidecar = Sidecar::start(&text);
+        let mut crowd = Vec::new();
+        sidecar.in_one_turn(|| {
+            crowd.extend((0..LONG_CROWD).map(|_| {
+                let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+                socket.set_nonblocking(true).unwrap();
+                let _ = socket.connect(&sidecar.at.into());
+                socket
+            }));
+            until("all are connected", || connecting(sidecar.at.port()) == 0);
+        });
+    }
+}
+
 /// Danger: who writes slowly is older than a crowd that comes after it, and went before all of that; and once it is older
 /// than what is safe at all it went with that.
 #[test]
