A client that left behind a flood is sent nothing, however late its bytes or its connect come

Three paths missed it. (1) An attempt that waited for its connect was written as that came up with no look at what stands unread (`server_ready` looked for ends alone). (2) What stood there through a long turn, or while the process stood still, counted from the turn that read it (`Clients::ready`). (3) So did what a client had sent while it waited outside for a place (`Clients::accept`). In each the request went to its endpoint over 0.1 s after the close.

Change: a connect that comes up looks for its client as a decision does; a req that was never sent is told 503, as before its first attempt. What stands unread counts from when it may have come: since others have waited outside, or since the poll before this one unless this one has waited.

Not held, as before: the next request of such a client where the reset of its machine takes longer than to the next poll.

--- a/crates/sidecar/src/net/clients.rs
+++ b/crates/sidecar/src/net/clients.rs
@@ -97,7 +97,7 @@
     leave_given: bool,
     /// What is still to come of the req that it waits for, behind the head, where that is long.
     coming: Option<Body>,
-    /// Since when, with this req, more stands unread than is taken from it.
+    /// Since when, with this req, more may stand unread than is taken from it.
     full_since: Option<Moment>,
     /// How much had come at the last look at a body, and by when there must be more.
     seen: usize,
@@ -174,6 +174,8 @@
     /// Connections close between reqs.
     parting: bool,
     last_accept: Moment,
+    /// Since when what a turn finds may have stood there.
+    pub came_since: Moment,
     head: Vec<u8>,
 }
 
@@ -255,6 +257,7 @@
             away: false,
             parting: false,
             last_accept: turn.now,
+            came_since: turn.now,
             head: Vec::new(),
         })
     }
@@ -308,6 +311,8 @@
             };
             (self.last_accept, may_make) = (turn.now, true);
             self.lacks_descriptor = false;
+            // Danger: what it brings may be as old as its wait outside, and its end stand behind that.
+            let full_since = Some(self.held_since.unwrap_or(self.came_since));
             let added = self.slots.insert_with(|key| {
                 let connection = Connection::take(stream, &turn.registry, Peer::Client(key).token())?;
                 let stage = Stage::Reading;
@@ -317,7 +322,7 @@
                     timed: false,
                     leave_given: false,
                     coming: None,
-                    full_since: None,
+                    full_since,
                     seen: 0,
                     body_until: None,
                     since: turn.now,
@@ -458,7 +463,7 @@
             client.heard = turn.now;
         }
         let moved = client.connection.unsent() < unsent;
-        client.full_since = client.connection.full.then(|| client.full_since.unwrap_or(turn.now));
+        client.full_since = client.connection.full.then(|| client.full_since.unwrap_or(self.came_since));
         if matches!(client.stage, Stage::Closing) {
             // Nothing is owed for what comes now. Danger: what is left unread brings no event, and a client that is
             // still sending would not get to read its answer.
--- a/crates/sidecar/src/net/servers.rs
+++ b/crates/sidecar/src/net/servers.rs
@@ -528,9 +528,15 @@
         self.release(key, Frame { head: 0, body: 0, end: 0, keep }, turn);
     }
 
-    /// Whether a connection carries a write-out whose last byte is not written yet.
-    pub fn unwritten(&self, key: Key) -> bool {
-        self.links.get(key).is_some_and(|link| link.carries.is_some() && !link.whole())
+    /// The req of the write-out that a connection carries, if its last byte is not written yet.
+    pub fn unwritten(&self, key: Key) -> Option<usize> {
+        let link = self.links.get(key).filter(|link| !link.whole())?;
+        link.carries.map(|carried| carried.req)
+    }
+
+    /// Whether nothing was written yet of what a connection carries.
+    pub fn is_connecting(&self, key: Key) -> bool {
+        self.links.get(key).is_some_and(|link| !link.up)
     }
 
     /// Stops waiting for a write-out. Closing its connection tells the endpoint.
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -48,6 +48,9 @@
 /// The rest of `GONE_MOST` is for the one decision, or the one event, that comes between such a look and the write.
 pub const LOOK_MOST: Span = Span::from_millis(20);
 const _: () = assert!(4 * LOOK_MOST.nanos() < GONE_MOST.nanos());
+/// A poll that took as long has waited for what it brings, so that came at its end.
+const POLL_WAITED: Span = Span::from_millis(1);
+const _: () = assert!(POLL_WAITED.nanos() < LOOK_MOST.nanos());
 /// Time in which last answers go out.
 const LEAVE_LAST: Span = Span::from_millis(150);
 /// Time in which long answers that have begun may go on.
@@ -264,7 +267,11 @@
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
                 other => other.map_err(|e| format!("poll: {e}"))?,
             }
-            self.turn.now = self.clock.now();
+            let last = std::mem::replace(&mut self.turn.now, self.clock.now());
+            // Danger: what was there before the poll may have come at any time since the one before, or while the process
+            // stood still, and how old it is tells whether its client may have left behind it.
+            let waited = self.turn.now.since(self.looked) >= POLL_WAITED;
+            self.clients.came_since = if waited { self.turn.now } else { last };
             // Danger: who is on call waits a second at the most, however much else a turn brings.
             let came: Vec<Peer> =
                 self.later.drain(..).chain(events.iter().map(|event| Peer::of(event.token()))).collect();
--- a/crates/sidecar/src/sidecar/reqs.rs
+++ b/crates/sidecar/src/sidecar/reqs.rs
@@ -54,7 +54,7 @@
         self.choice.hangup(req);
         let links = self.req(req).map(|r| r.write_outs.iter().flatten().copied().collect::<Vec<_>>());
         for link in links.unwrap_or_default() {
-            if self.servers.unwritten(link) {
+            if self.servers.unwritten(link).is_some() {
                 let ended = self.servers.withdraw(link, &mut self.turn);
                 self.ended(link, ended);
             }
@@ -66,8 +66,10 @@
             return self.pass_down(key);
         }
         // What waits for its connect is written as soon as that is up.
-        if self.servers.unwritten(key) {
-            self.look(self.looked);
+        match self.servers.unwritten(key) {
+            Some(req) if self.servers.is_connecting(key) => self.look_for_client(req),
+            Some(_) => self.look(self.looked),
+            None => {}
         }
         let ended = self.servers.ready(key, &mut self.turn);
         self.ended(key, ended);
@@ -264,15 +266,15 @@
         // What has come in this turn was read in it.
         let Some(since) = self.req(req).map(|r| r.since) else { return };
         self.look(if since == self.turn.now { since } else { self.looked });
-        let Some((first, client)) = self.req(req).map(|r| (r.write_outs.is_empty(), r.client)) else {
-            return;
-        };
-        let Some(client) = client else { return };
+        let Some(r) = self.req(req) else { return };
+        let Some(client) = r.client else { return };
+        let links = r.write_outs.clone();
+        let never_sent = links.iter().all(|link| link.is_some_and(|link| self.servers.is_connecting(link)));
         match self.clients.sight(client, LOOK_MOST, self.clock.now()) {
             Sight::Here => {}
             Sight::Left => self.client_leaves(client),
             Sight::Unknown => {
-                self.answer(req, if first { 503 } else { 502 }, None);
+                self.answer(req, if never_sent { 503 } else { 502 }, None);
                 self.hangup(req);
             }
         }
--- a/crates/sidecar/tests/crossings/clients.rs
+++ b/crates/sidecar/tests/crossings/clients.rs
@@ -490,3 +490,51 @@
     assert_eq!(waits.status(), "200");
     assert!(good.next().starts_with("GET /view/1"));
 }
+
+/// Danger: an attempt that waits for its connect begins long after its client was looked for, and what could not be told
+/// from one that had left was written to its endpoint.
+#[test]
+fn a_client_that_may_have_left_behind_more_than_the_machine_takes_is_sent_nothing_when_its_connect_comes_up()
+{
+    let more = "GET /view/1 HTTP/1.1\r\nX-Txn: 77\r\n\r\n";
+    for leaves in [true, false] {
+        let (listener, fillers) = full();
+        let at = listener.local_addr().unwrap();
+        let sidecar = Sidecar::start(&patient(list().0, &[entry("late", at, 0, "up")], 300_000));
+        let before = connecting(at.port());
+        let mut waits = views(&sidecar, "waits");
+        until("a connect", || connecting(at.port()) > before);
+        assert!(waits.flood(more, 1_000_000) >= 300_000);
+        if leaves {
+            drop(waits);
+            std::thread::sleep(GONE);
+            let sent = sent_late(&listener, &fillers, before);
+            assert!(sent.iter().all(String::is_empty), "{sent:?}");
+            continue;
+        }
+        std::thread::sleep(GONE);
+        fillers.iter().for_each(|_| drop(listener.accept().unwrap()));
+        // It was never sent.
+        assert_eq!(waits.status(), "503");
+    }
+}
+
+/// Danger: what was there before a turn that took long is read only after it, and counted as come then.
+#[test]
+fn a_client_that_left_in_a_long_turn_behind_more_than_the_machine_takes_is_sent_nothing() {
+    let endpoint = Endpoint::start(|_| ok("menu"));
+    let sidecar = Sidecar::start(&patient(list().0, &[entry("e0", endpoint.at, 0, "up")], 300_000));
+    let mut client = Client::connect(&sidecar);
+    client.send("GET /healthz HTTP/1.1\r\n\r\n");
+    assert_eq!(client.status(), "200");
+    let turn = Held::prepare(&sidecar, &std::fs::read(&sidecar.file).unwrap());
+    sidecar.signal("-HUP");
+    let turn = turn.begun();
+    assert!(client.flood("GET /view/1 HTTP/1.1\r\nX-Txn: 77\r\n\r\n", 1_000_000) >= 300_000);
+    drop(client);
+    std::thread::sleep(GONE);
+    turn.end();
+    // Answered in the turn in which it is read, and in one after that.
+    (0..2).for_each(|_| sidecar.until_open(0));
+    assert_eq!(sidecar.figure("sidecar_upstream_requests"), 0);
+}
--- a/crates/sidecar/tests/crossings/descriptors.rs
+++ b/crates/sidecar/tests/crossings/descriptors.rs
@@ -8,6 +8,7 @@
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
+use appledyke_sidecar::sidecar::GONE_MOST;
 use socket2::{Domain, Socket, Type};
 
 use crate::stand_ins::{
@@ -469,6 +470,30 @@
     assert_eq!(sidecar.figure("sidecar_config_reload_errors"), 0);
 }
 
+/// Danger: a client that has left while it waited outside, behind more than the machine takes unread, can't be seen to have
+/// left, and its first request was sent however long ago that was.
+#[test]
+fn who_leaves_while_it_waits_outside_behind_more_than_the_machine_takes_is_sent_nothing() {
+    let hold = Hold::default();
+    let endpoint = hold.endpoint("menu");
+    let (sidecar, _watch) = watching(&[endpoint.at]);
+    let mut busy = held(&sidecar, &[&endpoint]);
+    assert!(sidecar.leaves_free(0), "{:?}", sidecar.descriptors());
+    let mut leaves = Client::connect(&sidecar);
+    assert!(leaves.flood("GET /view/1 HTTP/1.1\r\nX-Txn: 77\r\n\r\n", 1_000_000) >= 300_000);
+    drop(leaves);
+    std::thread::sleep(Duration::from_nanos(GONE_MOST.nanos()));
+    // It is behind that one.
+    let mut check = Client::connect(&sidecar);
+    check.send(HEALTH);
+    hold.release();
+    assert_eq!(check.status(), "200");
+    busy.iter_mut().for_each(|client| assert_eq!(client.status(), "200"));
+    // Answered in the turn in which it is read, and in one after that.
+    (0..2).for_each(|_| sidecar.until_open(0));
+    assert_eq!(sidecar.figure("sidecar_upstream_requests"), busy.len() as u64);
+}
+
 /// Danger: a process that has no descriptor to look with took itself for alone at its address, and as it left it said no
 /// to the health check of an address that another serves.
 #[test]
