Clients that leave while their process hands over: forced, and nothing is sent for them

The test lets clients connect to two processes at one address that both stand still, and leave by an end, a reset, or behind more than the machine takes unread; then the old one is told to leave and takes its backlog, and the new one goes on. Those that stay are all answered, and nothing is sent for the others.

--- a/crates/sidecar/tests/crossings/clients.rs
+++ b/crates/sidecar/tests/crossings/clients.rs
@@ -13,7 +13,7 @@
 
 use crate::stand_ins::{
     Client, Endpoint, OPEN, Sidecar, asked, configuration, connecting, connections, entry, full, list,
-    list_of, message, ok, queued, sent_late, until,
+    list_of, list_that_tells, message, ok, queued, sent_late, until,
 };
 
 /// Tries at a crossing that the machine's own pace may prevent, before that is a failure.
@@ -538,3 +538,51 @@
     (0..2).for_each(|_| sidecar.until_open(0));
     assert_eq!(sidecar.figure("sidecar_upstream_requests"), 0);
 }
+
+/// Danger: a process that hands over takes all of its backlog at once, with whoever has left in it meanwhile.
+#[test]
+fn clients_that_leave_while_their_process_hands_over_are_sent_nothing() {
+    let endpoint = Endpoint::start(|_| ok("menu"));
+    let folder = std::env::temp_dir().join(format!("appledyke-hands-over-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let variables = [("TMPDIR", folder.to_str().unwrap())];
+    let known = list_of(1, true, &[entry("e0", endpoint.at, 0, "up")]);
+    let text = asked(&configuration(list_that_tells(&known), 1024, "null"));
+    // With time enough for what waits while both stand still.
+    let text = text.replace("\"latencyBudgetNs\":2000000000", "\"latencyBudgetNs\":200000000000");
+    let text = text.replace("\"deadlineNs\":3000000000", "\"deadlineNs\":300000000000");
+    let mut old = Sidecar::start_with(&text, &variables);
+    until("it is ready", || old.told("ready\n").starts_with("200 "));
+    let beside = format!("\"listen\":\"{}\"", old.at);
+    let new = Sidecar::start_with(&text.replace("\"listen\":\"127.0.0.1:0\"", &beside), &variables);
+    until("the new one is ready", || new.told("ready\n").starts_with("200 "));
+    // It looks before it answers, and knows of the new one by then.
+    assert!(old.told("ready\n").starts_with("200 "));
+    let mut stay = Vec::new();
+    new.in_one_turn(|| {
+        old.in_one_turn(|| {
+            // The machine deals these out between the two.
+            for number in 0..20 {
+                stay.push(views(&old, &format!("stays{number}")));
+                leave(&old, views(&old, &format!("left{number}")), drop);
+                leave(&old, views(&old, &format!("reset{number}")), Client::reset);
+            }
+            for number in 0..5 {
+                let mut floods = views(&old, &format!("flood{number}"));
+                assert!(floods.flood("GET /view/1 HTTP/1.1\r\nX-Txn: 77\r\n\r\n", 1_000_000) >= 300_000);
+            }
+            std::thread::sleep(GONE);
+            old.signal("-TERM");
+        });
+        assert!(old.end().success());
+    });
+    stay.iter_mut().for_each(|client| assert_eq!(client.status(), "200"));
+    (0..2).for_each(|_| new.until_open(0));
+    let sent: Vec<_> = endpoint.reqs.try_iter().filter(|text| text != "end").collect();
+    assert!(
+        sent.len() == stay.len() && sent.iter().all(|text| text.starts_with("GET /view/stays")),
+        "{sent:?}"
+    );
+    drop((old, new));
+    std::fs::remove_dir_all(&folder).unwrap();
+}
