A call that the list's service has turned away is followed by waits that grow, as before

Change: a 503, or an end before any answer, says that the service is there and has too many callers.

--- a/crates/sidecar/src/net/list.rs
+++ b/crates/sidecar/src/net/list.rs
@@ -46,12 +46,16 @@
 const RETRY_TORN: Span = Span::from_millis(60);
 /// From the start of a call that failed, or a watch's end, to the next call: doubled with each further failure up to the
 /// most, and times a half to one by chance. Danger: counted from the call's end it came on top of all that the call took.
+/// One that the service itself has turned away says that it is there and has too many callers: after that the wait is
+/// counted from the call's end, up to a longer most. Danger: callers that come again sooner keep it from answering any.
 const RETRY_FIRST: Span = Span::from_millis(400);
 const RETRY_MOST: Span = Span::from_millis(4000);
+const RETRY_TURNED_AWAY: Span = Span::from_millis(5000);
 /// Most from the end of a call that took longer than that to the next, times a tenth to one by chance: as wide as the bound
 /// allows, as calls that were made together and wait alike would else stay in step.
 const RETRY_SOON: Span = Span::from_millis(700);
-/// Longest from a call's start, or a watch's end, to the next call where a budget holds that back. Danger: a drain that is
+/// Longest from a call's start, or a watch's end, to the next call where a budget holds that back, but for one that has
+/// been turned away. Danger: a drain that is
 /// not heard breaks a rule; a budget spares a service.
 const HELD_BACK_MOST: Span = Span::from_millis(4200);
 /// The same from a new configuration: what the service at the new address has counts as told so long after it.
@@ -71,7 +75,7 @@
 }
 
 // Worst cases: what passes from when a change could be had until it is. A call was made just before, and was refused, or
-// lost, or its list never ends; the next is answered.
+// lost, or its list never ends; the next is answered. Calls that have been turned away are not among them.
 const _: () = assert!(sum([RETRY_MOST, ANSWERED, SLACK]) <= TOLD_AFTER.nanos());
 const _: () = assert!(sum([CALL_IN, MORE_IN, RETRY_SOON, ANSWERED, SLACK]) <= TOLD_AFTER.nanos());
 const _: () = assert!(sum([HELD_BACK_MOST, ANSWERED, SLACK]) <= TOLD_AFTER.nanos());
@@ -134,6 +138,8 @@
     /// It has brought anything; and a list or a beat to its end.
     heard: bool,
     told: bool,
+    /// The service has ended it with no list: by another answer, or by a reset.
+    turned_away: bool,
     /// What chunks have brought and is no whole list yet, and where one ends in it.
     text: Vec<u8>,
     braces: Braces,
@@ -306,6 +312,7 @@
                 head_read: false,
                 heard: false,
                 told: false,
+                turned_away: false,
                 text,
                 braces,
                 begun_at: None,
@@ -337,20 +344,25 @@
         let open = self.open.and_then(|key| self.watches.get(key));
         let torn = open.and_then(Watch::torn);
         let since = open.filter(|watch| !watch.told).map_or(turn.now, |watch| watch.since);
+        let turned_away = open.is_some_and(|watch| watch.turned_away);
         self.salvaged = salvage(torn.as_deref().unwrap_or_default());
         self.close(turn);
         // Danger: a service that comes back would be met by every sidecar at once.
         let part = 0.5 + self.chance.rand_float() / 2.0;
-        let most = if self.pushed { AGENT_RETRY } else { RETRY_MOST };
+        let most = match turned_away {
+            _ if self.pushed => AGENT_RETRY,
+            true => RETRY_TURNED_AWAY,
+            false => RETRY_MOST,
+        };
         let wait = (RETRY_FIRST * 2.0_f64.powi(self.failures.min(10))).min(most);
         let next = match &torn {
             Some(_) if self.failures == 0 => turn.now + RETRY_TORN * part,
-            _ if self.pushed => turn.now + wait * part,
+            _ if self.pushed || turned_away => turn.now + wait * part,
             // The silence itself has taken most of the time that there is.
             _ if self.failures == 1 && self.fell_silent => turn.now + RETRY_FIRST * part,
             _ => (since + wait * part).max(turn.now + RETRY_SOON * (0.1 + 0.9 * self.chance.rand_float())),
         };
-        self.latest = since + HELD_BACK_MOST;
+        self.latest = next.max(since + HELD_BACK_MOST);
         self.failures += 1;
         log::warn!("list at {}, version {}: {what}", self.at, self.version);
         turn.deadlines.shift(Due::List, &mut self.deadline, Some(next));
@@ -416,13 +428,17 @@
             let over = watch.connection.fill(LIST_MOST + http::HEAD_MOST).is_err() || watch.connection.ended;
             let full = watch.connection.full;
             if !watch.head_read {
+                watch.turned_away = over;
                 match http::watch_head(&watch.connection.input) {
                     Ok(Some(head)) => watch.connection.consume(head),
                     Ok(None) if over => return Err("no answer".to_string()),
                     Ok(None) => return Ok(()),
-                    Err(http::Bad(status)) => return Err(format!("answered {status}")),
+                    Err(http::Bad(status)) => {
+                        watch.turned_away = true;
+                        return Err(format!("answered {status}"));
+                    }
                 }
-                watch.head_read = true;
+                (watch.head_read, watch.turned_away) = (true, false);
             }
             // Danger: what came before an end or a fault has been told.
             let (any, faulty) = watch.take_chunks();
