--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -237,7 +237,6 @@
         if known.is_some() {
             sidecar.listed(true, &launch.known);
         }
-        sidecar.list.begin(&mut sidecar.turn);
         if unasked {
             // Where changes are told unasked, nothing will be decided about asking.
             sidecar.subscribe();
