--- a/crates/lab/tests/scale_faults.rs
+++ b/crates/lab/tests/scale_faults.rs
@@ -4,6 +4,7 @@
 
 use appledyke::units::{Moment, Span};
 use appledyke_lab::scale::faults::{Kind, Schedule, Terms, What};
+use appledyke_lab::scale::scenario::Scenario;
 use appledyke_lab::scale::shape::{Numbers, Shape};
 
 fn shape(numbers: &Numbers, seed: u64) -> Shape {
@@ -260,3 +261,15 @@
         }
     }
 }
+
+/// Danger: a run that is there for the faults would say nothing of the full one with another fleet, other terms or other limits.
+#[test]
+fn the_run_for_faults_has_the_full_runs_fleet_faults_and_limits() {
+    let read = |text: &str| Scenario::parse(text).unwrap();
+    let full = read(include_str!("../scenarios/scale.toml"));
+    let mut short = read(include_str!("../scenarios/scale-faults.toml"));
+    assert!(short.phases.idle_ms < full.phases.idle_ms && short.sizes == [1200]);
+    (short.name, short.sizes, short.rounds) = (full.name.clone(), full.sizes.clone(), full.rounds);
+    short.phases = full.phases.clone();
+    assert_eq!(format!("{short:?}"), format!("{full:?}"));
+}
