The short scale run looks at evidence for twelve beats, as one may be late

Cause: the short form broke its limit of bytes on a loaded machine (4,330 and now 4,219 a second a member, at most 4,000): in the phase of evidence a member takes 3,300 bytes a second, counted over four beats of 250 ms, and one beat that is delivered a moment late falls into the next span: a quarter more.

Change: that phase is 3 s in place of 1 s; the limit stays. `scale.rs` names the line as it is now.

--- a/crates/lab/tests/scale.rs
+++ b/crates/lab/tests/scale.rs
@@ -58,7 +58,7 @@
 /// One small fleet without faults.
 const SMALL: [(&str, &str); 3] = [
     ("sizes = [24, 48]", "sizes = [16]"),
-    ("evidence_ms = 1000", "evidence_ms = 0"),
+    ("evidence_ms = 3000", "evidence_ms = 0"),
     ("budgets_ms = 1000", "budgets_ms = 0"),
 ];
 
