Long messages: how many answers stand still is not up to time; a wait says why

`a_client_that_leaves_halfway…` failed once more beside fourteen processes that compute and the crossings ("never: its write-out has begun"); its cause is not known.

Change: the 40 ask one after another, and 30 are to be begun in place of more than 8; the connect to the endpoint has 300 s there, as elsewhere in these tests. `until_or` tells how things stand when what is awaited never comes: here both connections in the machine's table, and the sidecar's figures. No check is looser.

--- a/crates/sidecar/tests/daily/long.rs
+++ b/crates/sidecar/tests/daily/long.rs
@@ -8,7 +8,8 @@
 use std::time::{Duration, Instant};
 
 use crate::stand_ins::{
-    Client, Endpoint, Sidecar, configuration, connections, entry, list, list_of, ok, until,
+    Client, Endpoint, Sidecar, asked, configuration, connections, entry, list, list_of, ok, rows, until,
+    until_or,
 };
 
 const LONG: usize = 32_000_000;
@@ -281,7 +282,7 @@
     let text = configuration(list().0, 1024, &list_of(1, true, &[entry("e0", at, 0, "up")]));
     let text = text.replace("\"connectTimeoutNs\":200000000", "\"connectTimeoutNs\":300000000000");
     let text = text.replace("\"latencyBudgetNs\":2000000000", "\"latencyBudgetNs\":2000000000000");
-    Sidecar::start(&text.replace("\"deadlineNs\":3000000000", "\"deadlineNs\":3000000000000"))
+    Sidecar::start(&asked(&text.replace("\"deadlineNs\":3000000000", "\"deadlineNs\":3000000000000")))
 }
 
 /// Tries to leave before the sidecar's own time is over, which a busy machine may prevent.
@@ -313,9 +314,14 @@
         let client = begin(framing);
         // Halfway: one that has left before that is not sent at all.
         let (begun, gone) = (|| connections(None, at.port(), "01") > 0, Cell::new(false));
-        until("its write-out has begun", || {
-            gone.set(connections(Some(sidecar.at.port()), client.local_addr().unwrap().port(), "01") == 0);
+        let port = client.local_addr().unwrap().port();
+        let there = || {
+            gone.set(connections(Some(sidecar.at.port()), port, "01") == 0);
             gone.get() || begun()
+        };
+        // Seen once never to begin, on a busy machine: what it waits for is told, if it does so again.
+        until_or("its write-out has begun", there, || {
+            format!("{framing}\n{}{}", rows(&[at.port(), port]), sidecar.told("show-stat\n"))
         });
         client.shutdown(Shutdown::Both).unwrap();
         !gone.get()
@@ -406,13 +412,18 @@
     });
     let known = list_of(1, true, &[entry("e0", at, 0, "up")]);
     let limits = configuration(list().0, 1024, &known).replace("\"memory_mb\":192", "\"memory_mb\":32");
-    let sidecar = Sidecar::start(&crate::stand_ins::asked(&limits));
-    let mut clients: Vec<_> = (0..40).map(|_| connect(&sidecar)).collect();
-    for (number, client) in clients.iter_mut().enumerate() {
+    let limits = limits.replace("\"connectTimeoutNs\":200000000", "\"connectTimeoutNs\":300000000000");
+    let sidecar = Sidecar::start(&asked(&limits));
+    // Danger: where all ask at once, how many are begun is up to time; on a busy machine 8 were. One after another all are.
+    let mut clients = Vec::new();
+    let mut begun = 0;
+    for number in 0..40 {
+        let mut client = connect(&sidecar);
         write!(client, "GET /view/1 HTTP/1.1\r\nX-Txn: still{number}\r\n\r\n").unwrap();
+        begun += usize::from(head(&mut client).starts_with("HTTP/1.1 200 "));
+        clients.push(client);
     }
-    let begun = clients.iter_mut().map(head).filter(|head| head.starts_with("HTTP/1.1 200 ")).count();
-    assert!(begun > 8, "{begun}");
+    assert!(begun >= 30, "{begun}");
     let (asked, waited) = (Instant::now(), sidecar.waited());
     assert!(sidecar.figure("sidecar_pending") >= 8);
     let took = asked.elapsed().saturating_sub(sidecar.waited() - waited);
--- a/crates/sidecar/tests/stand_ins/mod.rs
+++ b/crates/sidecar/tests/stand_ins/mod.rs
@@ -17,10 +17,15 @@
 const PATIENCE: Duration = Duration::from_secs(10);
 
 /// Waits for what is told by no event here.
-pub fn until(what: &str, mut there: impl FnMut() -> bool) {
+pub fn until(what: &str, there: impl FnMut() -> bool) {
+    until_or(what, there, String::new);
+}
+
+/// The same, and says how things stand if it never comes.
+pub fn until_or(what: &str, mut there: impl FnMut() -> bool, stand: impl Fn() -> String) {
     let asked = Instant::now();
     while !there() {
-        assert!(asked.elapsed() < PATIENCE, "never: {what}");
+        assert!(asked.elapsed() < PATIENCE, "never: {what}\n{}", stand());
     }
 }
 
@@ -475,6 +480,13 @@
     table.lines().skip(1).filter(there).count()
 }
 
+/// The rows of the machine's table with one of these ports at either end, in whatever state.
+pub fn rows(ports: &[u16]) -> String {
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    let of = |line: &&str| ports.iter().any(|port| line.contains(&format!(":{port:04X} ")));
+    table.lines().filter(of).map(|line| format!("{line}\n")).collect()
+}
+
 /// A listener with no room: connects to it are under way until those that fill it have been accepted. With a backlog of
 /// 0 one that waits fills it. Danger: a connect that took long on a busy machine passed for one that found no room.
 pub fn full() -> (TcpListener, Vec<TcpStream>) {
