--- a/crates/lab/src/scale/children.rs
+++ b/crates/lab/src/scale/children.rs
@@ -84,3 +84,10 @@
     }
     Ok(())
 }
+
+/// Tells the process that began this one, on standard output. Returns whether that could be.
+pub fn say(said: &impl Serialize) -> bool {
+    let line = serde_json::to_string(said).expect("what is said has no form that cannot be written");
+    let mut out = std::io::stdout().lock();
+    writeln!(out, "{line}").and_then(|()| out.flush()).is_ok()
+}
--- a/crates/lab/src/scale/hollow.rs
+++ b/crates/lab/src/scale/hollow.rs
@@ -998,12 +998,6 @@
     hasher.finish()
 }
 
-fn say(said: &Said) -> bool {
-    let line = serde_json::to_string(said).expect("what is said has no form that cannot be written");
-    let mut out = std::io::stdout().lock();
-    writeln!(out, "{line}").and_then(|()| out.flush()).is_ok()
-}
-
 /// Runs hollow members as its standard input says, until that ends.
 ///
 /// # Errors
@@ -1037,7 +1031,7 @@
     let setup = setup.recv().map_err(|e| format!("hollow: {e}"))?;
     let setup: Setup = setup.map_err(|e| format!("hollow: {e}"))?;
     let mut hollow = Hollow::new(setup, poll.registry().try_clone().map_err(named)?);
-    say(&Said::Ready);
+    children::say(&Said::Ready);
     let schedule = Schedule(File::open("/proc/thread-self/schedstat").ok());
     let (mut events, mut wants_at) = (Events::with_capacity(EVENTS), now() + WANTS_EVERY);
     loop {
@@ -1068,7 +1062,7 @@
         while let Ok(order) = orders.try_recv() {
             hollow.order(order);
         }
-        std::mem::take(&mut hollow.said).iter().all(say);
+        std::mem::take(&mut hollow.said).iter().all(children::say);
         let (took_us, timers) = (now().since(began).nanos() / 1000, std::mem::take(&mut hollow.timed));
         if took_us > hollow.counts.turn_worst.took_us {
             let [ran_until, waited_until] = schedule.read();
--- a/crates/lab/src/scale/lists.rs
+++ b/crates/lab/src/scale/lists.rs
@@ -160,12 +160,6 @@
     }
 }
 
-fn say(said: &Said) -> bool {
-    let line = serde_json::to_string(said).expect("what is said has no form that cannot be written");
-    let mut out = std::io::stdout().lock();
-    writeln!(out, "{line}").and_then(|()| out.flush()).is_ok()
-}
-
 /// Serves lists until the standard input ends.
 ///
 /// # Errors
@@ -201,7 +195,7 @@
         lists.tell(&name, entries);
     }
     lists.counts = Counts::default();
-    say(&Said::At(at));
+    children::say(&Said::At(at));
     let (mut events, mut next_key) = (Events::with_capacity(EVENTS), FIRST);
     let mut beat: Moment = now() + BEAT;
     loop {
@@ -240,7 +234,7 @@
                 Order::Tell(name, entries) => lists.tell(&name, entries),
                 Order::Mark => {
                     lists.counts.watchers = lists.watchers.len() as u64;
-                    say(&Said::Mark(lists.counts.clone()));
+                    children::say(&Said::Mark(lists.counts.clone()));
                 }
             }
         }
--- a/crates/sidecar/src/net/list.rs
+++ b/crates/sidecar/src/net/list.rs
@@ -52,10 +52,10 @@
 /// allows, as calls that were made together and wait alike would else stay in step.
 const RETRY_SOON: Span = Span::from_millis(700);
 /// Longest from a call's start, or a watch's end, to the next call where a budget holds that back, but for one that has
-/// been turned away. Danger: a drain that is
-/// not heard breaks a rule; a budget spares a service.
+/// been turned away. Danger: a drain that is not heard breaks a rule; a budget spares a service.
 const HELD_BACK_MOST: Span = Span::from_millis(4200);
-/// The same from the wish for a watch, and from a new configuration: what the service at the new address has counts as told so long after it.
+/// The same from the wish for a watch, and from a new configuration: what the service at the address that this names has
+/// counts as told `TOLD_MOVED` after it.
 const HELD_BACK_MOVED: Span = Span::from_millis(2000);
 const TOLD_MOVED: Span = Span::from_millis(4000);
 /// Bytes that a list may have: a whole one of many thousand endpoints.
@@ -84,7 +84,7 @@
 const _: () = assert!(
     sum([SILENCE_MOST, RETRY_FIRST, ANSWER_SOON, RETRY_FIRST]) + ANSWERED.nanos() / 2 <= TOLD_AFTER.nanos()
 );
-// A list that has not ended is given up no sooner than one that has not begun.
+// A call that is connected has time left to be answered, and waits grow.
 const _: () = assert!(CONNECT_IN.nanos() < CALL_IN.nanos() && RETRY_FIRST.nanos() <= RETRY_MOST.nanos());
 
 /// The version of a list in the service's form, and whether it is complete.
