Log each call to discovery: when it is made, how it ended, when the next is due

The log told that a call had failed, and neither when it was made, nor how long it was out, nor the wait for the next; lines of single connections to endpoints filled what is kept of a log.

Change: net/list.rs logs a call as it is made (number, address, version, failures before), the first list it brings (version, whole or not, ms after the call), and its end with the wait for the next. Lines of single broken connections are for debug.

--- a/crates/sidecar/src/net/list.rs
+++ b/crates/sidecar/src/net/list.rs
@@ -312,6 +312,12 @@
         });
         match opened {
             Ok(key) => {
+                log::info!(
+                    "list at {at}: call {}, since version {}, after {} failures",
+                    self.made,
+                    self.version,
+                    self.failures
+                );
                 self.open = Some(key);
                 turn.deadlines.shift(Due::List, &mut self.deadline, Some(turn.now + CONNECT_IN));
                 false
@@ -337,6 +343,7 @@
         let torn = open.and_then(Watch::torn);
         let since = open.filter(|watch| !watch.told).map_or(turn.now, |watch| watch.since);
         let turned_away = open.is_some_and(|watch| watch.turned_away);
+        let open_since = open.map_or(turn.now, |watch| watch.since);
         self.salvaged = salvage(torn.as_deref().unwrap_or_default());
         self.close(turn);
         // Danger: a service that comes back would be met by every sidecar at once.
@@ -356,7 +363,14 @@
         };
         self.latest = next.max(since + HELD_BACK_MOST);
         self.failures += 1;
-        log::warn!("list at {}, version {}: {what}", self.at, self.version);
+        let took = turn.now.since(open_since).secs() * 1e3;
+        let wait = next.since(turn.now).secs() * 1e3;
+        log::warn!(
+            "list at {}, version {}: {what}; call {} took {took:.0} ms, next in {wait:.0} ms",
+            self.at,
+            self.version,
+            self.made
+        );
         turn.deadlines.shift(Due::List, &mut self.deadline, Some(next));
         true
     }
@@ -441,6 +455,14 @@
                 let (version, complete) = version(&list)?;
                 // Danger: a list that is told in part, up to what is faulty, would drop the rest.
                 entries(&list, |_, _, _, _, _| {})?;
+                if version != self.version || !watch.told {
+                    let took = turn.now.since(watch.since).secs() * 1e3;
+                    log::info!(
+                        "list at {}: version {version} heard, complete {complete}, {took:.0} ms after call {}",
+                        self.at,
+                        self.made
+                    );
+                }
                 (self.version, self.failures, watch.told) = (version, 0, true);
                 hear(complete, list);
             }
--- a/crates/sidecar/src/net/servers.rs
+++ b/crates/sidecar/src/net/servers.rs
@@ -414,7 +414,7 @@
         let link = self.links.get_mut(key)?;
         let (carried, endpoint, sent) = (link.carries.take(), link.endpoint, link.sent);
         if matches!(ending, Ending::NeverUp | Ending::Broken { .. } | Ending::Garbled) {
-            log::info!("connection to {}: {ending:?}", link.to);
+            log::debug!("connection to {}: {ending:?}", link.to);
         }
         self.close(key, turn);
         Some(Ended { endpoint, sent, carried: carried?, ending, answer: None, long: None })
