--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -246,10 +246,18 @@
         if let Some(at) = sidecar.operators.as_ref().and_then(|operators| operators.address().ok()) {
             log::info!("{name} is asked at {at}");
         }
+        sidecar.log_terms();
         log::info!("{name} listens on {}", sidecar.clients.address().unwrap_or(listen));
         Ok(sidecar)
     }
 
+    /// Logs the settings by which the calls to discovery are judged.
+    fn log_terms(&self) {
+        let terms = self.choice.terms();
+        let ask_within = terms.ask_within.map_or("never".to_string(), |span| format!("{:.1} s", span.secs()));
+        log::info!("settings: {} instances, discovery is asked within {ask_within}", terms.instances);
+    }
+
     /// Serves until it has been told to leave and has answered all that it had taken.
     pub fn run(mut self) -> Result<(), String> {
         // One poll brings all that there is: no connection has more than one event in it.
--- /dev/null
+++ b/crates/sidecar/tests/fakes/mod.rs
@@ -0,0 +1,3 @@
+//! Fakes of the services that a sidecar depends on, for tests with real processes on loopback.
+
+pub mod discovery;
