Calls to discovery fit the bounds: few callers wait little, moves in series settle

Change: when a call is made is the pure module net/list/schedule.rs, with its sums asserted. A new address is called once it has stood for 0.3 to 0.6 s, and at the latest 1 s after the first of a series. What is waited after a call turned away goes by the number of instances: 0.1 s each, within 0.8 and 5 s; from 50 instances on it is as before. The form of lists is net/list/format.rs, the module's tests are a file.

Class: retries that grow without regard to the deadline of what they wait for, and work begun that is thrown away.

--- a/crates/sidecar/src/net/list.rs
+++ b/crates/sidecar/src/net/list.rs
@@ -1,129 +1,26 @@
 //! The list of endpoints: a watch on its service, opened when asked for and opened anew when it breaks.
 
+mod format;
+pub mod schedule;
+
 use std::net::SocketAddr;
 
-use appledyke::Standing;
-use appledyke::units::{Moment, Span};
-use oorandom::Rand64;
+use appledyke::units::Moment;
 use serde_json::{Value, json};
 
+use format::{Braces, salvage};
+pub use format::{entries, version};
+use schedule::{ALL_IN, CALL_IN, CONNECT_IN, CallEnd, Callers, MORE_IN, SILENCE_MOST, Schedule};
+
 use super::connection::{self, Connection};
 use super::deadlines::Due;
 use super::http;
 use super::slots::{Key, Peer, Slots};
 use super::{DESCRIPTOR_AGAIN, Turn};
 
-/// A change counts as told so long after the service had it and could be reached, and after a watch that would have told
-/// it fell silent.
-const TOLD_AFTER: Span = Span::from_millis(6000);
-/// In which a service that is back and well has answered a call, and what is left for long turns of the loop.
-const ANSWERED: Span = Span::from_millis(1500);
-const SLACK: Span = Span::from_millis(300);
-/// In which a call must be connected, and in which its first list must have begun, both from its start: calls wait in
-/// turn for up to 3 s, and are then turned away. Danger: a call that is given up sooner has waited for nothing, and would
-/// wait for nothing again.
-const CONNECT_IN: Span = Span::from_millis(1000);
-const CALL_IN: Span = Span::from_millis(3200);
-/// Longest silence of a watch: its beat of 2 s, with room for a busy service.
-const SILENCE_MOST: Span = Span::from_millis(2800);
-/// The same from the first call after such a silence. Danger: what a silent watch misses counts as told
-/// 6 s after it fell silent; a call that is lost then has to leave time for another.
-const ANSWER_SOON: Span = Span::from_millis(1500);
-/// The same where lists are pushed, doubled with each failure up to the most, and the longest wait between two calls.
-/// Danger: what the agent beside this process gets when its service is back counts as told at once, whether a call to it
-/// is open or not, and the time to heed a drain may be well under a second. It has no other callers to serve.
-const AGENT_IN: (Span, Span) = (Span::from_millis(400), Span::from_millis(1000));
-const AGENT_RETRY: Span = Span::from_millis(100);
-/// In which more of a list must come that has begun, and in which all of it: lists are written in one go, and what one
-/// tells counts as told when it was written. Danger: one of which a little comes at a time would be waited for for ever.
-const MORE_IN: Span = Span::from_millis(300);
-const ALL_IN: Span = Span::from_millis(2000);
-/// Most that is waited before a watch is opened anew that broke off within a list, times a half to one by
-/// chance: its service is up, and has something to tell.
-const RETRY_TORN: Span = Span::from_millis(60);
-/// From the start of a call that failed, or a watch's end, to the next call: doubled with each further failure up to the
-/// most, and times a half to one by chance. Danger: counted from the call's end it came on top of all that the call took.
-/// One that the service itself has turned away says that it is there and has too many callers: after that the wait is
-/// counted from the call's end, up to a longer most. Danger: callers that come again sooner keep it from answering any.
-const RETRY_FIRST: Span = Span::from_millis(400);
-const RETRY_MOST: Span = Span::from_millis(4000);
-const RETRY_TURNED_AWAY: Span = Span::from_millis(5000);
-/// Most from the end of a call that took longer than that to the next, times a tenth to one by chance: as wide as the bound
-/// allows, as calls that were made together and wait alike would else stay in step.
-const RETRY_SOON: Span = Span::from_millis(700);
-/// Longest from a call's start, or a watch's end, to the next call where a budget holds that back, but for one that has
-/// been turned away. Danger: a drain that is not heard breaks a rule; a budget spares a service.
-const HELD_BACK_MOST: Span = Span::from_millis(4200);
-/// The same from the wish for a watch, and from a new configuration: what the service at the address that this names has
-/// counts as told `TOLD_MOVED` after it.
-const HELD_BACK_MOVED: Span = Span::from_millis(2000);
-const TOLD_MOVED: Span = Span::from_millis(4000);
 /// Bytes that a list may have: a whole one of many thousand endpoints.
 const LIST_MOST: usize = 4 << 20;
 
-/// The sum of these, in nanoseconds.
-const fn sum<const N: usize>(spans: [Span; N]) -> u64 {
-    let (mut nanos, mut at) = (0, 0);
-    while at < N {
-        nanos += spans[at].nanos();
-        at += 1;
-    }
-    nanos
-}
-
-// Worst cases: what passes from when a change could be had until it is. A call was made just before, and was refused, or
-// lost, or its list never ends; the next is answered. Calls that have been turned away are not among them.
-const _: () = assert!(sum([RETRY_MOST, ANSWERED, SLACK]) <= TOLD_AFTER.nanos());
-const _: () = assert!(sum([CALL_IN, MORE_IN, RETRY_SOON, ANSWERED, SLACK]) <= TOLD_AFTER.nanos());
-const _: () = assert!(sum([HELD_BACK_MOST, ANSWERED, SLACK]) <= TOLD_AFTER.nanos());
-const _: () = assert!(sum([HELD_BACK_MOVED, ANSWERED, SLACK]) <= TOLD_MOVED.nanos());
-// From the last beat: silence, the wait, a call that is answered; or one that is lost, the wait, one that is answered in
-// half of that.
-const _: () = assert!(sum([SILENCE_MOST, RETRY_FIRST, ANSWERED, SLACK]) <= TOLD_AFTER.nanos());
-const _: () = assert!(ANSWERED.nanos() <= ANSWER_SOON.nanos());
-const _: () = assert!(
-    sum([SILENCE_MOST, RETRY_FIRST, ANSWER_SOON, RETRY_FIRST]) + ANSWERED.nanos() / 2 <= TOLD_AFTER.nanos()
-);
-// A call that is connected has time left to be answered, and waits grow.
-const _: () = assert!(CONNECT_IN.nanos() < CALL_IN.nanos() && RETRY_FIRST.nanos() <= RETRY_MOST.nanos());
-
-/// The version of a list in the service's form, and whether it is complete.
-pub fn version(list: &Value) -> Result<(u64, bool), String> {
-    let index = list["index"].as_u64().ok_or("index: missing, or no whole number")?;
-    let complete = list["snapshot"].as_bool().ok_or("snapshot: missing, or neither true nor false")?;
-    Ok((index, complete))
-}
-
-/// Reads the entries of such a list, and tells of each its name, address, zone, cell and kind, standing and start.
-pub fn entries(
-    list: &Value,
-    mut tell: impl FnMut(&str, Option<SocketAddr>, (&str, u64, &str), Standing, Option<Moment>),
-) -> Result<(), String> {
-    for entry in list["endpoints"].as_array().ok_or("endpoints: missing, or no list")? {
-        let name = entry["name"].as_str().ok_or("endpoints.name: missing, or no text")?;
-        let faulty = |key: &str| format!("endpoints.{key}: unreadable value {} of {name}", entry[key]);
-        let standing = match entry["status"].as_str() {
-            Some("up") => Standing::Ready,
-            Some("draining") => Standing::Draining,
-            Some("removed") => Standing::Gone,
-            _ => return Err(faulty("status")),
-        };
-        let address = match &entry["address"] {
-            Value::Null if standing == Standing::Gone => None,
-            at => Some(at.as_str().and_then(|at| at.parse().ok()).ok_or_else(|| faulty("address"))?),
-        };
-        let since = match &entry["since_ms"] {
-            Value::Null => 0,
-            since => since.as_u64().ok_or_else(|| faulty("since_ms"))?,
-        };
-        let text = |key: &str| entry[key].as_str().unwrap_or("");
-        let place = (text("zone"), entry["group"].as_u64().unwrap_or(0), text("type"));
-        let started = (since > 0).then(|| Moment::from_nanos(since.saturating_mul(1_000_000)));
-        tell(name, address, place, standing, started);
-    }
-    Ok(())
-}
-
 struct Watch {
     connection: Connection,
     /// When it was called.
@@ -142,39 +39,6 @@
     begun_at: Option<Moment>,
 }
 
-/// Where the lists of a stream end, however they are set in lines: braces outside of texts, each byte looked at once.
-#[derive(Default)]
-struct Braces {
-    seen: usize,
-    depth: usize,
-    in_text: bool,
-    escaped: bool,
-}
-
-impl Braces {
-    /// How much of a stream holds whole lists, where it is what was seen before and more behind it.
-    fn whole(&mut self, stream: &[u8]) -> usize {
-        let mut whole = 0;
-        for (at, byte) in stream.iter().enumerate().skip(self.seen) {
-            match byte {
-                _ if std::mem::take(&mut self.escaped) => {}
-                b'\\' => self.escaped = self.in_text,
-                b'"' => self.in_text = !self.in_text,
-                b'{' if !self.in_text => self.depth += 1,
-                b'}' if !self.in_text => {
-                    self.depth = self.depth.saturating_sub(1);
-                    if self.depth == 0 {
-                        whole = at + 1;
-                    }
-                }
-                _ => {}
-            }
-        }
-        self.seen = stream.len() - whole;
-        whole
-    }
-}
-
 impl Watch {
     /// Part of a list has come.
     fn begun(&self) -> bool {
@@ -199,34 +63,18 @@
     /// Calls that have been made.
     pub made: u64,
     deadline: Option<Moment>,
-    /// When the next call is made, whether a budget allows it or not.
-    latest: Moment,
     /// There was no descriptor for a call that might be made.
     pub lacks_descriptor: bool,
-    failures: i32,
-    /// The last watch fell silent, and none has been heard since.
-    fell_silent: bool,
-    /// Lists are pushed: they come from an agent of this process's own.
-    pub pushed: bool,
-    chance: Rand64,
+    schedule: Schedule,
     /// The version that was last heard, at this address.
     version: u64,
     /// What a list that broke off told of endpoints to leave alone.
     salvaged: Vec<Value>,
 }
 
-/// The entries that are whole in a part of a list, of those endpoints that want nothing more.
-fn salvage(part: &[u8]) -> Vec<Value> {
-    let starts = part.iter().enumerate().filter(|(_, byte)| **byte == b'{').map(|(at, _)| at);
-    let whole = starts.filter_map(|at| {
-        let entry = serde_json::Deserializer::from_slice(&part[at..]).into_iter::<Value>().next();
-        entry?.ok().filter(|entry| matches!(entry["status"].as_str(), Some("draining" | "removed")))
-    });
-    whole.collect()
-}
-
 impl List {
-    pub fn new(at: SocketAddr, version: u64, seed: u64, pushed: bool) -> List {
+    /// The list at this address, as far as this version is known of it.
+    pub fn new(at: SocketAddr, version: u64, seed: u64, callers: Callers) -> List {
         List {
             at,
             watches: Slots::default(),
@@ -234,35 +82,38 @@
             wanted: false,
             made: 0,
             deadline: None,
-            latest: Moment::default(),
             lacks_descriptor: false,
-            failures: 0,
-            fell_silent: false,
-            pushed,
-            chance: Rand64::new(u128::from(seed)),
+            schedule: Schedule::new(callers, seed),
             version,
             salvaged: Vec::new(),
         }
     }
 
+    /// Others call the same service from now on.
+    pub fn set_callers(&mut self, callers: Callers) {
+        self.schedule.callers = callers;
+    }
+
     /// A watch is wanted from now on, and opened at once if it may be. Returns whether that failed at once.
     pub fn watch(&mut self, may: impl FnOnce() -> bool, turn: &mut Turn) -> bool {
         // One that waits for its turn after a failure is not hurried: the service may be down.
         if std::mem::replace(&mut self.wanted, true) {
             return false;
         }
-        self.latest = turn.now + HELD_BACK_MOVED;
+        self.schedule.wanted(turn.now);
         self.open_if(may, turn)
     }
 
     /// Opens a watch if it may be opened now; else it waits as after a first failure, which it is not.
     fn open_if(&mut self, may: impl FnOnce() -> bool, turn: &mut Turn) -> bool {
-        if self.lacks_descriptor || may() || turn.now >= self.latest {
-            return self.open(turn);
+        let allowed = self.lacks_descriptor || may();
+        match if allowed { None } else { self.schedule.held_back(turn.now) } {
+            None => self.open(turn),
+            Some(again) => {
+                turn.deadlines.shift(Due::List, &mut self.deadline, Some(again));
+                false
+            }
         }
-        let wait = RETRY_FIRST * (0.5 + self.chance.rand_float() / 2.0);
-        turn.deadlines.shift(Due::List, &mut self.deadline, Some((turn.now + wait).min(self.latest)));
-        false
     }
 
     /// The list is to be asked at this address from now on. Returns whether a call to it failed at once.
@@ -271,10 +122,19 @@
             return false;
         }
         // Danger: another service counts versions of its own, and would tell only what came after ours.
-        (self.version, self.failures) = (0, 0);
-        self.latest = turn.now + HELD_BACK_MOVED;
+        self.version = 0;
+        let next = self.schedule.moved(turn.now);
         self.close(turn);
-        self.wanted && self.open_if(may, turn)
+        if !self.wanted {
+            return false;
+        }
+        if next <= turn.now {
+            return self.open_if(may, turn);
+        }
+        // What a call that was waiting for lacked is looked for anew.
+        self.lacks_descriptor = false;
+        turn.deadlines.shift(Due::List, &mut self.deadline, Some(next));
+        false
     }
 
     fn close(&mut self, turn: &mut Turn) {
@@ -293,6 +153,7 @@
         let (at, call) = (self.at, http::watch_call(self.at, self.version));
         let since = turn.now;
         self.made += 1;
+        self.schedule.called();
         let opened = self.watches.insert_with(|key| {
             let mut connection = Connection::open(at, &turn.registry, Peer::List(key).token())?;
             connection.queue(&[&call], 0);
@@ -316,7 +177,7 @@
                     "list at {at}: call {}, since version {}, after {} failures",
                     self.made,
                     self.version,
-                    self.failures
+                    self.schedule.failures()
                 );
                 self.open = Some(key);
                 turn.deadlines.shift(Due::List, &mut self.deadline, Some(turn.now + CONNECT_IN));
@@ -342,27 +203,15 @@
         let open = self.open.and_then(|key| self.watches.get(key));
         let torn = open.and_then(Watch::torn);
         let since = open.filter(|watch| !watch.told).map_or(turn.now, |watch| watch.since);
-        let turned_away = open.is_some_and(|watch| watch.turned_away);
+        let end = match open {
+            _ if torn.is_some() => CallEnd::Torn,
+            Some(watch) if watch.turned_away => CallEnd::TurnedAway,
+            _ => CallEnd::Lost,
+        };
         let open_since = open.map_or(turn.now, |watch| watch.since);
         self.salvaged = salvage(torn.as_deref().unwrap_or_default());
         self.close(turn);
-        // Danger: a service that comes back would be met by every sidecar at once.
-        let part = 0.5 + self.chance.rand_float() / 2.0;
-        let most = match turned_away {
-            _ if self.pushed => AGENT_RETRY,
-            true => RETRY_TURNED_AWAY,
-            false => RETRY_MOST,
-        };
-        let wait = (RETRY_FIRST * 2.0_f64.powi(self.failures.min(10))).min(most);
-        let next = match &torn {
-            Some(_) if self.failures == 0 => turn.now + RETRY_TORN * part,
-            _ if self.pushed || turned_away => turn.now + wait * part,
-            // The silence itself has taken most of the time that there is.
-            _ if self.failures == 1 && self.fell_silent => turn.now + RETRY_FIRST * part,
-            _ => (since + wait * part).max(turn.now + RETRY_SOON * (0.1 + 0.9 * self.chance.rand_float())),
-        };
-        self.latest = next.max(since + HELD_BACK_MOST);
-        self.failures += 1;
+        let next = self.schedule.failed(since, turn.now, end);
         let took = turn.now.since(open_since).secs() * 1e3;
         let wait = next.since(turn.now).secs() * 1e3;
         log::warn!(
@@ -375,23 +224,15 @@
         true
     }
 
-    /// By when a call that was made then and is up now must be answered.
-    fn answer_by(&self, since: Moment, now: Moment) -> Moment {
-        match self.failures {
-            failures if self.pushed => now + (AGENT_IN.0 * 2.0_f64.powi(failures.min(10))).min(AGENT_IN.1),
-            // The silence itself is the first failure.
-            1 if self.fell_silent => since + ANSWER_SOON,
-            _ => since + CALL_IN,
-        }
-    }
-
     /// The deadline has passed: of a watch that is silent, or of the wait for the next. Returns whether a
     /// call has failed by that.
     pub fn overdue(&mut self, may: impl FnOnce() -> bool, turn: &mut Turn) -> bool {
         self.deadline = None;
         match self.open {
             Some(key) => {
-                self.fell_silent |= self.watches.get(key).is_some_and(|watch| watch.heard);
+                if self.watches.get(key).is_some_and(|watch| watch.heard) {
+                    self.schedule.fell_silent();
+                }
                 self.fail("nothing heard", turn)
             }
             None => self.open_if(may, turn),
@@ -416,7 +257,7 @@
 
     fn read(&mut self, key: Key, turn: &mut Turn, hear: &mut impl FnMut(bool, Value)) -> Result<(), String> {
         let Some(watch) = self.watches.get(key) else { return Ok(()) };
-        let answer_by = self.answer_by(watch.since, turn.now);
+        let answer_by = self.schedule.answer_by(watch.since, turn.now);
         let Some(watch) = self.watches.get_mut(key) else { return Ok(()) };
         let broken = |e: std::io::Error| e.to_string();
         if !watch.up {
@@ -446,7 +287,8 @@
             // Danger: what came before an end or a fault has been told.
             let (any, faulty) = watch.take_chunks();
             if any {
-                (watch.heard, self.fell_silent) = (true, false);
+                watch.heard = true;
+                self.schedule.stirred();
                 turn.deadlines.shift(Due::List, &mut self.deadline, Some(turn.now + SILENCE_MOST));
             }
             let whole = watch.braces.whole(&watch.text);
@@ -463,13 +305,15 @@
                         self.made
                     );
                 }
-                (self.version, self.failures, watch.told) = (version, 0, true);
+                (self.version, watch.told) = (version, true);
+                self.schedule.heard();
                 hear(complete, list);
             }
             watch.done_with(whole)?;
             // Danger: a watch that only beats is as good; kept, old failures would delay the next for long.
             if any && watch.text.is_empty() {
-                (self.failures, watch.told) = (0, true);
+                watch.told = true;
+                self.schedule.heard();
             }
             if let Some(what) = faulty {
                 return Err(what.to_string());
@@ -527,107 +371,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn waits_between_calls_grow_to_a_most_and_never_fall_together() {
-        let registry = mio::Poll::new().unwrap().registry().try_clone().unwrap();
-        let now = Moment::from_nanos(0);
-        let mut turn = Turn { now, registry, deadlines: Default::default(), room: 0 };
-        let nobody = "127.0.0.1:1".parse().unwrap();
-        let mut lists = [List::new(nobody, 0, 1, false), List::new(nobody, 0, 2, false)];
-        let mut last = Span::ZERO;
-        for _ in 0..20 {
-            let [one, other] = lists.each_mut().map(|list| {
-                assert!(list.fail("a trial", &mut turn));
-                list.deadline.unwrap().since(now)
-            });
-            assert!(one != other && one.max(other) <= RETRY_MOST);
-            last = one.min(other);
-        }
-        assert!(last >= RETRY_MOST * 0.5);
-    }
-
-    /// Turns that end at what falls due first, until the list has been called so many times more.
-    fn calls(
-        list: &mut List,
-        turn: &mut Turn,
-        poll: &mut mio::Poll,
-        times: usize,
-        listener: &std::net::TcpListener,
-    ) {
-        for _ in 0..times {
-            while list.open.is_some() {
-                turn.now = turn.deadlines.next().unwrap();
-                turn.deadlines.pop(turn.now);
-                list.overdue(|| true, turn);
-            }
-            turn.now = turn.deadlines.next().unwrap();
-            turn.deadlines.pop(turn.now);
-            list.overdue(|| true, turn);
-            up(list, turn, poll);
-            let _ = listener.accept().unwrap();
-        }
-    }
-
-    /// Awaits that the call is up.
-    fn up(list: &mut List, turn: &mut Turn, poll: &mut mio::Poll) {
-        let mut events = mio::Events::with_capacity(8);
-        let key = list.open.unwrap();
-        while !list.watches.get(key).unwrap().up {
-            poll.poll(&mut events, None).unwrap();
-            list.ready(key, turn, |_, _| {});
-        }
-    }
-
-    fn followed(pushed: bool) -> (List, Turn, mio::Poll, std::net::TcpListener, std::net::TcpStream) {
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-        let mut poll = mio::Poll::new().unwrap();
-        let registry = poll.registry().try_clone().unwrap();
-        let now = Moment::from_nanos(1);
-        let mut turn = Turn { now, registry, deadlines: Default::default(), room: 0 };
-        let mut list = List::new(listener.local_addr().unwrap(), 0, 1, pushed);
-        list.watch(|| true, &mut turn);
-        up(&mut list, &mut turn, &mut poll);
-        let (mut peer, _) = listener.accept().unwrap();
-        std::io::Write::write_all(
-            &mut peer,
-            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n",
-        )
-        .unwrap();
-        let (key, mut events) = (list.open.unwrap(), mio::Events::with_capacity(8));
-        while !list.watches.get(key).unwrap().heard {
-            poll.poll(&mut events, None).unwrap();
-            list.ready(key, &mut turn, |_, _| {});
-        }
-        (list, turn, poll, listener, peer)
-    }
-
-    /// Danger: what a watch misses that has fallen silent counts as told 6 s later, also if the call that follows it is
-    /// silent as well.
-    #[test]
-    fn after_a_silence_a_call_that_is_lost_leaves_time_for_another() {
-        let (mut list, mut turn, mut poll, listener, _peer) = followed(false);
-        let heard = turn.now;
-        // The first is lost. The second is made in time.
-        calls(&mut list, &mut turn, &mut poll, 2, &listener);
-        assert!(turn.now.since(heard) < Span::from_millis(5500), "{:?}", turn.now.since(heard));
-        // Later ones have all the time that a busy service may take.
-        let second = turn.now;
-        calls(&mut list, &mut turn, &mut poll, 1, &listener);
-        assert!(turn.now.since(second) > CALL_IN);
-    }
-
-    /// Danger: an agent that was down would be called anew seconds after it is back, while what it has counts as told.
-    #[test]
-    fn an_agent_that_is_silent_is_called_again_within_little_more_than_a_second() {
-        let (mut list, mut turn, mut poll, listener, _peer) = followed(true);
-        calls(&mut list, &mut turn, &mut poll, 1, &listener);
-        for _ in 0..20 {
-            let before = turn.now;
-            calls(&mut list, &mut turn, &mut poll, 1, &listener);
-            assert!(turn.now.since(before) <= AGENT_IN.1 + AGENT_RETRY, "{:?}", turn.now.since(before));
-        }
-    }
-}
+mod tests;
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -28,6 +28,7 @@
 use crate::net::connection::Ending;
 use crate::net::deadlines::{Deadlines, Due};
 use crate::net::http::{Frame, Length};
+use crate::net::list::schedule::Callers;
 use crate::net::list::{self, List};
 use crate::net::operator::{self, Call, Operators};
 use crate::net::servers::{Carried, Ended, Message, PROBE, Servers};
@@ -142,6 +143,11 @@
     Entry { standing: if drains { EndpointStanding::Draining } else { entry.standing }, ..entry }
 }
 
+/// Who calls the service that tells the list, as the settings have it.
+fn callers(terms: &Terms) -> Callers {
+    Callers { pushed: terms.ask_within.is_none(), instances: terms.instances }
+}
+
 /// Whether the fleet's budgets allow a call to the list's service, asked when one is to be made.
 fn may_call_list(fleet: &mut Option<Fleet>, clock: &Clock) -> impl FnOnce() -> bool {
     || fleet.as_mut().is_none_or(|fleet| fleet.may_call_list(clock.now()))
@@ -177,7 +183,8 @@
             operator.map(|at| Operators::listen(at, &mut turn).map_err(|e| format!("operator: {at}: {e}")));
         let operators = operators.transpose()?;
         let known = list::version(&launch.known).ok();
-        let unasked = launch.terms.ask_within.is_none();
+        let callers = callers(&launch.terms);
+        let unasked = callers.pushed;
         let mut sidecar = Sidecar {
             file: launch.path,
             kept: launch.kept,
@@ -193,7 +200,7 @@
             places,
             clients,
             servers: Servers::new(launch.connection_idle, launch.connect_timeout),
-            list: List::new(launch.discovery, known.map_or(0, |(version, _)| version), launch.seed, unasked),
+            list: List::new(launch.discovery, known.map_or(0, |(version, _)| version), launch.seed, callers),
             look_again: Vec::new(),
             pass_again: Vec::new(),
             operators,
--- a/crates/sidecar/src/sidecar/process.rs
+++ b/crates/sidecar/src/sidecar/process.rs
@@ -76,7 +76,7 @@
 
     /// What may change while reqs are under way is taken over.
     fn take_over(&mut self, launch: Launch) {
-        self.list.pushed = launch.terms.ask_within.is_none();
+        self.list.set_callers(callers(&launch.terms));
         let may = may_call_list(&mut self.fleet, &self.clock);
         let failed = self.list.move_to(launch.discovery, may, &mut self.turn);
         if self.call_list_again() || failed {
--- a/crates/sidecar/tests/list_calls.rs
+++ b/crates/sidecar/tests/list_calls.rs
@@ -9,6 +9,7 @@
 use appledyke::units::{Moment, Span};
 use appledyke_sidecar::net::Turn;
 use appledyke_sidecar::net::list::List;
+use appledyke_sidecar::net::list::schedule::Callers;
 use appledyke_sidecar::net::slots::Peer;
 use oorandom::Rand64;
 
@@ -30,6 +31,10 @@
     format!("{:x}\r\n{list}\r\n", list.len()).into_bytes()
 }
 
+/// Instances that follow the list: so few that all of them wait in turn, and many more.
+const FEW: f64 = 8.0;
+const MANY: f64 = 1200.0;
+
 /// What becomes of a call.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum How {
@@ -102,14 +107,15 @@
 }
 
 impl World {
-    fn new(seed: u64, pushed: bool) -> World {
+    /// One of so many instances that follow the list.
+    fn new(seed: u64, instances: f64) -> World {
         let listener = TcpListener::bind(own_address()).unwrap();
         let at = listener.local_addr().unwrap();
         let poll = mio::Poll::new().unwrap();
         let registry = poll.registry().try_clone().unwrap();
         let turn = Turn { now: moment(Span::ZERO), registry, deadlines: Default::default(), room: 0 };
         World {
-            list: List::new(at, 0, seed, pushed),
+            list: List::new(at, 0, seed, Callers { pushed: false, instances }),
             turn,
             poll,
             at,
@@ -316,7 +322,7 @@
 fn return_after(seeds: u64, outage: &[How], allowed: f64) -> Latest {
     let mut latest = Latest::default();
     for seed in 0..seeds {
-        let mut world = World::new(seed, false);
+        let mut world = World::new(seed, FEW);
         let mut luck = Rand64::new(u128::from(seed));
         let first = world.any(outage);
         // The outage ends at any point between two calls.
@@ -354,12 +360,32 @@
     assert!(latest.call <= CALLED_AGAIN, "{latest:?}");
 }
 
+/// Danger: among few callers a wait that grows with each call turned away, up to 5 s from that call's end, is longer than
+/// what it waits for may take. Each call here is turned away, at once or at its turn, until the service is back and well.
+#[test]
+fn few_callers_that_were_turned_away_hear_a_change_in_time_when_the_service_is_back() {
+    let whole_turn = How::TurnedAway(Span::from_millis(3000));
+    let kinds = [
+        How::TurnedAway(Span::ZERO),
+        How::TurnedAway(Span::from_millis(2000)),
+        whole_turn,
+        How::Busy,
+        How::Reset,
+    ];
+    for how in kinds {
+        println!("{how:?}: {:?}", return_after(200, &[how], 1.0));
+    }
+    let mixed = return_after(1000, &[&FAULTS[..], &kinds].concat(), 1.0);
+    println!("mixed with faults: {mixed:?}");
+    assert!(mixed.call <= CALLED_AGAIN, "{mixed:?}");
+}
+
 /// Danger: a first list of which a little comes at a time, and that never ends, adds to all that its call took before.
 #[test]
 fn the_next_call_comes_in_time_after_a_call_that_fails_in_any_way() {
     for how in FAULTS {
         for seed in 0..50 {
-            let mut world = World::new(seed, false);
+            let mut world = World::new(seed, FEW);
             world.call(how, true, Begin::Watch);
             world.run(moment(Span::from_millis(60_000)), |_| how, || true);
             let mut between = world.starts.windows(2).map(|two| two[1].since(two[0]));
@@ -393,7 +419,7 @@
     for may in [true, false] {
         let mut latest = Span::ZERO;
         for seed in 0..300 {
-            let mut world = World::new(seed, false);
+            let mut world = World::new(seed, FEW);
             world.turn.now = moment(world.span(BACK * 0.6));
             let first = world.any(&FAULTS);
             world.call(first, true, Begin::Watch);
@@ -412,6 +438,67 @@
     }
 }
 
+/// Danger: a service that turns calls away as they are made, with little room, is asked ever later, and what a new
+/// configuration's address has is heard after it counts as told.
+#[test]
+fn a_list_that_moves_is_heard_in_time_where_calls_are_turned_away_at_once_for_a_while() {
+    let mut latest = Span::ZERO;
+    for seed in 0..300 {
+        let mut world = World::new(seed, FEW);
+        world.turn.now = moment(world.span(BACK * 0.6));
+        let first = world.any(&FAULTS);
+        world.call(first, true, Begin::Watch);
+        world.run(moment(BACK), |world| world.any(&FAULTS), || true);
+        let listener = TcpListener::bind(own_address()).unwrap();
+        world.at = listener.local_addr().unwrap();
+        world.listener = Some(listener);
+        let moved = world.turn.now;
+        let at_once = How::TurnedAway(Span::ZERO);
+        world.call(at_once, true, Begin::Moved);
+        let room_from = moved + Span::from_millis(2000);
+        let how = |world: &mut World| {
+            let well = How::Well(world.span(Span::from_millis(500)));
+            if world.turn.now < room_from { at_once } else { well }
+        };
+        world.run(moved + TOLD_AFTER, how, || true);
+        latest = latest.max(world.heard.map_or(TOLD_AFTER, |at| at.since(moved)));
+    }
+    println!("moved, turned away at once for two seconds: {latest:?}");
+    assert!(latest <= Span::from_millis(4000), "{latest:?}");
+}
+
+/// Danger: each of a series of new configurations makes a call that the next one throws away.
+#[test]
+fn new_configurations_in_series_make_one_call_unless_they_go_on() {
+    for seed in 0..100 {
+        let mut world = World::new(seed, FEW);
+        world.call(How::Hung, true, Begin::Watch);
+        let before = world.starts.len();
+        for _ in 0..4 {
+            let listener = TcpListener::bind(own_address()).unwrap();
+            world.at = listener.local_addr().unwrap();
+            world.listener = Some(listener);
+            world.call(How::Hung, true, Begin::Moved);
+            let until = world.turn.now + Span::from_millis(200);
+            world.run(until, |_| How::Hung, || true);
+        }
+        let until = world.turn.now + Span::from_millis(700);
+        world.run(until, |_| How::Hung, || true);
+        assert_eq!(world.starts.len(), before + 1, "seed {seed}");
+        // A series that goes on puts the call off no longer than a second.
+        let (begun, before) = (world.turn.now, world.starts.len());
+        while world.starts.len() == before {
+            let listener = TcpListener::bind(own_address()).unwrap();
+            world.at = listener.local_addr().unwrap();
+            world.listener = Some(listener);
+            world.call(How::Hung, true, Begin::Moved);
+            let until = world.turn.now + Span::from_millis(200);
+            world.run(until, |_| How::Hung, || true);
+            assert!(world.turn.now.since(begun) <= Span::from_millis(1200), "seed {seed}");
+        }
+    }
+}
+
 /// Danger: more callers are more load on a service that has too many: three calls at a time of each kept it from answering
 /// any. There is one, it keeps its turn for as long as the service lets calls wait, and waits between them grow.
 #[test]
@@ -420,7 +507,7 @@
     let kinds = [(How::TurnedAway(turn), turn), (How::Busy, Span::ZERO), (How::Reset, Span::ZERO)];
     for (how, least) in kinds {
         for seed in 0..50 {
-            let mut world = World::new(seed, false);
+            let mut world = World::new(seed, MANY);
             world.call(how, true, Begin::Watch);
             world.run(moment(Span::from_millis(60_000)), |_| how, || true);
             let between: Vec<_> = world.starts.windows(2).map(|two| two[1].since(two[0])).collect();
@@ -442,7 +529,7 @@
     for (how, early_most) in [(How::Refused, 8.0), (How::Hung, 8.0), (turned_away, f64::MAX)] {
         let mut calls = vec![0u32; whole / bucket];
         for seed in 0..1200 {
-            let mut world = World::new(seed, false);
+            let mut world = World::new(seed, MANY);
             world.call(how, true, Begin::Watch);
             world.run(moment(Span::from_millis(whole as u64 - 1)), |_| how, || true);
             for at in world.starts {
