Requests, endpoint changes and calls to discovery are logged and counted by reason

Change: decisions that give a request up say why (GivenUp). New metrics: attempts by outcome, retries by the outcome before, requests answered here by reason, calls to discovery by end, moves, version, time since discovery was heard.

--- a/crates/lab/src/policy.rs
+++ b/crates/lab/src/policy.rs
@@ -7,7 +7,7 @@
 use appledyke::news::Told;
 use appledyke::terms::{Effect, Terms};
 use appledyke::units::{Moment, Span};
-use appledyke::{Ask, Decision, Entry, Outcome, Standing};
+use appledyke::{Ask, Decision, Entry, GivenUp, Outcome, Standing};
 use oorandom::Rand64;
 
 /// The module's: what an arrival pays for, and the most that is saved up.
@@ -217,8 +217,10 @@
 
     fn end(&mut self, req: usize, harmless: bool) {
         if !self.flawed(Flaw::GivesNoAnswer) {
-            let nack = Decision::Nack { req, come_back: self.terms.longest_come_back.map(|most| most * 0.2) };
-            self.out.push_back(if harmless { nack } else { Decision::Fail { req } });
+            let come_back = self.terms.longest_come_back.map(|most| most * 0.2);
+            let reason = GivenUp::NoEndpoint;
+            let nack = Decision::Nack { req, come_back, reason };
+            self.out.push_back(if harmless { nack } else { Decision::Fail { req, reason } });
         }
         self.forget(req);
     }
--- a/crates/lab/src/simulate.rs
+++ b/crates/lab/src/simulate.rs
@@ -777,10 +777,10 @@
         let life = self.nodes[node].life;
         match decision {
             Decision::Send { req, endpoint, give_up } => self.send(node, req, endpoint, give_up),
-            Decision::Nack { req, come_back } => {
+            Decision::Nack { req, come_back, .. } => {
                 self.final_answer(node, req, Answer::Nacked { come_back: come_back.map(Span::nanos) });
             }
-            Decision::Fail { req } => self.final_answer(node, req, Answer::Failed),
+            Decision::Fail { req, .. } => self.final_answer(node, req, Answer::Failed),
             Decision::Revoke { req, write_out } => {
                 let job = self.nodes[node].reqs[req].as_ref().map(|r| r.write_outs[write_out]);
                 if let Some(job) = job.filter(|job| self.jobs[*job].awaited) {
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod net;
 pub mod presence;
 pub mod sidecar;
+pub mod trace;
 pub mod watch;
--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -52,7 +52,7 @@
 fn run(command: Command) -> Result<(), String> {
     match command {
         Command::Serve(Serve { config }) => {
-            logger::start();
+            logger::start(logger::level(std::env::var("BALANCER_LOG").ok().as_deref())?);
             let mut places = Places::default();
             Sidecar::start(Launch::read(config, &mut places)?, places)?.run()
         }
--- a/crates/sidecar/src/net/list.rs
+++ b/crates/sidecar/src/net/list.rs
@@ -17,6 +17,7 @@
 use super::http;
 use super::slots::{Key, Peer, Slots};
 use super::{DESCRIPTOR_AGAIN, Turn};
+use crate::figures::Discovery;
 
 /// Bytes that a list may have: a whole one of many thousand endpoints.
 const LIST_MOST: usize = 4 << 20;
@@ -66,6 +67,10 @@
     /// There was no descriptor for a call that might be made.
     pub lacks_descriptor: bool,
     schedule: Schedule,
+    /// What has become of calls, for the metrics.
+    counts: Discovery,
+    /// When a list or a heartbeat was heard last; at first, when it was begun to look for one.
+    heard_at: Option<Moment>,
     /// The version that was last heard, at this address.
     version: u64,
     /// What a list that broke off told of endpoints to leave alone.
@@ -84,11 +89,24 @@
             deadline: None,
             lacks_descriptor: false,
             schedule: Schedule::new(callers, seed),
+            counts: Discovery::default(),
+            heard_at: None,
             version,
             salvaged: Vec::new(),
         }
     }
 
+    /// The version that was last heard, at this address.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// The calls to discovery, for the metrics.
+    pub fn figures(&self, now: Moment) -> Discovery {
+        let silent_ms = self.heard_at.map_or(0, |at| now.since(at).nanos() / 1_000_000);
+        Discovery { calls: self.made, version: self.version, silent_ms, ..self.counts }
+    }
+
     /// Others call the same service from now on.
     pub fn set_callers(&mut self, callers: Callers) {
         self.schedule.callers = callers;
@@ -101,6 +119,7 @@
             return false;
         }
         self.schedule.wanted(turn.now);
+        self.heard_at = Some(turn.now);
         self.open_if(may, turn)
     }
 
@@ -123,6 +142,7 @@
         }
         // Danger: another service counts versions of its own, and would tell only what came after ours.
         self.version = 0;
+        self.counts.moves += 1;
         let next = self.schedule.moved(turn.now);
         self.close(turn);
         if !self.wanted {
@@ -211,6 +231,11 @@
         let open_since = open.map_or(turn.now, |watch| watch.since);
         self.salvaged = salvage(torn.as_deref().unwrap_or_default());
         self.close(turn);
+        match end {
+            CallEnd::TurnedAway => self.counts.turned_away += 1,
+            CallEnd::Torn => self.counts.torn += 1,
+            CallEnd::Lost => self.counts.lost += 1,
+        }
         let next = self.schedule.failed(since, turn.now, end);
         let took = turn.now.since(open_since).secs() * 1e3;
         let wait = next.since(turn.now).secs() * 1e3;
@@ -288,6 +313,7 @@
             let (any, faulty) = watch.take_chunks();
             if any {
                 watch.heard = true;
+                self.heard_at = Some(turn.now);
                 self.schedule.stirred();
                 turn.deadlines.shift(Due::List, &mut self.deadline, Some(turn.now + SILENCE_MOST));
             }
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -35,6 +35,7 @@
 use crate::net::slots::{Key, Peer, Slots};
 use crate::net::{Turn, http};
 use crate::presence::{Others, Presence, Standing};
+use crate::trace::EndpointStates;
 use crate::watch::Decider;
 
 /// Events that one poll brings beside one of each connection that there may be: the fixed peers' own. Danger: of what a
@@ -78,6 +79,10 @@
     client: Option<Key>,
     /// The connections of its write-outs, as long as they are out.
     write_outs: Vec<Option<Key>>,
+    /// How its last attempt ended.
+    last_outcome: Option<Outcome>,
+    /// What its client calls it; empty where single requests are not logged.
+    id: String,
 }
 
 pub struct Sidecar {
@@ -111,6 +116,8 @@
     base: Value,
     /// Operators who wait to hear whether it drains.
     drainers: Vec<Key>,
+    /// How the list's endpoints stood last, for the log.
+    states: EndpointStates,
     /// What the list says of endpoints, and which of them the fleet has out of service: kept where there is a fleet.
     entries: HashMap<String, Entry>,
     outs: HashSet<String>,
@@ -208,6 +215,7 @@
             fleet: None,
             base: launch.base,
             drainers: Vec::new(),
+            states: EndpointStates::default(),
             entries: HashMap::new(),
             outs: HashSet::new(),
             insists: false,
@@ -455,10 +463,11 @@
 
     /// A list that has been found readable.
     fn listed(&mut self, complete: bool, list: &Value) {
-        let Sidecar { turn, choice, servers, endpoints, places, entries, outs, fleet, .. } = self;
+        let Sidecar { turn, choice, servers, endpoints, places, entries, outs, fleet, states, .. } = self;
         if complete {
             entries.clear();
         }
+        states.open();
         choice.list_opens(complete);
         let told = list::entries(list, |name, address, (zone, cell, kind), standing, started| {
             let endpoint = endpoints.index(name);
@@ -468,12 +477,16 @@
                 entries.insert(name.to_string(), entry);
                 entry = in_service(entry, outs.contains(name));
             }
+            states.observe(endpoint, standing);
             choice.listed(turn.now, endpoint, entry);
             if let Some(address) = address {
                 servers.place(endpoint, address, started, turn);
             }
         });
         choice.list_closes(turn.now);
+        if let Some(changes) = states.close(complete, |endpoint| endpoints.name(endpoint)) {
+            log::info!("list version {}: {changes}", list["index"]);
+        }
         if let Err(what) = told {
             log::warn!("list: {what}");
         }
--- a/crates/sidecar/src/sidecar/process.rs
+++ b/crates/sidecar/src/sidecar/process.rs
@@ -7,6 +7,7 @@
 use appledyke_fleet::members::Standing as Member;
 
 use super::*;
+use crate::figures::AnsweredHere;
 use crate::net::DESCRIPTOR_AGAIN;
 use crate::net::connection::lacks_descriptor;
 
@@ -271,7 +272,14 @@
     pub(super) fn figures(&self) -> String {
         let open = self.open();
         let (listed, avoided) = self.choice.avoided(self.turn.now);
-        let text = self.figures.text(Now { open, written: self.servers.written, listed, avoided });
+        let written = self.servers.written;
+        let text = self.figures.text(&Now {
+            open,
+            written,
+            listed,
+            avoided,
+            discovery: self.list.figures(self.turn.now),
+        });
         match &self.fleet {
             Some(fleet) => text + &fleet.figures(self.turn.now),
             None => text,
@@ -297,7 +305,7 @@
             // Danger: what has no answer when this process is killed is lost.
             let open: Vec<_> = self.reqs.iter().map(|(key, _)| key.index()).collect();
             for req in open {
-                self.answer(req, 502, None);
+                self.answer(req, 502, None, AnsweredHere::Leaving);
                 self.hangup(req);
             }
         }
--- a/crates/sidecar/src/sidecar/reqs.rs
+++ b/crates/sidecar/src/sidecar/reqs.rs
@@ -1,6 +1,8 @@
 //! A req's life: from its client to an endpoint and back, and what is decided of it on the way.
 
 use super::*;
+use crate::figures::AnsweredHere;
+use crate::trace;
 
 const PROBE_HEAD: &[u8] = b"GET /load HTTP/1.1\r\n\r\n";
 /// Longest that a probe may take: by then the req that waits for it has long set out.
@@ -28,20 +30,29 @@
             Said::Takes { from } => self.pass_down(from),
             Said::Gone { from } => self.servers.close(from, &mut self.turn),
             Said::Silent { req } => {
-                self.answer(req, 408, None);
+                self.answer(req, 408, None, AnsweredHere::SlowRequest);
                 self.hangup(req);
             }
             Said::Arrival { method, left, work, frame } => {
-                let req = Req { method, since: self.turn.now, client: Some(key), write_outs: Vec::new() };
+                let req = Req {
+                    method,
+                    since: self.turn.now,
+                    client: Some(key),
+                    write_outs: Vec::new(),
+                    last_outcome: None,
+                    id: String::new(),
+                };
                 let Ok(at) = self.reqs.insert_with(|_| Ok::<_, Infallible>(req));
                 // Danger: once it leaves there may be less time than the client would wait.
                 let left = self.leaving.map_or(left, |leaving| left.min(leaving.until.since(self.turn.now)));
                 self.clients.waits(key, at.index(), frame);
+                self.trace_arrival(at.index(), key, left);
                 self.choice.arrival(self.turn.now, at.index(), Ask { method, left, work, key: None });
             }
             Said::Hangup { req } => {
                 if let Some(r) = self.req(req) {
                     r.client = None;
+                    log::debug!("request {}: its client has left", r.id);
                     self.hangup(req);
                 }
             }
@@ -105,7 +116,7 @@
                 }
                 Piece::Later => return,
                 Piece::Bad(status) => {
-                    self.answer(req, status, None);
+                    self.answer(req, status, None, AnsweredHere::BadRequest);
                     return self.hangup(req);
                 }
                 Piece::Broken => return self.client_ready(client),
@@ -177,6 +188,7 @@
             return self.probed(write_out, key, answer, long.is_some());
         }
         let outcome = ending.outcome();
+        self.trace_end(req, write_out, ended.endpoint, ending, ended.sent);
         self.book(req, ended.endpoint, ended.sent, outcome);
         let (mut closed, mut passes) = (true, false);
         if let Some(r) = self.req(req) {
@@ -274,7 +286,7 @@
             Sight::Here => {}
             Sight::Left => self.client_leaves(client),
             Sight::Unknown => {
-                self.answer(req, if never_sent { 503 } else { 502 }, None);
+                self.answer(req, if never_sent { 503 } else { 502 }, None, AnsweredHere::ClientUnseen);
                 self.hangup(req);
             }
         }
@@ -300,6 +312,7 @@
                     }
                     self.look_again.extend(brought);
                 }
+                self.trace_attempt(req, carried.write_out, endpoint, sent);
                 let Some(r) = self.req(req) else { return };
                 r.write_outs.push(sent.ok());
                 let brings = r.client.filter(|_| sent.is_ok());
@@ -310,8 +323,10 @@
                     self.pass_up(client);
                 }
             }
-            Decision::Nack { req, come_back } => self.answer(req, 503, come_back),
-            Decision::Fail { req } => self.answer(req, 502, None),
+            Decision::Nack { req, come_back, reason } => {
+                self.answer(req, 503, come_back, AnsweredHere::GivenUp(reason));
+            }
+            Decision::Fail { req, reason } => self.answer(req, 502, None, AnsweredHere::GivenUp(reason)),
             Decision::Revoke { req, write_out } => {
                 let link = self.req(req).and_then(|r| r.write_outs.get(write_out).copied().flatten());
                 if let Some(key) = link {
@@ -327,6 +342,7 @@
             }
             Decision::ForgetEndpoint { endpoint } => {
                 self.entries.remove(self.endpoints.name(endpoint));
+                self.states.forget(endpoint);
                 self.servers.forget(endpoint, turn);
                 self.endpoints.release(endpoint);
             }
@@ -338,6 +354,52 @@
         }
     }
 
+    /// Logs that a request has come.
+    fn trace_arrival(&mut self, req: usize, client: Key, left: Span) {
+        if !log::log_enabled!(log::Level::Debug) {
+            return;
+        }
+        let id =
+            self.clients.message(client).map_or(String::new(), |message| trace::request_id(message.head));
+        log::debug!("request {id}: taken, {:.0} ms left", left.secs() * 1e3);
+        self.req(req).into_iter().for_each(|r| r.id.clone_from(&id));
+    }
+
+    /// Counts an attempt that is a retry, and logs any, with the version of the list that it was decided on.
+    fn trace_attempt(&mut self, req: usize, attempt: usize, endpoint: usize, sent: Result<Key, Ending>) {
+        let Some(last) = self.req(req).map(|r| r.last_outcome) else { return };
+        if let Some(last) = last {
+            self.figures.retried(last);
+        }
+        if log::log_enabled!(log::Level::Debug) {
+            let id = self.req(req).map_or("", |r| &r.id).to_string();
+            let after = last.map_or(String::new(), |last| format!(", a retry after {}", last.name()));
+            let result = sent.err().map_or(String::new(), |ending| format!(", not sent: {ending:?}"));
+            let (version, name) = (self.list.version(), self.endpoints.name(endpoint));
+            log::debug!("request {id}: attempt {attempt} to {name}, list version {version}{after}{result}");
+        }
+        if let Err(ending) = sent {
+            self.end_attempt(req, ending);
+        }
+    }
+
+    /// Counts how an attempt has ended, and logs it.
+    fn trace_end(&mut self, req: usize, attempt: usize, endpoint: usize, ending: Ending, sent: Moment) {
+        self.end_attempt(req, ending);
+        if log::log_enabled!(log::Level::Debug) {
+            let id = self.req(req).map_or("", |r| &r.id).to_string();
+            let took = self.turn.now.since(sent).secs() * 1e3;
+            let name = self.endpoints.name(endpoint);
+            log::debug!("request {id}: attempt {attempt} at {name} ended after {took:.0} ms: {ending:?}");
+        }
+    }
+
+    fn end_attempt(&mut self, req: usize, ending: Ending) {
+        let outcome = ending.outcome();
+        self.figures.attempt_ended(outcome);
+        self.req(req).into_iter().for_each(|r| r.last_outcome = Some(outcome));
+    }
+
     /// Whether the fleet's budgets allow one more write-out to this endpoint now.
     fn within_budgets(&mut self, endpoint: usize, again: bool) -> bool {
         let Some(fleet) = self.fleet.as_mut().filter(|fleet| fleet.is_limited()) else { return true };
@@ -382,10 +444,13 @@
     }
 
     /// An answer of our own, if the client still waits for one.
-    pub(super) fn answer(&mut self, req: usize, status: u16, come_back: Option<Span>) {
+    pub(super) fn answer(&mut self, req: usize, status: u16, come_back: Option<Span>, why: AnsweredHere) {
         let Some((method, client)) = self.req(req).and_then(|r| Some((r.method, r.client.take()?))) else {
             return;
         };
+        self.figures.answered_here(why);
+        let id = self.req(req).map_or("", |r| &r.id);
+        log::debug!("request {id}: answered {status} here, {}", why.name());
         self.count(method, if status == 503 { End::Nacked } else { End::Failed });
         let head = |out: &mut Vec<u8>, keep| http::own_answer(out, status, come_back, keep);
         self.clients.answer(client, head, b"", &mut self.turn);
--- a/crates/sidecar/src/watch.rs
+++ b/crates/sidecar/src/watch.rs
@@ -56,7 +56,7 @@
 
 fn of_req(decision: &Decision) -> Option<usize> {
     match decision {
-        Decision::Send { req, .. } | Decision::Nack { req, .. } | Decision::Fail { req } => Some(*req),
+        Decision::Send { req, .. } | Decision::Nack { req, .. } | Decision::Fail { req, .. } => Some(*req),
         _ => None,
     }
 }
--- a/crates/sidecar/tests/stand_ins/mod.rs
+++ b/crates/sidecar/tests/stand_ins/mod.rs
@@ -9,6 +9,7 @@
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use rlimit::Resource;
@@ -191,6 +192,8 @@
     operator: Option<SocketAddr>,
     /// Its configuration.
     pub file: PathBuf,
+    /// What it has logged since it listened.
+    log: Arc<Mutex<Vec<String>>>,
 }
 
 impl Sidecar {
@@ -231,8 +234,17 @@
             }
         }
         let at = address(&line);
-        std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
-        Sidecar { child, at, operator, file: path }
+        let lines = Arc::new(Mutex::new(Vec::new()));
+        let written = lines.clone();
+        std::thread::spawn(move || {
+            log.lines().map_while(Result::ok).for_each(|line| written.lock().unwrap().push(line));
+        });
+        Sidecar { child, at, operator, file: path, log: lines }
+    }
+
+    /// The lines that it has logged since it listened and that have this in them.
+    pub fn logged(&self, what: &str) -> Vec<String> {
+        self.log.lock().unwrap().iter().filter(|line| line.contains(what)).cloned().collect()
     }
 
     /// With these endpoints, each in a cell of its own, and a list that has no news.
--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -161,14 +161,14 @@
                         give_up.nanos()
                     )?;
                 }
-                Decision::Nack { req, come_back } => {
+                Decision::Nack { req, come_back, .. } => {
                     write!(out, "busy requestId={}", self.reqs.name(req))?;
                     match come_back {
                         Some(wait) => writeln!(out, " comeBackNs={}", wait.nanos())?,
                         None => writeln!(out)?,
                     }
                 }
-                Decision::Fail { req } => writeln!(out, "fail requestId={}", self.reqs.name(req))?,
+                Decision::Fail { req, .. } => writeln!(out, "fail requestId={}", self.reqs.name(req))?,
                 Decision::Revoke { req, write_out } => {
                     writeln!(out, "revoke requestId={} roundNo={write_out}", self.reqs.name(req))?;
                 }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -22,7 +22,7 @@
 use crate::news::Told;
 use crate::terms::{Effect, Group, Method, Terms};
 use crate::units::{Moment, Span};
-use crate::{Ask, Decision, Entry, Outcome, Standing};
+use crate::{Ask, Decision, Entry, GivenUp, Outcome, Standing};
 
 // The design's: its start values, but for the margin, where half a write-out decides for a trickle.
 const K: f64 = 2.0; // times accepts, the requests that are let through
@@ -278,7 +278,7 @@
             }
         }
         if reading.len() as f64 > slots as f64 * READ.1 {
-            self.end(reading.into_iter().max().expect("more than none").1);
+            self.end(reading.into_iter().max().expect("more than none").1, GivenUp::RepliesFull);
         }
     }
 
@@ -517,7 +517,7 @@
         }
         // Danger: a batch may come after the deadline; nothing is sent for what is over or worth nothing.
         if over {
-            return self.end(req);
+            return self.end(req, GivenUp::TimeOver);
         }
         let r = self.reqs[req].as_mut().expect("looked up above");
         if !std::mem::replace(&mut r.admitted, true) && !within {
@@ -525,7 +525,7 @@
             let drop = self.window(now, method).drop_chance(now, K, PROTECTION.0);
             let by_key = self.drop_by_key(now, key);
             if self.chance.part() < drop || by_key > 0.0 && self.chance.part() < by_key {
-                return self.end(req);
+                return self.end(req, GivenUp::Throttled);
             }
         }
         let r = self.reqs[req].as_ref().expect("looked up above");
@@ -533,7 +533,7 @@
         let spent = self.purse < 1.0 || r.write_outs.len() >= r.most;
         let only_once = self.terms.methods[r.method].effect == Effect::NonRetryable && !r.never_ran();
         if further && (spent || only_once || self.fails_by_key(now, key, None)) {
-            return self.end(req);
+            return self.end(req, GivenUp::NoRetry);
         }
         self.solve(now);
         if self.asks(now, req) {
@@ -621,7 +621,7 @@
         // Where all places that a method is bound to are down, waiting a little brings none of them back.
         let in_vain = m.is_placed() && !self.ready().any(|(_, e)| m.open_to(&e.entry));
         if in_vain || now + HOLD_LOOK >= (arrived + wait).min(deadline) {
-            return self.end(req);
+            return self.end(req, GivenUp::NoEndpoint);
         }
         self.out.extend(self.held.is_empty().then_some(Decision::Wake { at: now + HOLD_LOOK }));
         // What a place at an endpoint earns: criticality against the time that the method usually takes.
@@ -633,7 +633,7 @@
         // Danger: a queue longer than what is sent in a wait only delays its nacks.
         if self.held.len() as f64 > (self.sends.in_second() * wait.secs()).max(HELD_FLOOR) {
             let last = self.held.pop().expect("just filled");
-            self.end(last);
+            self.end(last, GivenUp::QueueFull);
         }
     }
 
@@ -650,7 +650,7 @@
     }
 
     /// The final answer of a req that is given up: nacked where a repeat does no harm, else failed.
-    fn end(&mut self, req: usize) {
+    fn end(&mut self, req: usize, reason: GivenUp) {
         let r = self.reqs[req].as_mut().expect("only open reqs are ended");
         let (m, never_ran) = (&self.terms.methods[r.method], r.never_ran());
         r.closed = true;
@@ -658,7 +658,7 @@
         let safe = m.effect == Effect::Retryable || m.effect == Effect::Deduplicated && m.group == Group::All;
         let wait = m.latency_budget * (COME_BACK * (1.0 + self.chance.part()));
         let come_back = self.terms.longest_come_back.map(|most| wait.min(most));
-        let (nack, fail) = (Decision::Nack { req, come_back }, Decision::Fail { req });
+        let (nack, fail) = (Decision::Nack { req, come_back, reason }, Decision::Fail { req, reason });
         self.out.push_back(if safe || never_ran { nack } else { fail });
         self.settle(req);
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,34 @@
 }
 
 impl Outcome {
+    /// All outcomes, in the order of their values.
+    pub const ALL: [Outcome; 9] = [
+        Outcome::Satisfied,
+        Outcome::Errored,
+        Outcome::Rejected,
+        Outcome::Saturated,
+        Outcome::Overdue,
+        Outcome::RefusedConnection,
+        Outcome::Severed,
+        Outcome::Recalled,
+        Outcome::NeverSent,
+    ];
+
+    /// The field's name for it, for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Outcome::Satisfied => "success",
+            Outcome::Errored => "error",
+            Outcome::Rejected => "client_error",
+            Outcome::Saturated => "overloaded",
+            Outcome::Overdue => "timeout",
+            Outcome::RefusedConnection => "connect_failure",
+            Outcome::Severed => "reset",
+            Outcome::Recalled => "cancelled",
+            Outcome::NeverSent => "never_sent",
+        }
+    }
+
     /// Whether this outcome proves that the req had no effect at the endpoint.
     pub fn never_ran(self) -> bool {
         matches!(self, Outcome::Saturated | Outcome::RefusedConnection | Outcome::NeverSent)
@@ -69,15 +97,56 @@
     pub key: Option<u32>,
 }
 
+/// Why a request is given up here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GivenUp {
+    /// The window of requests and accepts, of all or of one key, let it not through.
+    Throttled,
+    /// Its time was over, or would have been.
+    TimeOver,
+    /// An attempt failed, and no further one is allowed.
+    NoRetry,
+    /// No endpoint that may be sent to had room within the short wait.
+    NoEndpoint,
+    /// Too many others waited for room that are worth more.
+    QueueFull,
+    /// All places for answers that clients read were taken.
+    RepliesFull,
+}
+
+impl GivenUp {
+    /// All reasons, in the order of their values.
+    pub const ALL: [GivenUp; 6] = [
+        GivenUp::Throttled,
+        GivenUp::TimeOver,
+        GivenUp::NoRetry,
+        GivenUp::NoEndpoint,
+        GivenUp::QueueFull,
+        GivenUp::RepliesFull,
+    ];
+
+    /// A short name for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            GivenUp::Throttled => "throttled",
+            GivenUp::TimeOver => "time_over",
+            GivenUp::NoRetry => "no_retry",
+            GivenUp::NoEndpoint => "no_endpoint",
+            GivenUp::QueueFull => "queue_full",
+            GivenUp::RepliesFull => "replies_full",
+        }
+    }
+}
+
 /// What the host is to do next. Indices are the host's own, as it passed them in.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Decision {
     /// Start the req's next write-out; its number follows from the order of sends. Abandon it at `give_up`.
     Send { req: usize, endpoint: usize, give_up: Moment },
     /// Final answer: nacked. The client may come back after the span.
-    Nack { req: usize, come_back: Option<Span> },
+    Nack { req: usize, come_back: Option<Span>, reason: GivenUp },
     /// Final answer: failed.
-    Fail { req: usize },
+    Fail { req: usize, reason: GivenUp },
     /// Stop waiting for a write-out.
     Revoke { req: usize, write_out: usize },
     /// Ask the endpoint for its load; `probed` is to be called with what comes of it.
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -104,11 +104,11 @@
                     let give_up = give_up.nanos() / 1_000_000;
                     format!("send {} {} {give_up}", self.reqs.name(req), self.endpoints.name(endpoint))
                 }
-                Decision::Nack { req, come_back } => {
+                Decision::Nack { req, come_back, .. } => {
                     let wait = come_back.map_or(0, |wait| wait.nanos() / 1_000_000);
                     format!("nack {} {wait}", self.reqs.name(req))
                 }
-                Decision::Fail { req } => format!("fail {}", self.reqs.name(req)),
+                Decision::Fail { req, .. } => format!("fail {}", self.reqs.name(req)),
                 Decision::Revoke { req, write_out } => format!("revoke {} {write_out}", self.reqs.name(req)),
                 Decision::Wake { at } => format!("wake {}", at.nanos() / 1_000_000),
                 Decision::Probe { endpoint } => format!("probe {}", self.endpoints.name(endpoint)),
