Few instances first ask discovery soon after their start; a move is called at once

Change: choice new waits at most 0.1 s for each instance, within half of the asking time; from 50 instances at 10 s on it is as before. List::move_to calls a new address also where no watch was wanted yet.

--- a/crates/sidecar/src/net/list.rs
+++ b/crates/sidecar/src/net/list.rs
@@ -145,9 +145,9 @@
         self.counts.moves += 1;
         let next = self.schedule.moved(turn.now);
         self.close(turn);
-        if !self.wanted {
-            return false;
-        }
+        // Danger: what the new address has counts as told, also where a process that has just started wanted no watch yet.
+        self.wanted = true;
+        self.heard_at.get_or_insert(turn.now);
         if next <= turn.now {
             return self.open_if(may, turn);
         }
--- a/crates/sidecar/tests/list_calls.rs
+++ b/crates/sidecar/tests/list_calls.rs
@@ -467,6 +467,24 @@
     assert!(latest <= Span::from_millis(4000), "{latest:?}");
 }
 
+/// Danger: a process that has just started and is told of a new address before it wanted a watch would call that seconds
+/// later, when the decisions come to it.
+#[test]
+fn a_new_address_is_called_also_before_a_watch_was_wanted() {
+    for seed in 0..100 {
+        let mut world = World::new(seed, FEW);
+        let listener = TcpListener::bind(own_address()).unwrap();
+        world.at = listener.local_addr().unwrap();
+        world.listener = Some(listener);
+        world.call(How::Hung, true, Begin::Moved);
+        world.run(moment(Span::from_millis(1300)), |_| How::Hung, || true);
+        assert_eq!(world.starts.len(), 1, "seed {seed}");
+        // The wish that follows finds it made.
+        assert!(!world.list.watch(|| true, &mut world.turn));
+        assert_eq!(world.list.made, 1);
+    }
+}
+
 /// Danger: each of a series of new configurations makes a call that the next one throws away.
 #[test]
 fn new_configurations_in_series_make_one_call_unless_they_go_on() {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -78,6 +78,7 @@
 const COLD_DRAWN: (f64, f64) = (1.5, 0.01); // of the gain, as some goes unused; least gain weighed up for
 const COLD_RUSH: f64 = 3.0; // sends to each in a running window, beyond the rate, that tell of no other rate
 const ASK_SHARE: f64 = 0.5; // of the stated asking time, to wait before subscribing or asking again
+const FIRST_ASK_EACH: Span = Span::from_millis(100); // for each instance, most before the first: few need no longer
 const GONE_KEPT: Span = Span::from_millis(60_000); // for an endpoint that is gone: it may yet come back
 // Reported loads.
 const ASKED: usize = 3; // endpoints: few, so that a late report does not send everyone to the same one
@@ -149,7 +150,10 @@
     pub fn new(now: Moment, terms: Terms, seed: u64) -> Choice {
         let mut chance = Chance::new(seed);
         // Danger: all instances that start together would fall on the list's service at once.
-        let ask_at = terms.ask_within.map(|within| now + within * (ASK_SHARE * chance.part()));
+        // Danger: what has changed while this one was down counts as told whether it has asked or not; so few,
+        // of whom the service can answer each within moments, ask sooner. It hurts where the service is slower.
+        let most = |within: Span| (within * ASK_SHARE).min(FIRST_ASK_EACH * terms.instances);
+        let ask_at = terms.ask_within.map(|within| now + most(within) * chance.part());
         let mut choice = Choice {
             habits: vec![Habit::default(); terms.methods.len()],
             load_usual: 1.0,
