What a watch has brought is heard before a new configuration closes it; a soak

What discovery had written by then counts as told, and was dropped where the signal came first in the turn.

Change: move_to hands over what stands there, and what a torn list tells of drains, before it closes the connection. Test in list_calls.rs, seen to fail without the read, without the salvage; the test of a move before a watch is wanted seen to fail too.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod service;
 pub mod shares;
 pub mod simulate;
+pub mod soak;
 pub mod station;
 pub mod sweep;
 pub mod wire;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -11,7 +11,7 @@
 use appledyke_lab::report::{Outcomes, paired};
 use appledyke_lab::rig::processes::beside;
 use appledyke_lab::scenario::Scenario;
-use appledyke_lab::{added, chain, cold, emulate, load, rig, scale, scenario, simulate, sweep};
+use appledyke_lab::{added, chain, cold, emulate, load, rig, scale, scenario, simulate, soak, sweep};
 use argh::FromArgs;
 
 /// A laboratory for appledyke: plays fleets and their faults in virtual time.
@@ -40,6 +40,7 @@
     Lists(Lists),
     Chain(Chain),
     Cold(Cold),
+    Soak(Soak),
 }
 
 /// plays a scenario once and tells what it came to
@@ -225,6 +226,27 @@
     workers: Option<usize>,
 }
 
+/// soaks real sidecars on loopback in seeded faults, and holds the rules against what clients and endpoints saw
+#[derive(FromArgs)]
+#[argh(subcommand, name = "soak")]
+struct Soak {
+    /// the first seed
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// how many seeds, from that one on
+    #[argh(option, default = "1")]
+    seeds: u64,
+    /// seeds that are played side by side
+    #[argh(option, default = "3")]
+    workers: usize,
+    /// the sidecar program; without it, the one beside this program
+    #[argh(option)]
+    sidecar: Option<PathBuf>,
+    /// a file that gets the plan and the logs of each seed that broke something
+    #[argh(option)]
+    out: Option<PathBuf>,
+}
+
 /// plays one cold endpoint before many instances in virtual time: what all send to it against what it bears
 #[derive(FromArgs)]
 #[argh(subcommand, name = "cold")]
@@ -346,6 +368,7 @@
             chain::table(asked.tiers, asked.seed, workers).map(|text| print!("{text}")).map(|()| true)
         }
         Command::Cold(asked) => cold_all(asked),
+        Command::Soak(asked) => soak_all(&asked),
         Command::Check(asked) => Scenario::read(&asked.scenario).map(|_| true),
     };
     match done {
@@ -492,6 +515,24 @@
     Ok(asked.most_ms.is_none() || measured.over().is_empty())
 }
 
+/// Soaks, and tells whether nothing was broken.
+fn soak_all(asked: &Soak) -> Result<bool, String> {
+    let sidecar = asked.sidecar.clone().map_or_else(|| beside("appledyke-sidecar"), Ok)?;
+    let folder = std::env::temp_dir().join(format!("appledyke-soak-{}", std::process::id()));
+    let seeds = asked.seed..=asked.seed + asked.seeds.max(1) - 1;
+    let played = soak::seeds::play_all(seeds, asked.workers, &sidecar, &folder);
+    let _ = std::fs::remove_dir_all(&folder);
+    let played = played?;
+    print!("{}", soak::seeds::table(&played));
+    let broken = played.iter().filter(|run| !run.broken.is_empty());
+    let stories = broken.map(soak::seeds::Played::story).collect::<Vec<_>>().join("\n");
+    match &asked.out {
+        Some(out) => std::fs::write(out, &stories).map_err(|e| format!("{}: {e}", out.display()))?,
+        None => print!("{stories}"),
+    }
+    Ok(stories.is_empty())
+}
+
 fn cold_all(asked: Cold) -> Result<bool, String> {
     if !(0.01..=2.0).contains(&asked.load) || !(1..=100_000).contains(&asked.seeds) {
         return Err("cold: expected a load from 0.01 to 2 and from 1 to 100000 seeds".to_string());
--- a/crates/sidecar/src/net/list.rs
+++ b/crates/sidecar/src/net/list.rs
@@ -135,11 +135,26 @@
         }
     }
 
-    /// The list is to be asked at this address from now on. Returns whether a call to it failed at once.
-    pub fn move_to(&mut self, at: SocketAddr, may: impl FnOnce() -> bool, turn: &mut Turn) -> bool {
-        if std::mem::replace(&mut self.at, at) == at {
+    /// The list is to be asked at this address from now on. What the watch on the one before has brought and was not read
+    /// yet is handed to `hear` first. Returns whether a call to the new address failed at once.
+    pub fn move_to(
+        &mut self,
+        at: SocketAddr,
+        may: impl FnOnce() -> bool,
+        turn: &mut Turn,
+        hear: impl FnMut(bool, Value),
+    ) -> bool {
+        if self.at == at {
             return false;
         }
+        // Danger: what was written to this watch counts as told, and would be dropped with it.
+        if let Some(key) = self.open {
+            self.ready(key, turn, hear);
+        }
+        if let Some(torn) = self.open.and_then(|key| self.watches.get(key)).and_then(Watch::torn) {
+            self.salvaged = salvage(&torn);
+        }
+        self.at = at;
         // Danger: another service counts versions of its own, and would tell only what came after ours.
         self.version = 0;
         self.counts.moves += 1;
--- a/crates/sidecar/src/sidecar/process.rs
+++ b/crates/sidecar/src/sidecar/process.rs
@@ -79,10 +79,12 @@
     fn take_over(&mut self, launch: Launch) {
         self.list.set_callers(callers(&launch.terms));
         let may = may_call_list(&mut self.fleet, &self.clock);
-        let failed = self.list.move_to(launch.discovery, may, &mut self.turn);
-        if self.call_list_again() || failed {
-            self.choice.list_failed(self.turn.now);
-        }
+        let mut lists = Vec::new();
+        let hear = |complete, list| lists.push((complete, list));
+        let failed = self.list.move_to(launch.discovery, may, &mut self.turn, hear);
+        lists.into_iter().for_each(|(complete, list)| self.listed(complete, &list));
+        let failed = self.call_list_again() || failed;
+        self.list_failed(failed);
         self.servers.retune(launch.connection_idle, launch.connect_timeout, &mut self.turn);
         self.retune(launch.terms, launch.watched);
     }
--- a/crates/sidecar/tests/list_calls.rs
+++ b/crates/sidecar/tests/list_calls.rs
@@ -26,7 +26,7 @@
 /// The next call is made so long after the service's return at the latest.
 const CALLED_AGAIN: Span = Span::from_millis(4200);
 
-fn whole(index: u64) -> Vec<u8> {
+fn whole_list(index: u64) -> Vec<u8> {
     let list = format!("{{\"index\":{index},\"snapshot\":true,\"endpoints\":[]}}\n");
     format!("{:x}\r\n{list}\r\n", list.len()).into_bytes()
 }
@@ -165,7 +165,7 @@
                 }
                 script
             }
-            How::Well(after) => [bytes(now + after, &[OPEN, &whole(1000)])].into(),
+            How::Well(after) => [bytes(now + after, &[OPEN, &whole_list(1000)])].into(),
         }
     }
 
@@ -209,7 +209,7 @@
         match begin {
             Begin::Watch => self.list.watch(|| may, &mut self.turn),
             Begin::Due => self.list.overdue(|| may, &mut self.turn),
-            Begin::Moved => self.list.move_to(self.at, || may, &mut self.turn),
+            Begin::Moved => self.list.move_to(self.at, || may, &mut self.turn, |_, _| {}),
         };
         if self.list.made == made {
             return;
@@ -485,6 +485,32 @@
     }
 }
 
+/// Danger: what was written to a watch counts as told; in the turn of a new configuration it stands unread, and was dropped
+/// with its connection.
+#[test]
+fn what_a_watch_has_brought_is_heard_before_a_new_configuration_closes_it() {
+    let drains = r#"{"name":"e1","address":"127.0.0.1:9","status":"draining"}"#;
+    let torn = format!("200\r\n{{\"index\":7,\"snapshot\":false,\"endpoints\":[{drains},");
+    for (bytes, whole) in [([OPEN, &whole_list(7)].concat(), true), ([OPEN, torn.as_bytes()].concat(), false)]
+    {
+        let mut world = World::new(1, FEW);
+        world.call(How::Hung, true, Begin::Watch);
+        let mut stream = world.calls.pop().unwrap().stream;
+        stream.write_all(&bytes).unwrap();
+        // Awaited without reading.
+        let mut events = mio::Events::with_capacity(8);
+        while !events.iter().any(mio::event::Event::is_readable) {
+            world.poll.poll(&mut events, Some(Duration::from_secs(5))).unwrap();
+        }
+        let mut heard = Vec::new();
+        let other = "127.0.0.1:1".parse().unwrap();
+        world.list.move_to(other, || true, &mut world.turn, |complete, list| heard.push((complete, list)));
+        assert_eq!(heard.len(), usize::from(whole));
+        let salvaged = world.list.take_salvaged();
+        assert_eq!(salvaged.is_some_and(|list| list["endpoints"][0]["name"] == "e1"), !whole);
+    }
+}
+
 /// Danger: each of a series of new configurations makes a call that the next one throws away.
 #[test]
 fn new_configurations_in_series_make_one_call_unless_they_go_on() {
