--- a/crates/lab/src/soak/checker.rs
+++ b/crates/lab/src/soak/checker.rs
@@ -210,6 +210,27 @@
     told.min_by_key(|(at, _)| *at)
 }
 
+/// The latest that a list was heard after it counts as told by the time alone: what the grace has to make up for.
+pub fn latest_list(record: &Record) -> Duration {
+    let mut latest = Duration::ZERO;
+    for life in &record.lives {
+        let end = life.term.or(life.killed).or(life.ended.map(|(_, at)| at)).unwrap_or(Duration::MAX);
+        let last = record.reachable.spans.iter().map(|(_, to)| *to).max().unwrap_or_default();
+        for version in record.versions.iter().filter(|version| version.version > life.known) {
+            let unwritten = Record { told: Vec::new(), ..record.clone() };
+            let Some((due, _)) = told(life, version.version, version.at, &unwritten) else { continue };
+            let written = told(life, version.version, version.at, record);
+            let heard = written.filter(|(_, why)| *why == Why::Written).map(|(at, _)| at);
+            let later = record.told.iter().filter(|told| {
+                told.sidecar == life.sidecar && told.version >= version.version && told.at >= life.began
+            });
+            let heard = heard.or(later.map(|told| told.at).min()).unwrap_or(last).min(end);
+            latest = latest.max(heard.saturating_sub(due));
+        }
+    }
+    latest
+}
+
 /// No attempt at an endpoint that drains or is gone, once its grace is over.
 fn drains(plan: &Plan, record: &Record) -> Vec<Broken> {
     let sidecar_of: HashMap<&str, usize> =
--- a/crates/lab/src/soak/plan.rs
+++ b/crates/lab/src/soak/plan.rs
@@ -73,6 +73,9 @@
     pub crowded: bool,
 }
 
+/// In which discovery works through one call of each sidecar.
+const ROOM: Duration = Duration::from_millis(2500);
+
 fn millis(of: u64) -> Duration {
     Duration::from_millis(of)
 }
@@ -102,15 +105,21 @@
     /// The plan of this seed.
     pub fn draw(seed: u64) -> Plan {
         let mut draw = Draw(Rand64::new(u128::from(seed)));
-        let (sidecars, endpoints) = (draw.between(2, 4) as usize, draw.between(4, 7) as usize);
+        // Discovery that has hardly room for all its callers, and configurations in long series.
+        let busy_discovery = draw.chance(0.4);
+        let least = if busy_discovery { 7 } else { 2 };
+        let (sidecars, endpoints) = (draw.between(least, 9) as usize, draw.between(4, 7) as usize);
+        // It works through one call of each in `ROOM`.
+        let most = (ROOM.as_millis() as u64 / sidecars as u64).min(300);
+        let call_time = draw.millis(if busy_discovery { most * 4 / 5 } else { 10 }, most);
         let mut plan = Plan {
             seed,
             sidecars,
             endpoints,
-            clients: draw.between(3, 6) as usize,
+            clients: sidecars + draw.between(1, 4) as usize,
             deadline: draw.millis(600, 2500),
             stop_sending: draw.millis(500, 1500),
-            call_time: draw.millis(5, 250),
+            call_time,
             queue_most: draw.between(3, 12) as usize,
             asked_within: millis(10_000),
             events: Vec::new(),
@@ -118,10 +127,10 @@
             crowded: draw.chance(0.3),
         };
         let begin = draw.millis(1500, 3000);
-        plan.outage(&mut draw, begin);
-        let from = begin + draw.millis(1000, 6000);
-        plan.moves(&mut draw, from);
-        plan.drains(&mut draw, from);
+        let back = plan.outage(&mut draw, begin);
+        let from = back + draw.millis(0, 4000);
+        let moved = plan.moves(&mut draw, from, busy_discovery);
+        plan.drains(&mut draw, begin, moved);
         plan.restarts(&mut draw, from);
         plan.bad_endpoints(&mut draw, begin);
         if plan.crowded {
@@ -138,39 +147,46 @@
         plan
     }
 
-    /// Discovery is down for a while, or loses its watches.
-    fn outage(&mut self, draw: &mut Draw, begin: Duration) {
-        match draw.below(4) {
-            0 | 1 => {
+    /// Discovery is down for a while, or loses its watches. Returns when that is over.
+    fn outage(&mut self, draw: &mut Draw, begin: Duration) -> Duration {
+        let back = begin + draw.millis(500, 14_000);
+        match draw.below(5) {
+            0..=2 => {
                 self.events.push((begin, Event::DiscoveryDown));
-                self.events.push((begin + draw.millis(500, 6000), Event::DiscoveryBack));
+                self.events.push((back, Event::DiscoveryBack));
+                return back;
             }
-            2 => self.events.push((begin, Event::WatchesSilent)),
+            3 => self.events.push((begin, Event::WatchesSilent)),
             _ => self.events.push((begin, Event::WatchesReset)),
         }
+        begin
     }
 
-    /// Each sidecar gets a series of new configurations, one after the other.
-    fn moves(&mut self, draw: &mut Draw, from: Duration) {
-        if draw.chance(0.2) {
-            return;
+    /// Each sidecar gets a series of new configurations, one after the other. Returns when they are over.
+    fn moves(&mut self, draw: &mut Draw, from: Duration, long: bool) -> Duration {
+        if !long && draw.chance(0.2) {
+            return from;
         }
-        let stagger = draw.millis(0, 500);
+        let mut last = from;
+        let (stagger, least) = if long { (draw.millis(300, 500), 3) } else { (draw.millis(0, 500), 1) };
         for sidecar in 0..self.sidecars {
             let mut at = from + stagger * sidecar as u32;
-            for _ in 0..draw.between(1, 5) {
+            for _ in 0..draw.between(least, 5) {
                 self.events.push((at, Event::Move(sidecar)));
+                last = last.max(at);
                 at += draw.millis(80, 1000);
             }
         }
+        last
     }
 
-    /// Endpoints drain, vanish and come back cold, leaving two at least.
-    fn drains(&mut self, draw: &mut Draw, from: Duration) {
+    /// Endpoints drain, vanish and come back cold, leaving two at least: from the outage on, until the configurations have
+    /// come.
+    fn drains(&mut self, draw: &mut Draw, from: Duration, until: Duration) {
         let changing = draw.between(1, self.endpoints as u64 - 2) as usize;
         for endpoint in 0..changing {
-            // Before, within and after the series of configurations.
-            let at = (from + draw.millis(0, 5000)).saturating_sub(draw.millis(0, 3000)).max(millis(500));
+            let span = until.saturating_sub(from) + millis(1000);
+            let at = from + draw.millis(0, span.as_millis() as u64);
             if draw.chance(0.7) {
                 self.events.push((at, Event::Drains(endpoint)));
                 self.events.push((at + draw.millis(1500, 5000), Event::Removed(endpoint)));
--- a/crates/lab/src/soak/seeds.rs
+++ b/crates/lab/src/soak/seeds.rs
@@ -8,7 +8,7 @@
 use std::thread;
 use std::time::Duration;
 
-use super::checker::{Broken, Rule, check};
+use super::checker::{Broken, Rule, check, latest_list};
 use super::plan::{Event, Plan};
 use super::record::{Ended, Record};
 use super::run::play;
@@ -94,8 +94,8 @@
 /// A row for each seed, and the sums.
 pub fn table(played: &[Played]) -> String {
     let mut text = String::from(
-        "| seed | sidecars | deadline | moves | leaves | crowd | requests | served | attempts | broken |\n\
-         | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n",
+        "| seed | sidecars | deadline | moves | leaves | crowd | requests | served | attempts | latest list | broken |\n\
+         | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n",
     );
     let mut sums: BTreeMap<Rule, usize> = BTreeMap::new();
     for run in played {
@@ -105,14 +105,15 @@
         let Plan { seed, sidecars, deadline, crowded, .. } = &run.plan;
         let _ = writeln!(
             text,
-            "| {seed} | {sidecars} | {:.1} s | {} | {} | {} | {} | {:.3} | {} | {broken} |",
+            "| {seed} | {sidecars} | {:.1} s | {} | {} | {} | {} | {:.3} | {} | {:.2} s | {broken} |",
             Duration::as_secs_f64(deadline),
             run.moves(),
             run.leaves(),
             if *crowded { "yes" } else { "" },
             run.record.requests.len(),
             run.served(),
-            run.record.attempts.len()
+            run.record.attempts.len(),
+            latest_list(&run.record).as_secs_f64()
         );
     }
     let clean = played.iter().filter(|run| run.broken.is_empty()).count();
--- a/crates/sidecar/src/net/list.rs
+++ b/crates/sidecar/src/net/list.rs
@@ -57,9 +57,14 @@
 
 pub struct List {
     at: SocketAddr,
-    /// There is one at the most; the slots give each a token of its own.
+    /// The slots give each a token of its own.
     watches: Slots<Watch>,
+    /// The call, or the watch, at the present address.
     open: Option<Key>,
+    /// The oldest call at an address of before that waits for its answer, until the present address has told a list.
+    /// Danger: the service works through such a call all the same, and each of a series of new configurations would
+    /// throw away a place in its queue, and wait anew behind all others.
+    superseded: Option<Key>,
     wanted: bool,
     /// Calls that have been made.
     pub made: u64,
@@ -84,6 +89,7 @@
             at,
             watches: Slots::default(),
             open: None,
+            superseded: None,
             wanted: false,
             made: 0,
             deadline: None,
@@ -159,7 +165,7 @@
         self.version = 0;
         self.counts.moves += 1;
         let next = self.schedule.moved(turn.now);
-        self.close(turn);
+        self.supersede(turn);
         // Danger: what the new address has counts as told, also where a process that has just started wanted no watch yet.
         self.wanted = true;
         self.heard_at.get_or_insert(turn.now);
@@ -173,11 +179,51 @@
     }
 
     fn close(&mut self, turn: &mut Turn) {
-        if let Some(watch) = self.open.take().and_then(|key| self.watches.remove(key)) {
+        let open = self.open.take();
+        self.close_watch(open, turn);
+    }
+
+    fn close_watch(&mut self, key: Option<Key>, turn: &mut Turn) {
+        if let Some(watch) = key.and_then(|key| self.watches.remove(key)) {
             watch.connection.close(&turn.registry);
         }
     }
 
+    /// The present address is one of before: its watch is closed; a call that waits for its answer is kept, but for one
+    /// that is younger than another.
+    fn supersede(&mut self, turn: &mut Turn) {
+        let waits = |key: &Key| self.watches.get(*key).is_some_and(|watch| !watch.told);
+        let kept = self.open.filter(waits).filter(|_| !self.schedule.callers.pushed);
+        if self.superseded.is_none() && kept.is_some() {
+            self.superseded = self.open.take();
+        }
+        self.close(turn);
+    }
+
+    fn close_superseded(&mut self, turn: &mut Turn) {
+        let superseded = self.superseded.take();
+        self.close_watch(superseded, turn);
+    }
+
+    /// Reads what a call at an address of before has brought: its first list is handed to `hear`.
+    fn read_superseded(&mut self, key: Key, turn: &mut Turn, hear: &mut impl FnMut(bool, Value)) {
+        let Some(watch) = self.watches.get_mut(key) else { return };
+        let in_time = turn.now.since(watch.since) <= CALL_IN + MORE_IN;
+        match watch.first_list() {
+            Ok(None) if in_time => return,
+            Ok(Some((complete, list))) if in_time => {
+                let took = turn.now.since(watch.since).secs() * 1e3;
+                log::info!(
+                    "list: version {} heard at an address of before, {took:.0} ms after the call",
+                    list["index"]
+                );
+                hear(complete, list);
+            }
+            _ => {}
+        }
+        self.close_superseded(turn);
+    }
+
     /// Makes the call that there was no descriptor for. Returns whether it failed at once.
     pub fn call_again(&mut self, turn: &mut Turn) -> bool {
         self.open(turn)
@@ -289,7 +335,20 @@
     /// Reads what the watch has brought: each list that can be read is handed to `hear`, with whether it is
     /// complete. Returns whether the call has failed.
     pub fn ready(&mut self, key: Key, turn: &mut Turn, mut hear: impl FnMut(bool, Value)) -> bool {
-        match self.read(key, turn, &mut hear) {
+        if self.superseded == Some(key) {
+            self.read_superseded(key, turn, &mut hear);
+            return false;
+        }
+        let mut heard = false;
+        let read = self.read(key, turn, &mut |complete, list| {
+            heard = true;
+            hear(complete, list);
+        });
+        if heard {
+            // What an address of before tells is older than this.
+            self.close_superseded(turn);
+        }
+        match read {
             Ok(()) => false,
             Err(what) => self.fail(&what, turn),
         }
@@ -379,6 +438,38 @@
 }
 
 impl Watch {
+    /// The first list of a call that has told none yet, and whether it is complete; nothing if more is to come.
+    fn first_list(&mut self) -> Result<Option<(bool, Value)>, String> {
+        let broken = |e: std::io::Error| e.to_string();
+        self.up = self.up || self.connection.is_up().map_err(broken)?;
+        if !self.up {
+            return Ok(None);
+        }
+        self.connection.flush().map_err(broken)?;
+        let over = self.connection.fill(LIST_MOST + http::HEAD_MOST).is_err() || self.connection.ended;
+        if !self.head_read {
+            match http::watch_head(&self.connection.input) {
+                Ok(Some(head)) => self.connection.consume(head),
+                Ok(None) if !over => return Ok(None),
+                _ => return Err("no list".to_string()),
+            }
+            self.head_read = true;
+        }
+        let (_, faulty) = self.take_chunks();
+        let whole = self.braces.whole(&self.text);
+        let first = serde_json::Deserializer::from_slice(&self.text[..whole]).into_iter::<Value>().next();
+        match first {
+            Some(list) => {
+                let list = list.map_err(|e| format!("bad list: {e}"))?;
+                let (_, complete) = version(&list)?;
+                entries(&list, |_, _, _, _, _| {})?;
+                Ok(Some((complete, list)))
+            }
+            None if over || faulty.is_some() => Err("no list".to_string()),
+            None => Ok(None),
+        }
+    }
+
     /// Moves on what the whole chunks hold. Returns whether there was any, and what ends or spoils the watch behind them.
     fn take_chunks(&mut self) -> (bool, Option<&'static str>) {
         let (input, mut done) = (&self.connection.input, 0);
--- a/crates/sidecar/tests/discovery_schedule.rs
+++ b/crates/sidecar/tests/discovery_schedule.rs
@@ -31,6 +31,8 @@
 enum Event {
     /// A configuration names another address.
     Move(usize),
+    /// The service goes down: a caller's watch ends.
+    Break(usize),
     /// A caller makes its next call, if nothing has come between.
     Due(usize, u64),
     /// The service has worked through the call whose turn it was.
@@ -60,6 +62,7 @@
 struct World {
     now: Moment,
     capacity: Capacity,
+    down_at: Moment,
     back_at: Moment,
     events: BinaryHeap<Reverse<(Moment, Event)>>,
     callers: Vec<Caller>,
@@ -81,6 +84,7 @@
         World {
             now: Moment::default(),
             capacity,
+            down_at: Moment::default(),
             back_at,
             events: BinaryHeap::new(),
             callers: (0..callers).map(caller).collect(),
@@ -113,6 +117,7 @@
                     self.callers[caller].call = None;
                     self.put_off(caller, next);
                 }
+                Event::Break(caller) => self.watch_breaks(caller),
                 Event::Due(caller, number) if self.callers[caller].due == number => self.call(caller),
                 Event::Due(..) => {}
                 Event::Worked => self.worked(),
@@ -122,6 +127,14 @@
         }
     }
 
+    /// The watch of a caller that has one ends.
+    fn watch_breaks(&mut self, caller: usize) {
+        if self.callers[caller].heard.take().is_some() {
+            let next = self.callers[caller].schedule.failed(self.now, self.now, CallEnd::Lost);
+            self.put_off(caller, next);
+        }
+    }
+
     fn call(&mut self, caller: usize) {
         self.made += 1;
         let call = Call { id: self.made, caller, since: self.now };
@@ -129,7 +142,7 @@
         self.callers[caller].call = Some(call.id);
         let id = call.id;
         self.at(self.now + CALL_IN, Event::GivenUp(caller, id, self.now));
-        if self.now < self.back_at {
+        if self.down_at <= self.now && self.now < self.back_at {
             self.hanging.push(call);
             self.at(self.now + DOWN_HANG, Event::Refused(id));
         } else if self.queue.len() >= self.capacity.queue_most {
@@ -271,3 +284,27 @@
     }
     assert!(late.is_empty(), "{late:?}");
 }
+
+/// Danger: a large fleet whose watches break in one moment comes back to its service in step. What it can work through in a
+/// second is 50 calls, so the last of 267 hear it some six seconds after its return.
+#[test]
+fn a_large_fleet_is_heard_by_its_service_as_fast_as_that_works() {
+    let (callers, instances) = (267, 220.0);
+    let capacity = Capacity { call_time: millis(20), queue_most: 1000 };
+    let mut late = 0;
+    for seed in 0..20 {
+        let mut chance = Rand64::new(u128::from(seed));
+        let back = Moment::default() + millis(10_000);
+        let mut world = World::new(callers, instances, capacity, back, seed);
+        world.down_at = Moment::default() + millis(3250);
+        for caller in 0..callers {
+            world.put_off(caller, Moment::default() + millis(5000) * chance.rand_float());
+            world.at(world.down_at, Event::Break(caller));
+        }
+        world.run(back + millis(60_000));
+        let in_time = |caller: &&Caller| caller.heard.is_some_and(|at| at.since(back) <= millis(7000));
+        late += callers - world.callers.iter().filter(in_time).count();
+    }
+    println!("{late} of {} hear it over 7 s after its return", 20 * callers);
+    assert!(late <= callers * 20 / 100, "{late}");
+}
--- a/crates/sidecar/tests/list_calls.rs
+++ b/crates/sidecar/tests/list_calls.rs
@@ -511,6 +511,51 @@
     }
 }
 
+/// Danger: each of a series of new configurations threw away the place of the call before in a slow service's queue, and what
+/// that had told of drains was heard only long after the last of them.
+#[test]
+fn a_call_that_waits_is_heard_also_once_its_address_has_been_replaced() {
+    let mut world = World::new(1, FEW);
+    world.call(How::Hung, true, Begin::Watch);
+    let mut first = world.calls.pop().unwrap().stream;
+    let move_on = |world: &mut World| {
+        let listener = TcpListener::bind(own_address()).unwrap();
+        world.at = listener.local_addr().unwrap();
+        world.listener = Some(listener);
+        world.call(How::Hung, true, Begin::Moved);
+    };
+    // Two more addresses, the first of which is called; its call is younger, and is not kept beside the oldest.
+    move_on(&mut world);
+    let until = world.turn.now + Span::from_millis(1300);
+    world.run(until, |_| How::Hung, || true);
+    move_on(&mut world);
+    let mut second = world.calls.pop().unwrap().stream;
+    assert_eq!(second.read(&mut [0]).unwrap_or(0), 0);
+    let heard = |world: &mut World, stream: &mut TcpStream, bytes: &[u8]| {
+        stream.write_all(bytes).unwrap();
+        let mut events = mio::Events::with_capacity(8);
+        let mut heard = Vec::new();
+        while heard.is_empty() {
+            world.poll.poll(&mut events, Some(Duration::from_secs(5))).unwrap();
+            for event in &events {
+                let Peer::List(key) = Peer::of(event.token()) else { unreachable!() };
+                world.list.ready(key, &mut world.turn, |_, list| heard.push(list["index"].as_u64().unwrap()));
+            }
+        }
+        heard
+    };
+    assert_eq!(heard(&mut world, &mut first, &[OPEN, &whole_list(7)].concat()), [7]);
+    // It is no watch: the version is still that of nothing, and its connection is closed.
+    assert_eq!(world.list.version(), 0);
+    first.set_nonblocking(false).unwrap();
+    while first.read(&mut [0; 512]).unwrap_or(0) > 0 {}
+    let until = world.turn.now + Span::from_millis(1300);
+    world.run(until, |_| How::Hung, || true);
+    let mut last = world.calls.pop().unwrap().stream;
+    assert_eq!(heard(&mut world, &mut last, &[OPEN, &whole_list(9)].concat()), [9]);
+    assert_eq!(world.list.version(), 9);
+}
+
 /// Danger: each of a series of new configurations makes a call that the next one throws away.
 #[test]
 fn new_configurations_in_series_make_one_call_unless_they_go_on() {
