--- a/crates/lab/src/soak/checker.rs
+++ b/crates/lab/src/soak/checker.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::plan::Plan;
-use super::record::{Attempt, Done, Effect, Ended, Life, Record, Request, Why};
+use super::record::{Attempt, Done, Effect, Ended, Life, Reachable, Record, Request, Told, Why};
 
 /// A change counts as told so long after the service had it and could be reached.
 const TOLD_AFTER: Duration = Duration::from_secs(6);
@@ -185,16 +185,22 @@
 }
 
 /// When a version counts as told to a life of a sidecar, and why.
-fn told(life: &Life, version: u64, made: Duration, record: &Record) -> Option<(Duration, Why)> {
+fn told(
+    life: &Life,
+    version: u64,
+    made: Duration,
+    lists: &[Told],
+    reachable: &Reachable,
+) -> Option<(Duration, Why)> {
     if version <= life.known {
         return Some((life.began, Why::Written));
     }
     let until = life.killed.or(life.ended.map(|(_, at)| at)).unwrap_or(Duration::MAX);
-    let written = record.told.iter().filter(|told| {
+    let written = lists.iter().filter(|told| {
         told.sidecar == life.sidecar && told.version >= version && told.at >= life.began && told.at < until
     });
     let written = written.map(|told| (told.at, Why::Written)).min_by_key(|(at, _)| *at);
-    let reachable = &record.reachable.spans;
+    let reachable = &reachable.spans;
     let due = reachable.iter().filter_map(|(from, to)| {
         let at = made.max(*from) + TOLD_AFTER;
         (at <= *to).then(|| (at.max(life.began + TOLD_AFTER_START), Why::Due))
@@ -217,10 +223,9 @@
         let end = life.term.or(life.killed).or(life.ended.map(|(_, at)| at)).unwrap_or(Duration::MAX);
         let last = record.reachable.spans.iter().map(|(_, to)| *to).max().unwrap_or_default();
         for version in record.versions.iter().filter(|version| version.version > life.known) {
-            let unwritten = Record { told: Vec::new(), ..record.clone() };
-            let Some((due, _)) = told(life, version.version, version.at, &unwritten) else { continue };
-            let written = told(life, version.version, version.at, record);
-            let heard = written.filter(|(_, why)| *why == Why::Written).map(|(at, _)| at);
+            let told_by = |lists| told(life, version.version, version.at, lists, &record.reachable);
+            let Some((due, _)) = told_by(&[]) else { continue };
+            let heard = told_by(&record.told).filter(|(_, why)| *why == Why::Written).map(|(at, _)| at);
             let later = record.told.iter().filter(|told| {
                 told.sidecar == life.sidecar && told.version >= version.version && told.at >= life.began
             });
@@ -249,7 +254,10 @@
         }
         let Some(change) = (0..=last).rev().find(|at| *at == 0 || is_up(at - 1)) else { continue };
         let version = &record.versions[change];
-        let Some((told, why)) = told(life, version.version, version.at, record) else { continue };
+        let Some((told, why)) = told(life, version.version, version.at, &record.told, &record.reachable)
+        else {
+            continue;
+        };
         let until = told + plan.stop_sending + SLACK + NOTED_LATE;
         if attempt.begun > until {
             let what = format!(
--- a/crates/sidecar/tests/list_calls.rs
+++ b/crates/sidecar/tests/list_calls.rs
@@ -128,6 +128,13 @@
         }
     }
 
+    /// The service is at another address from now on.
+    fn has_new_address(&mut self) {
+        let listener = TcpListener::bind(own_address()).unwrap();
+        self.at = listener.local_addr().unwrap();
+        self.listener = Some(listener);
+    }
+
     fn span(&mut self, most: Span) -> Span {
         most * self.chance.rand_float()
     }
@@ -424,9 +431,7 @@
             let first = world.any(&FAULTS);
             world.call(first, true, Begin::Watch);
             world.run(moment(BACK), |world| world.any(&FAULTS), || true);
-            let listener = TcpListener::bind(own_address()).unwrap();
-            world.at = listener.local_addr().unwrap();
-            world.listener = Some(listener);
+            world.has_new_address();
             let (moved, after) = (world.turn.now, world.span(ANSWERED));
             world.call(How::Well(after), may, Begin::Moved);
             let well = |world: &mut World| How::Well(world.span(ANSWERED));
@@ -449,9 +454,7 @@
         let first = world.any(&FAULTS);
         world.call(first, true, Begin::Watch);
         world.run(moment(BACK), |world| world.any(&FAULTS), || true);
-        let listener = TcpListener::bind(own_address()).unwrap();
-        world.at = listener.local_addr().unwrap();
-        world.listener = Some(listener);
+        world.has_new_address();
         let moved = world.turn.now;
         let at_once = How::TurnedAway(Span::ZERO);
         world.call(at_once, true, Begin::Moved);
@@ -473,9 +476,7 @@
 fn a_new_address_is_called_also_before_a_watch_was_wanted() {
     for seed in 0..100 {
         let mut world = World::new(seed, FEW);
-        let listener = TcpListener::bind(own_address()).unwrap();
-        world.at = listener.local_addr().unwrap();
-        world.listener = Some(listener);
+        world.has_new_address();
         world.call(How::Hung, true, Begin::Moved);
         world.run(moment(Span::from_millis(1300)), |_| How::Hung, || true);
         assert_eq!(world.starts.len(), 1, "seed {seed}");
@@ -519,9 +520,7 @@
     world.call(How::Hung, true, Begin::Watch);
     let mut first = world.calls.pop().unwrap().stream;
     let move_on = |world: &mut World| {
-        let listener = TcpListener::bind(own_address()).unwrap();
-        world.at = listener.local_addr().unwrap();
-        world.listener = Some(listener);
+        world.has_new_address();
         world.call(How::Hung, true, Begin::Moved);
     };
     // Two more addresses, the first of which is called; its call is younger, and is not kept beside the oldest.
@@ -564,9 +563,7 @@
         world.call(How::Hung, true, Begin::Watch);
         let before = world.starts.len();
         for _ in 0..4 {
-            let listener = TcpListener::bind(own_address()).unwrap();
-            world.at = listener.local_addr().unwrap();
-            world.listener = Some(listener);
+            world.has_new_address();
             world.call(How::Hung, true, Begin::Moved);
             let until = world.turn.now + Span::from_millis(200);
             world.run(until, |_| How::Hung, || true);
@@ -577,9 +574,7 @@
         // A series that goes on puts the call off no longer than 1.3 s.
         let (begun, before) = (world.turn.now, world.starts.len());
         while world.starts.len() == before {
-            let listener = TcpListener::bind(own_address()).unwrap();
-            world.at = listener.local_addr().unwrap();
-            world.listener = Some(listener);
+            world.has_new_address();
             world.call(How::Hung, true, Begin::Moved);
             let until = world.turn.now + Span::from_millis(200);
             world.run(until, |_| How::Hung, || true);
