A request that waited outside tells its endpoint no more time than is left

Change: where others waited outside as a connection was taken, its first request counts as old as that wait.

Test: crossings/descriptors.rs, seen to fail without it.

--- a/crates/sidecar/src/net/clients.rs
+++ b/crates/sidecar/src/net/clients.rs
@@ -99,6 +99,9 @@
     coming: Option<Body>,
     /// Since when, with this req, more may stand unread than is taken from it.
     full_since: Option<Moment>,
+    /// How long its first request may have waited outside to be taken. Danger: its time runs from its last byte, and an
+    /// attempt would tell its endpoint more than is left of it.
+    waited: Span,
     /// How much had come at the last look at a body, and by when there must be more.
     seen: usize,
     body_until: Option<Moment>,
@@ -313,6 +316,7 @@
             self.lacks_descriptor = false;
             // Danger: what it brings may be as old as its wait outside, and its end stand behind that.
             let full_since = Some(self.held_since.unwrap_or(self.came_since));
+            let waited = self.held_since.map_or(Span::ZERO, |since| turn.now.since(since));
             let added = self.slots.insert_with(|key| {
                 let connection = Connection::take(stream, &turn.registry, Peer::Client(key).token())?;
                 let stage = Stage::Reading;
@@ -323,6 +327,7 @@
                     leave_given: false,
                     coming: None,
                     full_since,
+                    waited,
                     seen: 0,
                     body_until: None,
                     since: turn.now,
@@ -550,6 +555,7 @@
                     // Danger: two reqs of one id would pass for repeats of each other wherever they go.
                     if self.open.insert(id) {
                         turn.deadlines.shift(Due::Client(key), &mut client.deadline, None);
+                        let left = left.less(std::mem::take(&mut client.waited));
                         return Said::Arrival { method, left, work, frame };
                     }
                     self.answer_own(key, frame, 409, turn);
--- a/crates/sidecar/tests/crossings/descriptors.rs
+++ b/crates/sidecar/tests/crossings/descriptors.rs
@@ -501,6 +501,29 @@
     assert_eq!(sidecar.figure("sidecar_upstream_requests"), busy.len() as u64);
 }
 
+/// Danger: a request that waited outside, behind a full house, is read long after its last byte; its attempt told its
+/// endpoint all the time that its client had then.
+#[test]
+fn a_request_that_waits_outside_tells_no_more_time_than_is_left() {
+    let hold = Hold::default();
+    let endpoint = hold.endpoint("menu");
+    let (sidecar, _watch) = watching(&[endpoint.at]);
+    let mut busy = held(&sidecar, &[&endpoint]);
+    assert!(sidecar.leaves_free(0), "{:?}", sidecar.descriptors());
+    let mut waits = Client::connect(&sidecar);
+    waits.send("GET /view/1 HTTP/1.1\r\nX-Txn: late\r\nX-Remaining-Ms: 2900\r\n\r\n");
+    let sent = Instant::now();
+    std::thread::sleep(Duration::from_millis(700));
+    let waited = sent.elapsed().as_millis();
+    hold.release();
+    assert_eq!(waits.status(), "200");
+    busy.iter_mut().for_each(|client| assert_eq!(client.status(), "200"));
+    let attempts = std::iter::from_fn(|| endpoint.reqs.try_recv().ok());
+    let late = attempts.filter(|attempt| attempt.contains("X-Txn: late")).last().expect("its attempt");
+    let told = late.lines().find_map(|line| line.strip_prefix("X-Remaining-Ms: ")).expect("a time");
+    assert!(told.trim().parse::<u128>().unwrap() + waited <= 2900 + 50, "{told} after {waited}");
+}
+
 /// Danger: a process that has no descriptor to look with took itself for alone at its address, and as it left it said no
 /// to the health check of an address that another serves.
 #[test]
