--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -46,7 +46,9 @@
                     let chunked = request.first.contains("/chunked");
                     let (first, rest) = body.split_at(FIRST_PIECE);
                     let (head, first, rest) = if chunked {
-                        let piece = |data: &[u8]| [format!("{:x}\r\n", data.len()).as_bytes(), data, b"\r\n"].concat();
+                        let piece = |data: &[u8]| {
+                            [format!("{:x}\r\n", data.len()).as_bytes(), data, b"\r\n"].concat()
+                        };
                         let rest = [piece(rest), b"0\r\n\r\n".to_vec()].concat();
                         ("Transfer-Encoding: chunked".to_string(), piece(first), rest)
                     } else {
@@ -100,7 +102,8 @@
     let mut all = Vec::new();
     let _ = reader.read_to_end(&mut all);
     let ended = sent.elapsed();
-    let status = String::from_utf8_lossy(&all[..all.len().min(16)]).split(' ').nth(1).and_then(|s| s.parse().ok());
+    let status =
+        String::from_utf8_lossy(&all[..all.len().min(16)]).split(' ').nth(1).and_then(|s| s.parse().ok());
     let answer = read_http(&mut all.as_slice());
     let whole = answer.is_some_and(|answer| answer.body == body(id));
     Some(Seen { status: status.unwrap_or(0), began, ended, whole })
@@ -113,7 +116,12 @@
     let listed: Vec<Listed> = (0..ENDPOINTS)
         .map(|at| {
             let name = format!("s-{at}");
-            Listed { address: endpoint(name.clone(), record.clone()), name, group: at as u32 / 4, status: "up" }
+            Listed {
+                address: endpoint(name.clone(), record.clone()),
+                name,
+                group: at as u32 / 4,
+                status: "up",
+            }
         })
         .collect();
     let discovery = Discovery::start(listed.clone());
@@ -137,11 +145,16 @@
                     let served = seen.as_ref().is_some_and(|seen| seen.status == 200 && seen.whole);
                     let text = seen.map_or("nothing".to_string(), |seen| {
                         let (began, ended) = (seen.began.as_secs_f64(), seen.ended.as_secs_f64());
-                        format!("{}, first byte after {began:.2} s, end after {ended:.2} s, whole: {}", seen.status, seen.whole)
+                        format!(
+                            "{}, first byte after {began:.2} s, end after {ended:.2} s, whole: {}",
+                            seen.status, seen.whole
+                        )
                     });
                     record.line(&format!("client {number} is answered to {id}: {text}"));
                     if !served {
-                        record.say(&format!("{id}, form {form}, was cut off from an endpoint that still gave: {text}"));
+                        record.say(&format!(
+                            "{id}, form {form}, was cut off from an endpoint that still gave: {text}"
+                        ));
                     }
                     tally.lock().unwrap()[usize::from(form == "length")][usize::from(!served)] += 1;
                 }
--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -33,10 +33,7 @@
 
 impl Drop for Fleet {
     fn drop(&mut self) {
-        self.running.iter_mut().flatten().for_each(|child| {
-            let _ = child.kill();
-            let _ = child.wait();
-        });
+        (1..=3).for_each(|place| self.end(place));
     }
 }
 
@@ -47,9 +44,12 @@
 
     /// Writes the configuration of a place, whose folder has this name.
     fn configure(&self, place: usize, folder: &str) {
-        let daemons: String = self.at.iter().enumerate().map(|(at, address)| {
-            format!("\n[[daemons]]\nplace = {}\naddress = \"{address}\"\n", at + 1)
-        }).collect();
+        let daemons: String = self
+            .at
+            .iter()
+            .enumerate()
+            .map(|(at, address)| format!("\n[[daemons]]\nplace = {}\naddress = \"{address}\"\n", at + 1))
+            .collect();
         let text = format!(
             "fleet = \"zilina\"\nplace = {place}\nlisten = \"{}\"\nfolder = \"{}\"\ntemplate = \"{}\"\n{daemons}",
             self.at[place - 1],
@@ -69,17 +69,22 @@
             .stderr(log)
             .spawn()
             .unwrap_or_else(|e| cannot_run(&e.to_string()));
-        let _ = std::fs::write(self.temp.join(format!("daemon-{place}.pid")), child.id().to_string());
+        let _ = std::fs::write(self.temp.join(format!("daemon-{place}.pid")), format!("{}\n", child.id()));
         self.running[place - 1] = Some(child);
         self.record.line(&format!("place {place} is started"));
     }
 
-    /// SIGKILL.
-    fn kill(&mut self, place: usize) {
+    /// Ends this place's daemon with SIGKILL.
+    fn end(&mut self, place: usize) {
         if let Some(mut child) = self.running[place - 1].take() {
             let _ = child.kill();
             let _ = child.wait();
+            let _ = std::fs::remove_file(self.temp.join(format!("daemon-{place}.pid")));
         }
+    }
+
+    fn kill(&mut self, place: usize) {
+        self.end(place);
         self.record.line(&format!("place {place} is killed"));
     }
 
@@ -105,7 +110,9 @@
     /// Whether this many places vote and hold one state.
     fn agree(&self, place: usize, count: usize) -> bool {
         let status = self.status(place);
-        let digest = |line: &String| line.split(", digest ").nth(1).and_then(|rest| rest.split(',').next()).map(str::to_string);
+        let digest = |line: &String| {
+            line.split(", digest ").nth(1).and_then(|rest| rest.split(',').next()).map(str::to_string)
+        };
         let first = status.first().and_then(digest);
         status.len() == count
             && status.iter().all(|line| digest(line) == first && line.contains(&format!(", {count} vote")))
@@ -172,7 +179,14 @@
     }
     for service in 0..SERVICES {
         let scope = format!("service=menu-{service}");
-        must(&["put", &settings(&temp, FOR_ALL + service, bytes), "--for", &scope, "--why", "a service's own"]);
+        must(&[
+            "put",
+            &settings(&temp, FOR_ALL + service, bytes),
+            "--for",
+            &scope,
+            "--why",
+            "a service's own",
+        ]);
     }
     for change in 0..ENDPOINT_CHANGES {
         let name = format!("s-{}", change % 9);
@@ -191,10 +205,15 @@
         fleet.configure(3, "folder-3-new");
         fleet.serve(3, "log-3-new");
         match fleet.wait_for(1, 3, JOIN) {
-            Some(took) => record.say(&format!("place 3 holds what was committed after {:.1} s", took.as_secs_f64())),
+            Some(took) => {
+                record.say(&format!("place 3 holds what was committed after {:.1} s", took.as_secs_f64()))
+            }
             None => {
                 broken = true;
-                record.say(&format!("BROKEN: after {:.0} s place 3 does not hold what was committed", JOIN.as_secs_f64()));
+                record.say(&format!(
+                    "BROKEN: after {:.0} s place 3 does not hold what was committed",
+                    JOIN.as_secs_f64()
+                ));
             }
         }
         fleet.note_status(1);
--- a/review/stand_ins.rs
+++ b/review/stand_ins.rs
@@ -55,7 +55,9 @@
 
 /// A free loopback address.
 pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).unwrap_or_else(|e| cannot_run(&e.to_string()))
+    TcpListener::bind("127.0.0.1:0")
+        .and_then(|l| l.local_addr())
+        .unwrap_or_else(|e| cannot_run(&e.to_string()))
 }
 
 /// Pseudo-random numbers (xorshift), so that no package is needed.
@@ -244,24 +246,33 @@
     pub operator: SocketAddr,
     pub child: Child,
     pub config: PathBuf,
+    id_file: PathBuf,
 }
 
 impl Drop for Sidecar {
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.id_file);
     }
 }
 
 impl Sidecar {
     /// Starts it with this configuration, in a folder of its own, and waits until its health check says yes.
-    pub fn start(name: &str, listen: SocketAddr, discovery: SocketAddr, config: &str, temp: &Path) -> Sidecar {
+    pub fn start(
+        name: &str,
+        listen: SocketAddr,
+        discovery: SocketAddr,
+        config: &str,
+        temp: &Path,
+    ) -> Sidecar {
         let operator = free_address();
         let folder = temp.join(format!("{name}-tmp"));
         let path = temp.join(format!("{name}.json"));
         std::fs::create_dir_all(&folder).unwrap_or_else(|e| cannot_run(&e.to_string()));
         std::fs::write(&path, config).unwrap_or_else(|e| cannot_run(&e.to_string()));
-        let log = File::create(temp.join(format!("{name}.log"))).unwrap_or_else(|e| cannot_run(&e.to_string()));
+        let log =
+            File::create(temp.join(format!("{name}.log"))).unwrap_or_else(|e| cannot_run(&e.to_string()));
         let run = std::env::var("RUN").unwrap_or_else(|_| cannot_run("RUN is not set"));
         let child = Command::new("/bin/sh")
             .args(["-c", &run])
@@ -278,8 +289,9 @@
             .spawn()
             .unwrap_or_else(|e| cannot_run(&e.to_string()));
         // For `run-case.sh`, should this process be ended: `run` ends in `exec`, so this is the sidecar's own id.
-        let _ = std::fs::write(temp.join(format!("{name}.pid")), child.id().to_string());
-        let mut sidecar = Sidecar { name: name.to_string(), listen, operator, child, config: path };
+        let id_file = temp.join(format!("{name}.pid"));
+        let _ = std::fs::write(&id_file, format!("{}\n", child.id()));
+        let mut sidecar = Sidecar { name: name.to_string(), listen, operator, child, config: path, id_file };
         let until = Instant::now() + Duration::from_secs(30);
         while !sidecar.healthy() {
             if sidecar.child.try_wait().ok().flatten().is_some() || Instant::now() > until {
