--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -1,12 +1,11 @@
 #!/bin/sh
-# Plays one case: `run-case.sh N`. Exit 0: the rule held; 1: it was broken; 2: the case could not run.
+# Plays case N for its run.sh, which names the record: `run-case.sh N`. Exit 0: the rule held; 1: it was broken; 2: the case could not run.
 cd "$(dirname "$0")/.." || exit 2
 ROOT=$(pwd)
 CASE=$ROOT/target/review/case-$1
 RUN=$(sed -n 's/^run = "\(.*\)"$/\1/p' deploy/balancer.toml)
 TEMP=$(mktemp -d) || exit 2
-RECORD=$ROOT/review/$1/record.txt
-export ROOT RUN TEMP RECORD
+export ROOT RUN TEMP
 if [ ! -x "$CASE" ] || [ ! -x target/release/appledyke-sidecar ]; then
     echo "cannot run: build by the deploy file and by review/build.sh first" >&2
     exit 2
