Tell attempts that end in the middle of a response from those that got none

Change: the debug line of an attempt's end names the bytes of a response that had arrived, and sidecar_partial_responses counts such attempts by outcome. The new test in tests/trace.rs fails without the change, as the metric and the words are new.

--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -89,6 +89,8 @@
     /// Attempts by outcome, and those of them that a retry followed.
     attempts: [u64; Outcome::ALL.len()],
     retries: [u64; Outcome::ALL.len()],
+    /// Attempts of which part of a response had arrived when they ended without one, by outcome.
+    partial_responses: [u64; Outcome::ALL.len()],
     /// Requests answered by the sidecar itself, by reason.
     answered_here: BTreeMap<&'static str, u64>,
     pub reloads: u64,
@@ -123,6 +125,11 @@
         self.retries[after as usize] += 1;
     }
 
+    /// Counts an attempt of which part of a response had arrived when it ended without one.
+    pub fn count_partial_response(&mut self, outcome: Outcome) {
+        self.partial_responses[outcome as usize] += 1;
+    }
+
     /// Counts a request that the sidecar answered itself.
     pub fn count_answered_here(&mut self, why: AnsweredHere) {
         *self.answered_here.entry(why.name()).or_default() += 1;
@@ -149,7 +156,11 @@
             line(format_args!("# TYPE sidecar_{name} {kind}"));
             line(format_args!("sidecar_{name} {value}"));
         }
-        for (name, counts) in [("attempts", &self.attempts), ("retries", &self.retries)] {
+        for (name, counts) in [
+            ("attempts", &self.attempts),
+            ("retries", &self.retries),
+            ("partial_responses", &self.partial_responses),
+        ] {
             line(format_args!("# TYPE sidecar_{name} counter"));
             for outcome in Outcome::ALL {
                 let count = counts[outcome as usize];
--- a/crates/sidecar/src/net/servers.rs
+++ b/crates/sidecar/src/net/servers.rs
@@ -130,6 +130,8 @@
     pub answer: Option<Frame>,
     /// The rest of the body, if the response is streamed.
     pub long: Option<Body>,
+    /// The number of bytes of a response that had arrived, if the attempt ended without one.
+    pub partial_response: usize,
 }
 
 pub struct Servers {
@@ -418,7 +420,16 @@
                 link.active = None;
                 let (endpoint, sent) = (link.endpoint, link.sent_at);
                 let ending = AttemptResult::Answered { status, turned_away };
-                return Some(EndedAttempt { endpoint, sent, carried, ending, answer: Some(frame), long });
+                let answer = Some(frame);
+                return Some(EndedAttempt {
+                    endpoint,
+                    sent,
+                    carried,
+                    ending,
+                    answer,
+                    long,
+                    partial_response: 0,
+                });
             }
             Err(_) => AttemptResult::InvalidResponse,
             Ok(_) if ended || read.is_err() || written.is_err() => AttemptResult::Broken { request_sent },
@@ -434,6 +445,7 @@
     fn end(&mut self, key: Key, ending: AttemptResult, turn: &mut Turn) -> Option<EndedAttempt> {
         let link = self.links.get_mut(key)?;
         let (carried, endpoint, sent) = (link.active.take(), link.endpoint, link.sent_at);
+        let partial_response = link.connection.input.len();
         if matches!(
             ending,
             AttemptResult::ConnectFailed | AttemptResult::Broken { .. } | AttemptResult::InvalidResponse
@@ -441,7 +453,8 @@
             log::debug!("connection to {}: {ending:?}", link.to);
         }
         self.close(key, turn);
-        Some(EndedAttempt { endpoint, sent, carried: carried?, ending, answer: None, long: None })
+        let carried = carried?;
+        Some(EndedAttempt { endpoint, sent, carried, ending, answer: None, long: None, partial_response })
     }
 
     /// The head and the body of a received response.
--- a/crates/sidecar/src/sidecar/requests.rs
+++ b/crates/sidecar/src/sidecar/requests.rs
@@ -197,13 +197,13 @@
     /// error.
     pub(super) fn attempt_ended(&mut self, key: Key, ended: Option<EndedAttempt>) {
         let Some(ended) = ended else { return };
+        self.trace_end(&ended);
         let EndedAttempt { carried: ActiveAttempt { request, attempt, .. }, ending, answer, long, .. } =
             ended;
         if request == PROBE {
             return self.probe_ended(attempt, key, answer, long.is_some());
         }
         let outcome = ending.outcome();
-        self.trace_end(request, attempt, ended.endpoint, ending, ended.sent);
         self.record_attempt(request, ended.endpoint, ended.sent, outcome);
         let (mut closed, mut streaming) = (true, false);
         if let Some(r) = self.request(request) {
@@ -429,21 +429,27 @@
         }
     }
 
-    /// Counts and logs the end of an attempt.
-    fn trace_end(
-        &mut self,
-        request: usize,
-        attempt: usize,
-        endpoint: usize,
-        ending: AttemptResult,
-        sent: Moment,
-    ) {
-        self.record_outcome(request, ending);
+    /// Counts and logs the end of a request's attempt.
+    fn trace_end(&mut self, ended: &EndedAttempt) {
+        let ActiveAttempt { request, attempt, .. } = ended.carried;
+        if request == PROBE {
+            return;
+        }
+        self.record_outcome(request, ended.ending);
+        if ended.partial_response > 0 {
+            self.metrics.count_partial_response(ended.ending.outcome());
+        }
         if log::log_enabled!(log::Level::Debug) {
             let id = self.request(request).map_or("", |r| &r.id).to_string();
-            let took = self.turn.now.since(sent).secs() * 1e3;
-            let name = self.endpoints.name(endpoint);
-            log::debug!("request {id}: attempt {attempt} at {name} ended after {took:.0} ms: {ending:?}");
+            let took = self.turn.now.since(ended.sent).secs() * 1e3;
+            let (name, ending) = (self.endpoints.name(ended.endpoint), ended.ending);
+            let partial = match ended.partial_response {
+                0 => String::new(),
+                bytes => format!(", with {bytes} bytes of a response"),
+            };
+            log::debug!(
+                "request {id}: attempt {attempt} at {name} ended after {took:.0} ms: {ending:?}{partial}"
+            );
         }
     }
 
--- a/crates/sidecar/tests/trace.rs
+++ b/crates/sidecar/tests/trace.rs
@@ -53,6 +53,25 @@
     assert_eq!(here.iter().sum::<u64>(), 1);
 }
 
+/// Guards against an attempt that was cut off in the middle of its response looking like one that got none.
+#[test]
+fn an_attempt_that_ends_with_part_of_a_response_is_logged_and_counted() {
+    let partial = Endpoint::start(|_| {
+        Some("HTTP/1.1 200 OK\r\nContent-Length: 40\r\nX-Then: close\r\n\r\nhalf a menu".to_string())
+    });
+    let (sidecar, _watch) = traced(&[&partial]);
+    assert_ne!(asks(&sidecar, "abc8"), "200");
+    let logged = || sidecar.logged("request abc8: attempt 0 at e0 ended");
+    wait_until("its end is logged", || !logged().is_empty());
+    assert!(
+        logged()[0].contains("Broken { request_sent: true }, with 65 bytes of a response"),
+        "{:?}",
+        logged()
+    );
+    assert!(sidecar.metric("sidecar_partial_responses{outcome=\"reset\"}") >= 1);
+    assert_eq!(sidecar.metric("sidecar_partial_responses{outcome=\"timeout\"}"), 0);
+}
+
 #[test]
 fn a_retry_is_counted_by_what_it_follows() {
     let (broken, good) = (Endpoint::start(|_| None), Endpoint::start(|_| ok("menu")));
