Pass on responses of unknown length that pause, by a timer

Callers saw: an order whose endpoint sent the head and 20 kB of a chunked response at once and the rest 3.5 s later got nothing for 3 s and then 502, though it had run and its endpoint still sent. Responses delimited by the close were lost in the same way. Cause: Servers::ready buffers a response of unknown length until it is whole, over 64 KiB, or found older than MAX_BUFFERING. That age was looked at only when more of the response arrived. An endpoint that pauses raises no event, so the response was held back for the whole pause, and its attempt's timeout, which is meant for an endpoint that has not answered, closed the connection. Excluded: the balancer giving up first (it would read Cancelled), the client's side and the parser (the same bytes pass when a further chunk comes within the time). Change: buffering has a deadline of its own, MAX_STALLED_BUFFERING (1.2 s, under the 2 s that operators allow), and an attempt whose response is buffered never times out: at its deadline the response is streamed. A response whose connection has ended or failed is not begun, so another endpoint may answer, as before. A deadline of the attempt is dropped when its response begins, as it would have aborted the stream. Why it works: whatever the endpoint does, one of the two deadlines comes within 1.2 s of the first part of the response, and both begin to stream it.

--- a/crates/sidecar/src/net/servers.rs
+++ b/crates/sidecar/src/net/servers.rs
@@ -24,6 +24,13 @@
 const STRAY_BYTES_MEMORY: Span = Span::from_millis(60_000);
 /// How long a response of unknown length is buffered while more of it arrives, before it is streamed.
 const MAX_BUFFERING: Span = Span::from_millis(500);
+/// How long such a response is buffered if nothing more of it arrives. It may have broken off, and until it is streamed
+/// another endpoint may answer the request instead.
+const MAX_STALLED_BUFFERING: Span = Span::from_millis(1200);
+/// The operators' limit on how long part of a response that still arrives may be held back.
+const MAX_HELD_BACK: Span = Span::from_millis(2000);
+const _: () = assert!(MAX_BUFFERING.nanos() < MAX_STALLED_BUFFERING.nanos());
+const _: () = assert!(MAX_STALLED_BUFFERING.nanos() < MAX_HELD_BACK.nanos());
 /// How long an endpoint may send nothing of a streamed response, or read nothing of a streamed request: peers can pause for
 /// seconds, and a message that still makes progress must not be cut off.
 const STREAM_TIMEOUT: Span = Span::from_millis(10_000);
@@ -94,10 +101,12 @@
         u64::from(newly)
     }
 
-    /// The deadline for its attempt. Danger: a request's deadlines run from its last byte, so while its body is streamed
-    /// only a stall ends the attempt.
+    /// The deadline for its attempt, or for buffering its response if that is earlier. Danger: a request's deadlines run
+    /// from its last byte, so while its body is streamed only a stall ends the attempt.
     fn deadline_for(&self, give_up: Moment, now: Moment) -> Moment {
-        if self.streamed_body.is_some() { now + STREAM_TIMEOUT } else { give_up }
+        let attempt_deadline = if self.streamed_body.is_some() { now + STREAM_TIMEOUT } else { give_up };
+        let buffering_deadline = self.buffered_since.map(|since| since + MAX_STALLED_BUFFERING);
+        buffering_deadline.map_or(attempt_deadline, |deadline| deadline.min(attempt_deadline))
     }
 
     /// The result of its attempt when the connect did not complete in time.
@@ -120,6 +129,13 @@
     }
 }
 
+/// Whether a response of unknown length may be buffered any longer.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Buffering {
+    Allowed,
+    Over,
+}
+
 /// How an attempt ended, and its response if there is one, which is still in its connection's buffer.
 pub struct EndedAttempt {
     /// Its endpoint, and when it was sent: for a streamed request, when its last byte was.
@@ -391,14 +407,23 @@
             let until = link.deadline_for(carried.give_up, turn.now);
             turn.deadlines.reschedule(Due::Server(key), &mut link.deadline, Some(until));
         }
+        self.read_response(key, Buffering::Allowed, turn)
+    }
+
+    /// Writes what is left of a connection's attempt, and reads its response. Returns how the attempt ended, if it has.
+    fn read_response(&mut self, key: Key, buffering: Buffering, turn: &mut Turn) -> Option<EndedAttempt> {
+        let link = self.links.get_mut(key)?;
+        let carried = link.active?;
         let written = link.connection.flush();
         let request_sent = link.is_sent();
         self.sent_attempts += link.count_if_sent();
         let read = link.connection.fill(http::MAX_MESSAGE_BYTES);
         let ended = link.connection.ended;
-        // Danger: a slow response of unknown length would be held back until it fills the buffer. One that has stalled is
-        // still waited for: it may be broken, and another endpoint may answer the request instead.
-        let late = link.buffered_since.is_some_and(|since| turn.now.since(since) >= MAX_BUFFERING);
+        // Danger: a slow response of unknown length would be held back until it fills the buffer. One that can no longer
+        // arrive whole is not begun: another endpoint may answer the request instead.
+        let buffered_for = link.buffered_since.map_or(Span::ZERO, |since| turn.now.since(since));
+        let buffering_over = buffering == Buffering::Over || buffered_for >= MAX_BUFFERING;
+        let late = buffering_over && !ended && read.is_ok();
         // Bytes read before the connection broke are still used.
         let ending = match http::response(&mut link.connection.input, ended, late) {
             // Danger: a reset does not complete a response that is delimited by the close, and once the response to the
@@ -418,6 +443,8 @@
                     _ => return None,
                 };
                 link.active = None;
+                // Danger: a deadline of the attempt would abort the response that is now streamed.
+                turn.deadlines.reschedule(Due::Server(key), &mut link.deadline, None);
                 let (endpoint, sent) = (link.endpoint, link.sent_at);
                 let ending = AttemptResult::Answered { status, turned_away };
                 let answer = Some(frame);
@@ -435,6 +462,8 @@
             Ok(_) if ended || read.is_err() || written.is_err() => AttemptResult::Broken { request_sent },
             Ok((ReadState::PartialBody { open: true }, ..)) => {
                 link.buffered_since.get_or_insert(turn.now);
+                let until = link.deadline_for(carried.give_up, turn.now);
+                turn.deadlines.reschedule(Due::Server(key), &mut link.deadline, Some(until));
                 return None;
             }
             Ok(_) => return None,
@@ -592,7 +621,8 @@
         self.end(key, AttemptResult::Cancelled { request_sent }, turn)
     }
 
-    /// Handles a connection whose deadline has passed: its connect, its attempt or its idle time has timed out.
+    /// Handles a connection whose deadline has passed: its connect, its attempt, the buffering of its response or its idle
+    /// time has timed out.
     pub fn timed_out(&mut self, key: Key, turn: &mut Turn) -> Option<EndedAttempt> {
         let link = self.links.get_mut(key)?;
         link.deadline = None;
@@ -600,6 +630,11 @@
             self.close(key, turn);
             return None;
         };
+        // Danger: an endpoint that pauses in its response raises no event, and a response that has begun in time must
+        // not be cut off while its endpoint still sends.
+        if link.buffered_since.is_some() {
+            return self.read_response(key, Buffering::Over, turn);
+        }
         let ending = match link.up {
             true => AttemptResult::TimedOut { request_sent: link.is_sent() },
             false => link.connect_result(carried, turn.now),
--- a/crates/sidecar/tests/daily/long.rs
+++ b/crates/sidecar/tests/daily/long.rs
@@ -3,69 +3,15 @@
 use std::cell::Cell;
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::LazyLock;
 use std::sync::mpsc::{Receiver, channel};
 use std::time::{Duration, Instant};
 
+use crate::messages::{LONG, body, connect, head, raw, unchunked};
 use crate::stand_ins::{
     Client, Endpoint, Sidecar, configuration, connections, entry, list_of, ok, start_discovery,
     tcp_table_rows, wait_until, wait_until_or, with_admin_endpoint,
 };
 
-const LONG: usize = 32_000_000;
-
-/// An endpoint that runs the given function on each connection.
-fn raw(serve: impl Fn(TcpStream) + Send + Clone + 'static) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let at = listener.local_addr().unwrap();
-    std::thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            let serve = serve.clone();
-            std::thread::spawn(move || serve(stream));
-        }
-    });
-    at
-}
-
-/// Reads up to the end of a head.
-fn head(stream: &mut TcpStream) -> String {
-    let (mut head, mut byte) = (Vec::new(), [0]);
-    while !head.ends_with(b"\r\n\r\n") && stream.read(&mut byte).unwrap_or(0) > 0 {
-        head.push(byte[0]);
-    }
-    String::from_utf8(head).unwrap()
-}
-
-/// Created once. Danger: created for each use in a slow build on a busy machine, it would make the other side time
-/// out.
-static BODY: LazyLock<Vec<u8>> =
-    LazyLock::new(|| (0..251).map(|at| (at * 31 % 251) as u8).collect::<Vec<_>>().repeat(LONG / 251 + 1));
-
-fn body(bytes: usize) -> &'static [u8] {
-    &BODY[..bytes]
-}
-
-/// Decodes a chunked body; also whether it is complete.
-fn unchunked(mut bytes: &[u8]) -> (Vec<u8>, bool) {
-    let mut data = Vec::new();
-    while let Some(end) = bytes.windows(2).position(|pair| pair == b"\r\n") {
-        let size = usize::from_str_radix(std::str::from_utf8(&bytes[..end]).unwrap(), 16).unwrap();
-        bytes = &bytes[end + 2..];
-        if size == 0 {
-            return (data, bytes == b"\r\n");
-        }
-        data.extend_from_slice(&bytes[..size.min(bytes.len())]);
-        bytes = bytes.get(size + 2..).unwrap_or_default();
-    }
-    (data, false)
-}
-
-fn connect(sidecar: &Sidecar) -> TcpStream {
-    let stream = TcpStream::connect(sidecar.at).unwrap();
-    stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
-    stream
-}
-
 const VIEW: &[u8] = b"GET /view/1 HTTP/1.1\r\nX-Txn: 7a01\r\nConnection: close\r\n\r\n";
 
 #[test]
--- a/crates/sidecar/tests/daily/main.rs
+++ b/crates/sidecar/tests/daily/main.rs
@@ -1,7 +1,9 @@
 //! Daily operation: one file for each area.
 
 mod long;
+mod messages;
 mod operator;
+mod pauses;
 mod settings;
 mod upgrade;
 
--- /dev/null
+++ b/crates/sidecar/tests/daily/pauses.rs
@@ -0,0 +1,189 @@
+//! Responses of unknown length that pause: endpoints may take seconds between two pieces of a long response, and what they
+//! still send must not be held back or cut off.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+use crate::messages::{body, connect, head, raw, unchunked};
+use crate::stand_ins::{Sidecar, ok};
+
+/// The length of a response's body, more than is ever buffered as a whole; and of its first piece.
+const RESPONSE: usize = 120_000;
+const FIRST_PIECE: usize = 20_000;
+/// How long an endpoint pauses: past the deadline of 3 s that the client's request has.
+const PAUSE: Duration = Duration::from_millis(3500);
+/// The operators' limit on how long the first part of a response may be held back.
+const MAX_HOLD: Duration = Duration::from_secs(2);
+
+/// The body of each request.
+const ORDER: &str = "soup";
+
+const CHUNKED: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+const UNTIL_CLOSE: &str = "HTTP/1.1 200 OK\r\nX-Ends: with the connection\r\n\r\n";
+
+/// Where an endpoint pauses in its response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Form {
+    /// Between two chunks.
+    Chunks,
+    /// In the data of a chunk.
+    WithinChunk,
+    /// In the size line of the second chunk.
+    WithinSizeLine,
+    /// After the head of a chunked response.
+    HeadAlone,
+    /// Between two chunks of a response behind an interim one.
+    BehindInterim,
+    /// In a body that is delimited by the connection's close.
+    UntilClose,
+    /// After the head of such a response.
+    HeadUntilClose,
+}
+
+impl Form {
+    const ALL: [Form; 7] = [
+        Form::Chunks,
+        Form::WithinChunk,
+        Form::WithinSizeLine,
+        Form::HeadAlone,
+        Form::BehindInterim,
+        Form::UntilClose,
+        Form::HeadUntilClose,
+    ];
+
+    /// The bytes of the response before its pause and after it.
+    fn parts(self) -> (Vec<u8>, Vec<u8>) {
+        let chunk = |data: &[u8]| [format!("{:x}\r\n", data.len()).as_bytes(), data, b"\r\n"].concat();
+        let (first, rest) = body(RESPONSE).split_at(FIRST_PIECE);
+        let last = b"0\r\n\r\n";
+        let chunks = [CHUNKED.as_bytes(), &chunk(first), &chunk(rest), last].concat();
+        let between = CHUNKED.len() + chunk(first).len();
+        // Small chunks, as the size line of a large one says at once that the response is long.
+        let small: Vec<u8> = body(RESPONSE).chunks(30_000).flat_map(chunk).collect();
+        let small = [CHUNKED.as_bytes(), &small, last].concat();
+        let until_close = [UNTIL_CLOSE.as_bytes(), body(RESPONSE)].concat();
+        let (bytes, pause_at) = match self {
+            Form::Chunks => (chunks, between),
+            Form::WithinChunk => (small, CHUNKED.len() + FIRST_PIECE),
+            Form::WithinSizeLine => (chunks, between + 2),
+            Form::HeadAlone => (chunks, CHUNKED.len()),
+            Form::BehindInterim => {
+                let interim = b"HTTP/1.1 100 Continue\r\n\r\n";
+                ([interim.as_slice(), &chunks].concat(), interim.len() + between)
+            }
+            Form::UntilClose => (until_close, UNTIL_CLOSE.len() + FIRST_PIECE),
+            Form::HeadUntilClose => (until_close, UNTIL_CLOSE.len()),
+        };
+        (bytes[..pause_at].to_vec(), bytes[pause_at..].to_vec())
+    }
+}
+
+/// An endpoint that sends a response in this form to each request: its first part after `delay`, the rest after a pause.
+fn pausing_endpoint(form: Form, delay: Duration) -> SocketAddr {
+    let (first, rest) = form.parts();
+    raw(move |mut stream| {
+        head(&mut stream);
+        // Danger: a close over unread bytes would reset the connection, and a reset does not end a response.
+        stream.read_exact(&mut [0; ORDER.len()]).unwrap();
+        std::thread::sleep(delay);
+        stream.write_all(&first).unwrap();
+        std::thread::sleep(PAUSE);
+        // Fails if the sidecar has cut it off; the client's side of the test reports that.
+        let _ = stream.write_all(&rest);
+    })
+}
+
+/// What a client got.
+struct Received {
+    head: String,
+    /// When the head had arrived, from the request on.
+    began: Duration,
+    data: Vec<u8>,
+    whole: bool,
+}
+
+impl Received {
+    fn assert_whole(&self, case: &str) {
+        assert!(self.head.starts_with("HTTP/1.1 200 "), "{case}: {}", self.head);
+        assert!(self.whole && self.data == body(RESPONSE), "{case}: {} bytes", self.data.len());
+    }
+}
+
+/// Sends a keyed order, which is tried at one endpoint only.
+fn send_order(sidecar: &Sidecar) -> TcpStream {
+    let mut client = connect(sidecar);
+    let order = "POST /order/1 HTTP/1.1\r\nX-Txn: 7a03\r\nIdempotency-Key: 5\r\n";
+    write!(client, "{order}Connection: close\r\nContent-Length: {}\r\n\r\n{ORDER}", ORDER.len()).unwrap();
+    client
+}
+
+fn receive(mut client: TcpStream) -> Received {
+    let sent = Instant::now();
+    let head = head(&mut client);
+    let began = sent.elapsed();
+    let mut bytes = Vec::new();
+    let _ = client.read_to_end(&mut bytes);
+    let (data, whole) = unchunked(&bytes);
+    Received { head, began, data, whole }
+}
+
+/// Runs a check for all forms at the same time, as each takes seconds.
+fn for_all_forms(check: impl Fn(Form) + Sync) {
+    std::thread::scope(|scope| {
+        for form in Form::ALL {
+            let check = &check;
+            scope.spawn(move || check(form));
+        }
+    });
+}
+
+/// Guards against a response of unknown length being held back for as long as its endpoint pauses, and then cut off.
+#[test]
+fn a_response_that_pauses_is_passed_on_and_not_cut_off() {
+    for_all_forms(|form| {
+        let sidecar = Sidecar::start_with_endpoints(&[pausing_endpoint(form, Duration::ZERO)]);
+        let received = receive(send_order(&sidecar));
+        received.assert_whole(&format!("{form:?}"));
+        assert!(received.began < MAX_HOLD, "{form:?}: {:?}", received.began);
+    });
+}
+
+/// Guards against a response that began in time being cut off at its deadline, because it is still held back then.
+#[test]
+fn a_response_that_begins_just_before_its_deadline_is_not_cut_off() {
+    for_all_forms(|form| {
+        let sidecar = Sidecar::start_with_endpoints(&[pausing_endpoint(form, Duration::from_millis(2600))]);
+        receive(send_order(&sidecar)).assert_whole(&format!("{form:?}"));
+    });
+}
+
+/// Guards against a response that pauses being abandoned for a retry at the next endpoint, where it pauses as well.
+#[test]
+fn a_response_that_pauses_is_not_abandoned_for_a_retry() {
+    let (tell, requests) = std::sync::mpsc::channel();
+    let (first, rest) = Form::Chunks.parts();
+    let endpoint = move |mut stream: TcpStream| {
+        let request = head(&mut stream);
+        if request.starts_with("GET /view/quick ") {
+            return stream.write_all(ok("menu").unwrap().as_bytes()).unwrap();
+        }
+        tell.send(request).unwrap();
+        stream.write_all(&first).unwrap();
+        std::thread::sleep(PAUSE);
+        let _ = stream.write_all(&rest);
+    };
+    let sidecar = Sidecar::start_with_endpoints(&[raw(endpoint.clone()), raw(endpoint)]);
+    let view = |path: &str| {
+        let mut client = connect(&sidecar);
+        let id = client.local_addr().unwrap().port();
+        write!(client, "GET /view/{path} HTTP/1.1\r\nX-Txn: {id}\r\nConnection: close\r\n\r\n").unwrap();
+        client
+    };
+    // Attempts time out early for a retry once the usual latency is known and the retry budget is half full.
+    for _ in 0..30 {
+        assert!(head(&mut view("quick")).starts_with("HTTP/1.1 200 "));
+    }
+    receive(view("slow")).assert_whole("retryable");
+    assert_eq!(requests.try_iter().count(), 1);
+}
