The balancer does not give up an attempt whose response has begun

Callers saw: 502 at the latency budget for a request whose response was arriving, where its endpoint had turned requests away or failed late within the last 10 s. Cause: to such an endpoint the balancer gives an attempt the client's whole deadline and cancels it itself at the latency budget (cancel_when_late). It did not know that part of a response was buffered in the sidecar, so the cancel cut it off, however recently it had begun. The end of an attempt to free a reply slot (RepliesFull) had the same gap. Change: Balancer::response_begun, reported by the sidecar when it begins to buffer a response. It ends cancel_when_late for the attempt in flight and exempts the request from RepliesFull; the next attempt of the request starts without it. All else is as before: a response that breaks off is an outcome, and is retried or given up. Why it works: the sidecar ends the buffering 1.2 s after its start or at the attempt's deadline, so a response that has begun always ends in one of two ways that the balancer hears of. Not taken: Balancer::streaming, after which the balancer decides nothing more; a response that broke off while buffered would get no final answer.

--- a/crates/sidecar/src/net/servers.rs
+++ b/crates/sidecar/src/net/servers.rs
@@ -609,6 +609,12 @@
         link.active.map(|carried| carried.request)
     }
 
+    /// The request whose response is being buffered on this connection.
+    pub fn buffering_response_to(&self, key: Key) -> Option<usize> {
+        let link = self.links.get(key).filter(|link| link.buffered_since.is_some())?;
+        link.active.map(|carried| carried.request).filter(|request| *request != PROBE)
+    }
+
     /// Whether a connection is not up yet, so that nothing of its attempt has been written.
     pub fn is_connecting(&self, key: Key) -> bool {
         self.links.get(key).is_some_and(|link| !link.up)
--- a/crates/sidecar/src/shadow.rs
+++ b/crates/sidecar/src/shadow.rs
@@ -98,6 +98,10 @@
         self.for_both(|balancer| balancer.partly_forwarded(now, request));
     }
 
+    pub fn response_begun(&mut self, request: usize) {
+        self.for_both(|balancer| balancer.response_begun(request));
+    }
+
     /// Applies other terms; `places` are the indices of new or changed methods.
     pub fn update_terms(
         &mut self,
--- a/crates/sidecar/src/sidecar/requests.rs
+++ b/crates/sidecar/src/sidecar/requests.rs
@@ -95,6 +95,9 @@
         }
         let ended = self.servers.ready(key, &mut self.turn);
         self.attempt_ended(key, ended);
+        if let Some(request) = self.servers.buffering_response_to(key) {
+            self.balancer.response_begun(request);
+        }
         let request = self.servers.request_awaiting_body(key);
         if let Some(client) =
             request.and_then(|request| self.request(request)).and_then(|request| request.client)
--- a/crates/sidecar/tests/daily/pauses.rs
+++ b/crates/sidecar/tests/daily/pauses.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use crate::messages::{body, connect, head, raw, unchunked};
-use crate::stand_ins::{Sidecar, ok};
+use crate::stand_ins::{Sidecar, configuration, entry, list_of, ok, start_discovery, with_admin_endpoint};
 
 /// The length of a response's body, more than is ever buffered as a whole; and of its first piece.
 const RESPONSE: usize = 120_000;
@@ -22,6 +22,9 @@
 const CHUNKED: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 const UNTIL_CLOSE: &str = "HTTP/1.1 200 OK\r\nX-Ends: with the connection\r\n\r\n";
 
+const TURNED_AWAY: &[u8] =
+    b"HTTP/1.1 503 Service Unavailable\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+
 /// Where an endpoint pauses in its response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Form {
@@ -80,12 +83,16 @@
 }
 
 /// An endpoint that sends a response in this form to each request: its first part after `delay`, the rest after a pause.
+/// It turns away requests for `/order/turned-away`.
 fn pausing_endpoint(form: Form, delay: Duration) -> SocketAddr {
     let (first, rest) = form.parts();
     raw(move |mut stream| {
-        head(&mut stream);
+        let request = head(&mut stream);
         // Danger: a close over unread bytes would reset the connection, and a reset does not end a response.
         stream.read_exact(&mut [0; ORDER.len()]).unwrap();
+        if request.starts_with("POST /order/turned-away ") {
+            return stream.write_all(TURNED_AWAY).unwrap();
+        }
         std::thread::sleep(delay);
         stream.write_all(&first).unwrap();
         std::thread::sleep(PAUSE);
@@ -112,8 +119,13 @@
 
 /// Sends a keyed order, which is tried at one endpoint only.
 fn send_order(sidecar: &Sidecar) -> TcpStream {
+    send_order_to(sidecar, "/order/1")
+}
+
+fn send_order_to(sidecar: &Sidecar, path: &str) -> TcpStream {
     let mut client = connect(sidecar);
-    let order = "POST /order/1 HTTP/1.1\r\nX-Txn: 7a03\r\nIdempotency-Key: 5\r\n";
+    let id = client.local_addr().unwrap().port();
+    let order = format!("POST {path} HTTP/1.1\r\nX-Txn: {id}\r\nIdempotency-Key: {id}\r\n");
     write!(client, "{order}Connection: close\r\nContent-Length: {}\r\n\r\n{ORDER}", ORDER.len()).unwrap();
     client
 }
@@ -187,3 +199,27 @@
     receive(view("slow")).assert_whole("retryable");
     assert_eq!(requests.try_iter().count(), 1);
 }
+
+/// A sidecar with one endpoint, whose deadlines and latency budgets are replaced by these, in milliseconds.
+fn start_with_times(at: SocketAddr, deadline_ms: u64, budget_ms: u64) -> Sidecar {
+    let text = configuration(start_discovery().0, 1024, &list_of(1, true, &[entry("e0", at, 0, "up")]));
+    let text = text.replace("\"deadlineNs\":3000000000", &format!("\"deadlineNs\":{deadline_ms}000000"));
+    let text =
+        text.replace("\"latencyBudgetNs\":2000000000", &format!("\"latencyBudgetNs\":{budget_ms}000000"));
+    Sidecar::start(&with_admin_endpoint(
+        &text.replace("\"overdueCriticality\":0.5", "\"overdueCriticality\":0.0"),
+    ))
+}
+
+/// Guards against the balancer giving up a request whose response has begun in time: after an endpoint has turned requests
+/// away its attempts are given the client's whole deadline, and the balancer cancels them at the latency budget.
+#[test]
+fn a_response_that_has_begun_is_not_given_up_by_the_balancer() {
+    for_all_forms(|form| {
+        let endpoint = pausing_endpoint(form, Duration::from_millis(3200));
+        let sidecar = start_with_times(endpoint, 10_000, 4000);
+        assert!(head(&mut send_order_to(&sidecar, "/order/turned-away")).starts_with("HTTP/1.1 503 "));
+        receive(send_order(&sidecar)).assert_whole(&format!("{form:?}"));
+        assert_eq!(sidecar.metric("sidecar_answered_here{reason=\"time_over\"}"), 0, "{form:?}");
+    });
+}
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -424,7 +424,7 @@
                 (a.client_reading, e.client_reading) = (true, true);
                 e.in_flight -= 1;
             }
-            if a.client_reading && !r.closed {
+            if a.client_reading && !r.closed && !r.response_begun {
                 reading.push((age, at));
             }
         }
@@ -579,6 +579,14 @@
         }
     }
 
+    /// Part of the response to the request's attempt in flight has arrived. Until the attempt's own deadline, by which the
+    /// host passes the response on or reports how the attempt failed, the attempt is not given up: that would cut off a
+    /// response that came in time.
+    pub fn response_begun(&mut self, request: usize) {
+        let Some(Some(r)) = self.requests.get_mut(request) else { return };
+        (r.response_begun, r.cancel_when_late) = (true, false);
+    }
+
     pub fn streaming(&mut self, request: usize) {
         self.requests.get_mut(request).into_iter().flatten().for_each(|r| r.streaming = true);
     }
@@ -729,6 +737,7 @@
         let r = self.requests[request].as_mut().expect("only open requests are sent");
         r.attempts.push(Attempt { endpoint, sent: now, ended: None, client_reading: false, load_deviation });
         r.probed.clear();
+        r.response_begun = false;
         let mut give_up = self.attempt_deadline(now, request);
         let r = self.requests[request].as_mut().expect("looked up above");
         let e = self.endpoints[endpoint].as_mut().expect("only known endpoints are drawn");
--- a/src/known.rs
+++ b/src/known.rs
@@ -33,6 +33,8 @@
     pub admitted: bool,
     pub streaming: bool,
     pub closed: bool,
+    /// Part of the response to its attempt in flight has arrived.
+    pub response_begun: bool,
     /// The last attempt's deadline lies past the time at which its answer is useful; it is cancelled at that time.
     pub cancel_when_late: bool,
     /// Endpoints whose load it waits for, and until when it waits.
