A shutdown passes on responses that have begun, in place of 502

Callers saw: 502 for a request whose response was arriving, where the process was told to end and the request's deadline was longer than the shutdown's own limit (3 s and 0.4 s). Cause: when its time for answers is over, advance_shutdown answers every open request with 502. A response of unknown length that was being buffered counted as none, however recently it had begun; one of known length over 64 KiB passes and has 30 s. Change: at that time the responses that are being buffered are streamed first; then the rest is answered as before. The process stays while they pass, as for any streamed response. Why it works: the check of a shutdown's end already waits for streamed responses (SHUTDOWN_STREAMING), and the end of buffering either begins the stream or finds that the connection has broken off. Limit: a supervisor that kills the process sooner cuts such a response off in the middle, as it does with all streamed ones; its client can tell.

--- a/crates/sidecar/src/net/servers.rs
+++ b/crates/sidecar/src/net/servers.rs
@@ -615,6 +615,17 @@
         link.active.map(|carried| carried.request).filter(|request| *request != PROBE)
     }
 
+    /// The connections on which responses to requests are being buffered.
+    pub fn buffering(&self) -> Vec<Key> {
+        let keys = self.links.iter().map(|(key, _)| key);
+        keys.filter(|key| self.buffering_response_to(*key).is_some()).collect()
+    }
+
+    /// Ends the buffering of a response: it is streamed from here on, unless it has broken off.
+    pub fn end_buffering(&mut self, key: Key, turn: &mut Turn) -> Option<EndedAttempt> {
+        self.read_response(key, Buffering::Over, turn)
+    }
+
     /// Whether a connection is not up yet, so that nothing of its attempt has been written.
     pub fn is_connecting(&self, key: Key) -> bool {
         self.links.get(key).is_some_and(|link| !link.up)
@@ -639,7 +650,7 @@
         // Danger: an endpoint that pauses in its response raises no event, and a response that has begun in time must
         // not be cut off while its endpoint still sends.
         if link.buffered_since.is_some() {
-            return self.read_response(key, Buffering::Over, turn);
+            return self.end_buffering(key, turn);
         }
         let ending = match link.up {
             true => AttemptResult::TimedOut { request_sent: link.is_sent() },
--- a/crates/sidecar/src/sidecar/process.rs
+++ b/crates/sidecar/src/sidecar/process.rs
@@ -327,6 +327,7 @@
         }
         if now >= until {
             self.clients_to_recheck.extend(self.clients.drain_now(&mut self.turn));
+            self.stream_buffered_responses();
             // Requests that arrived in this turn are decided first: a rejection invites the client to retry
             // elsewhere, a failure does not.
             self.run_decisions();
@@ -342,6 +343,15 @@
         }
     }
 
+    /// Begins to stream all responses that are being buffered. Danger: one that has begun in time would be cut off by an
+    /// answer of this process's own.
+    fn stream_buffered_responses(&mut self) {
+        for key in self.servers.buffering() {
+            let ended = self.servers.end_buffering(key, &mut self.turn);
+            self.attempt_ended(key, ended);
+        }
+    }
+
     /// Shares the outcomes of recent attempts with other processes at this address, and applies theirs.
     pub(super) fn share_recent_attempts(&mut self) {
         let now = self.turn.now;
--- a/crates/sidecar/tests/daily/pauses.rs
+++ b/crates/sidecar/tests/daily/pauses.rs
@@ -223,3 +223,18 @@
         assert_eq!(sidecar.metric("sidecar_answered_here{reason=\"time_over\"}"), 0, "{form:?}");
     });
 }
+
+/// Guards against a shutdown answering 502 to a request whose response has begun, though its endpoint still sends.
+#[test]
+fn a_response_that_has_begun_is_not_cut_off_by_a_shutdown() {
+    for_all_forms(|form| {
+        // A shutdown waits for 3.4 s at most before it answers what is open.
+        let endpoint = pausing_endpoint(form, Duration::from_millis(2700));
+        let mut sidecar = start_with_times(endpoint, 6000, 6000);
+        let client = send_order(&sidecar);
+        sidecar.wait_pending(1);
+        sidecar.signal("-TERM");
+        receive(client).assert_whole(&format!("{form:?}"));
+        assert!(sidecar.end().success(), "{form:?}");
+    });
+}
