A response that stalls for good counts against its endpoint

Cause: a streamed response counts as served with its first bytes, and how it ends was told to nobody. Since responses of unknown length that pause are passed on, an endpoint that hangs in the middle of every response would have turned from one that times out into one that serves, and kept a share of the requests. Nothing is reported where the client had not taken what was sent, or the endpoint still sent. The new test in daily/pauses.rs fails on the text before (the endpoint is never avoided), passes with it; its second half holds that a client that leaves a response that arrives says nothing of the endpoint.

--- a/crates/sidecar/src/net/connection.rs
+++ b/crates/sidecar/src/net/connection.rs
@@ -64,6 +64,8 @@
     stream: TcpStream,
     /// Bytes read and not consumed yet.
     pub input: Vec<u8>,
+    /// The number of bytes read since it was opened.
+    pub received: u64,
     unsent: Vec<u8>,
     sent: usize,
     /// The peer has closed its sending side.
@@ -109,6 +111,7 @@
         Ok(Connection {
             stream,
             input: Vec::new(),
+            received: 0,
             unsent: Vec::new(),
             sent: 0,
             ended: false,
@@ -153,7 +156,7 @@
             match read {
                 Ok(0) if self.broken => return Err(ErrorKind::ConnectionReset.into()),
                 Ok(0) => self.ended = true,
-                Ok(_) => {}
+                Ok(n) => self.received += n as u64,
                 Err(e) if e.kind() == ErrorKind::WouldBlock => break,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) => return Err(self.record_failure(e)),
--- a/crates/sidecar/src/net/servers.rs
+++ b/crates/sidecar/src/net/servers.rs
@@ -35,6 +35,9 @@
 /// seconds, and a message that still makes progress must not be cut off.
 const STREAM_TIMEOUT: Span = Span::from_millis(10_000);
 
+/// How long an endpoint has sent nothing of a streamed response when that counts against it, should the response end there.
+const MIN_STALL: Span = MAX_STALLED_BUFFERING;
+
 /// Used in place of a request's index for a probe; the endpoint's index then stands in place of the attempt's number.
 pub const PROBE: usize = usize::MAX;
 
@@ -64,6 +67,8 @@
     streamed_body: Option<Length>,
     /// Since when an incomplete response of unknown length has been buffered.
     buffered_since: Option<Moment>,
+    /// When the last bytes of a response arrived.
+    received_at: Moment,
     forwarding: Option<Forwarding>,
 }
 
@@ -109,6 +114,13 @@
         buffering_deadline.map_or(attempt_deadline, |deadline| deadline.min(attempt_deadline))
     }
 
+    /// Notes that bytes have arrived, if there are more than `received_before`.
+    fn note_received(&mut self, received_before: u64, now: Moment) {
+        if self.connection.received > received_before {
+            self.received_at = now;
+        }
+    }
+
     /// The result of its attempt when the connect did not complete in time.
     fn connect_result(&self, carried: ActiveAttempt, now: Moment) -> AttemptResult {
         if now >= carried.give_up {
@@ -364,6 +376,7 @@
                 sent_at: turn.now,
                 streamed_body,
                 buffered_since: None,
+                received_at: turn.now,
                 forwarding: None,
             })
         })
@@ -417,7 +430,9 @@
         let written = link.connection.flush();
         let request_sent = link.is_sent();
         self.sent_attempts += link.count_if_sent();
+        let received_before = link.connection.received;
         let read = link.connection.fill(http::MAX_MESSAGE_BYTES);
+        link.note_received(received_before, turn.now);
         let ended = link.connection.ended;
         // Danger: a slow response of unknown length would be held back until it fills the buffer. One that can no longer
         // arrive whole is not begun: another endpoint may answer the request instead.
@@ -570,13 +585,27 @@
     pub fn next_piece(&mut self, key: Key, turn: &mut Turn) -> Piece {
         let Some(link) = self.links.get_mut(key) else { return Piece::Truncated };
         let Some(forwarding) = &mut link.forwarding else { return Piece::Truncated };
+        let received_before = link.connection.received;
         let piece = forwarding.body.next(&mut link.connection, 0, true);
+        link.note_received(received_before, turn.now);
         if matches!(piece, Piece::Pending) {
             turn.deadlines.reschedule(Due::Server(key), &mut link.deadline, Some(turn.now + STREAM_TIMEOUT));
         }
         piece
     }
 
+    /// The endpoint and the method of a response that is being streamed, if its endpoint has sent nothing of it for
+    /// `MIN_STALL`, and its client waits for that endpoint.
+    pub fn stalled_response(&self, key: Key, now: Moment) -> Option<(usize, usize)> {
+        let link = self.links.get(key)?;
+        let method = link.forwarding.as_ref()?.method;
+        // The clock runs only while the client has taken all that was sent.
+        let endpoint_awaited = link.deadline.is_some() && now.since(link.received_at) >= MIN_STALL;
+        // Danger: the index may stand for another endpoint by now.
+        let same_endpoint = self.endpoints[link.endpoint].address == Some(link.to);
+        (endpoint_awaited && same_endpoint).then_some((link.endpoint, method))
+    }
+
     /// Stops the clock for the response while the client has not taken what was sent: the endpoint is not to blame.
     pub fn pause_timeout(&mut self, key: Key, turn: &mut Turn) {
         if let Some(link) = self.links.get_mut(key) {
--- a/crates/sidecar/src/shadow.rs
+++ b/crates/sidecar/src/shadow.rs
@@ -102,6 +102,10 @@
         self.for_both(|balancer| balancer.response_begun(request));
     }
 
+    pub fn response_stalled(&mut self, now: Moment, endpoint: usize, method: usize) {
+        self.for_both(|balancer| balancer.response_stalled(now, endpoint, method));
+    }
+
     /// Applies other terms; `places` are the indices of new or changed methods.
     pub fn update_terms(
         &mut self,
--- a/crates/sidecar/src/sidecar/requests.rs
+++ b/crates/sidecar/src/sidecar/requests.rs
@@ -31,7 +31,10 @@
             ClientEvent::InputPending => self.clients_to_recheck.push(key),
             ClientEvent::BodyReadable => self.forward_request(key),
             ClientEvent::ResponseSent { from } => self.forward_response(from),
-            ClientEvent::DisconnectedMidResponse { from } => self.servers.close(from, &mut self.turn),
+            ClientEvent::DisconnectedMidResponse { from } => {
+                self.report_stall(from);
+                self.servers.close(from, &mut self.turn);
+            }
             ClientEvent::BodyTimedOut { request } => {
                 self.answer_locally(request, 408, None, AnsweredHere::SlowRequest);
                 self.client_disconnected(request);
@@ -173,11 +176,21 @@
     pub(super) fn abort_response(&mut self, link: Key) {
         let Some((client, method, _)) = self.servers.forwarding_to(link) else { return };
         log::info!("a streamed response was aborted before its end");
+        self.report_stall(link);
         self.clients.end_response(client, false, &mut self.turn);
         self.servers.close(link, &mut self.turn);
         self.count_request(method, RequestEnd::Failed);
     }
 
+    /// Reports a streamed response that ends unfinished, if its endpoint has stopped sending. Danger: with its first bytes it
+    /// counted as served, and an endpoint that hangs in the middle of every response would keep its share of the requests.
+    fn report_stall(&mut self, link: Key) {
+        if let Some((endpoint, method)) = self.servers.stalled_response(link, self.turn.now) {
+            log::debug!("endpoint {}: a streamed response has stalled", self.endpoints.name(endpoint));
+            self.balancer.response_stalled(self.turn.now, endpoint, method);
+        }
+    }
+
     pub(super) fn count_request(&mut self, method: usize, end: RequestEnd) {
         self.metrics.count_request(&self.balancer.terms().methods[method].name, end);
         self.fleet.iter_mut().for_each(|fleet| fleet.count_request(end, false));
--- a/crates/sidecar/tests/daily/pauses.rs
+++ b/crates/sidecar/tests/daily/pauses.rs
@@ -6,7 +6,9 @@
 use std::time::{Duration, Instant};
 
 use crate::messages::{body, connect, head, raw, unchunked};
-use crate::stand_ins::{Sidecar, configuration, entry, list_of, ok, start_discovery, with_admin_endpoint};
+use crate::stand_ins::{
+    Sidecar, configuration, entry, list_of, ok, start_discovery, wait_until, with_admin_endpoint,
+};
 
 /// The length of a response's body, more than is ever buffered as a whole; and of its first piece.
 const RESPONSE: usize = 120_000;
@@ -238,3 +240,32 @@
         assert!(sidecar.end().success(), "{form:?}");
     });
 }
+
+/// Guards against an endpoint that hangs in the middle of its responses counting as one that serves, as the first parts of
+/// its responses are passed on.
+#[test]
+fn an_endpoint_that_hangs_in_the_middle_of_a_response_is_avoided() {
+    for hangs in [true, false] {
+        let endpoint = raw(move |mut stream| {
+            head(&mut stream);
+            stream.write_all(CHUNKED.as_bytes()).unwrap();
+            while stream.write_all(b"4\r\nmenu\r\n").is_ok() {
+                std::thread::sleep(if hangs { Duration::from_secs(60) } else { Duration::from_millis(50) });
+            }
+        });
+        let sidecar = start_with_times(endpoint, 3000, 2000);
+        let mut client = send_order(&sidecar);
+        assert!(head(&mut client).starts_with("HTTP/1.1 200 "));
+        // It has been passed on because it was buffered for long enough, so its endpoint has hung for as long.
+        drop(client);
+        let begun = Instant::now();
+        if hangs {
+            wait_until("it is avoided", || sidecar.metric("sidecar_members_unavailable") == 1);
+            continue;
+        }
+        // A client that leaves in the middle of a response that arrives says nothing about the endpoint.
+        while begun.elapsed() < Duration::from_millis(500) {
+            assert_eq!(sidecar.metric("sidecar_members_unavailable"), 0);
+        }
+    }
+}
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -587,6 +587,17 @@
         (r.response_begun, r.cancel_when_late) = (true, false);
     }
 
+    /// A response that counted as served with its first bytes has ended unfinished, because its endpoint stopped sending:
+    /// to the endpoint it counts as a timeout past the time up to which the answer was of use.
+    pub fn response_stalled(&mut self, now: Moment, endpoint: usize, method: usize) {
+        self.record_late_timeout(now, endpoint, method);
+    }
+
+    fn record_late_timeout(&mut self, now: Moment, endpoint: usize, method: usize) {
+        let report = AttemptReport { name_hash: 0, method, outcome: Outcome::Timeout, part: 1.0, load: None };
+        self.record_outcome(now, endpoint, report, Some(true));
+    }
+
     pub fn streaming(&mut self, request: usize) {
         self.requests.get_mut(request).into_iter().flatten().for_each(|r| r.streaming = true);
     }
@@ -691,9 +702,7 @@
         }
         let (method, key, nested) = (r.method, r.key, r.nested);
         if let Some(endpoint) = out {
-            let report =
-                AttemptReport { name_hash: 0, method, outcome: Outcome::Timeout, part: 1.0, load: None };
-            self.record_outcome(now, endpoint, report, Some(true));
+            self.record_late_timeout(now, endpoint, method);
         }
         // Danger: a batch of events may arrive after the deadline; a request whose answer is of no use is not sent.
         if over {
