--- a/crates/sidecar/src/net/servers.rs
+++ b/crates/sidecar/src/net/servers.rs
@@ -1,18 +1,21 @@
 //! Endpoint connections: a pool per endpoint, the attempts sent on them and the responses. A connection carries one
 //! attempt at a time.
 
+mod link;
+mod streams;
+
 use std::net::SocketAddr;
-use std::ops::Range;
 
 use appledyke::units::{Moment, Span};
 
 use super::Turn;
-use super::body::{Body, Piece};
+use super::body::Body;
 use super::connection::{self, AttemptResult, Connection};
 use super::deadlines::Due;
 use super::http::{self, Frame, Length, ReadState};
 use super::slots::{Key, Peer, Slots};
-use crate::metrics::RequestEnd;
+pub use link::{ActiveAttempt, PROBE};
+use link::{Link, MAX_BUFFERING};
 
 /// The share of the endpoints' idle timeout after which this side closes an idle connection, well before they do.
 const IDLE_TIMEOUT_SHARE: f64 = 0.75;
@@ -22,65 +25,6 @@
 /// reused, as opening another costs the endpoint work.
 const REUSE_DELAY: Span = Span::from_millis(4);
 const STRAY_BYTES_MEMORY: Span = Span::from_millis(60_000);
-/// How long a response of unknown length is buffered while more of it arrives, before it is streamed.
-const MAX_BUFFERING: Span = Span::from_millis(500);
-/// How long such a response is buffered if nothing more of it arrives. It may have broken off, and until it is streamed
-/// another endpoint may answer the request instead.
-const MAX_STALLED_BUFFERING: Span = Span::from_millis(1200);
-/// The operators' limit on how long part of a response that still arrives may be held back.
-const MAX_HELD_BACK: Span = Span::from_millis(2000);
-const _: () = assert!(MAX_BUFFERING.nanos() < MAX_STALLED_BUFFERING.nanos());
-const _: () = assert!(MAX_STALLED_BUFFERING.nanos() < MAX_HELD_BACK.nanos());
-/// How long an endpoint may send nothing of a streamed response, or read nothing of a streamed request: peers can pause for
-/// seconds, and a message that still makes progress must not be cut off.
-const STREAM_TIMEOUT: Span = Span::from_millis(10_000);
-
-/// How long an endpoint has sent nothing of a streamed response when that counts against it, should the response end there.
-const MIN_STALL: Span = MAX_STALLED_BUFFERING;
-
-/// Used in place of a request's index for a probe; the endpoint's index then stands in place of the attempt's number.
-pub const PROBE: usize = usize::MAX;
-
-/// The attempt that a connection carries.
-#[derive(Clone, Copy)]
-pub struct ActiveAttempt {
-    pub request: usize,
-    pub attempt: usize,
-    pub give_up: Moment,
-}
-
-struct Link {
-    connection: Connection,
-    endpoint: usize,
-    to: SocketAddr,
-    up: bool,
-    active: Option<ActiveAttempt>,
-    deadline: Option<Moment>,
-    /// The offset in the queued bytes at which the last line of the request head is inserted once the connection is up.
-    /// Danger: an attempt that stated the remaining time before its connect completed had its endpoint work for longer than
-    /// the client waits.
-    head_end: Option<usize>,
-    /// The attempt that it carries is counted as completely written.
-    counted: bool,
-    /// When that attempt started, and how the rest of its request's body is framed if it is streamed.
-    sent_at: Moment,
-    streamed_body: Option<Length>,
-    /// Since when an incomplete response of unknown length has been buffered.
-    buffered_since: Option<Moment>,
-    /// When the last bytes of a response arrived.
-    received_at: Moment,
-    forwarding: Option<Forwarding>,
-}
-
-/// A response that is being streamed to a client.
-struct Forwarding {
-    client: Key,
-    method: usize,
-    /// How the request is counted once the response is complete.
-    end: RequestEnd,
-    body: Body,
-    keep: bool,
-}
 
 /// A request as it is sent to an endpoint: its buffered body, or how the body still to be streamed is framed.
 #[derive(Clone, Copy)]
@@ -98,49 +42,6 @@
     idle: Vec<(Key, Moment)>,
 }
 
-impl Link {
-    /// Returns 1 the first time that the last byte of its attempt is found written, and 0 otherwise.
-    fn count_if_sent(&mut self) -> u64 {
-        let request = self.active.is_some_and(|carried| carried.request != PROBE);
-        let newly = request && self.is_sent() && !std::mem::replace(&mut self.counted, true);
-        u64::from(newly)
-    }
-
-    /// The deadline for its attempt, or for buffering its response if that is earlier. Danger: a request's deadlines run
-    /// from its last byte, so while its body is streamed only a stall ends the attempt.
-    fn deadline_for(&self, give_up: Moment, now: Moment) -> Moment {
-        let attempt_deadline = if self.streamed_body.is_some() { now + STREAM_TIMEOUT } else { give_up };
-        let buffering_deadline = self.buffered_since.map(|since| since + MAX_STALLED_BUFFERING);
-        buffering_deadline.map_or(attempt_deadline, |deadline| deadline.min(attempt_deadline))
-    }
-
-    /// Notes that bytes have arrived, if there are more than `received_before`.
-    fn note_received(&mut self, received_before: u64, now: Moment) {
-        if self.connection.received > received_before {
-            self.received_at = now;
-        }
-    }
-
-    /// The result of its attempt when the connect did not complete in time.
-    fn connect_result(&self, carried: ActiveAttempt, now: Moment) -> AttemptResult {
-        if now >= carried.give_up {
-            AttemptResult::TimedOut { request_sent: false }
-        } else {
-            AttemptResult::ConnectFailed
-        }
-    }
-
-    /// Whether the last byte of its attempt is written.
-    fn is_sent(&self) -> bool {
-        self.up && self.connection.all_sent() && self.streamed_body.is_none()
-    }
-
-    /// Whether the endpoint has neither closed it nor sent stray bytes on it.
-    fn still_idle(&mut self) -> bool {
-        self.connection.fill(1).is_ok() && !self.connection.ended && self.connection.input.is_empty()
-    }
-}
-
 /// Whether a response of unknown length may be buffered any longer.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Buffering {
@@ -519,142 +420,12 @@
         self.endpoints[link.endpoint].idle.push((key, turn.now));
     }
 
-    // Streamed requests.
-
-    /// The request whose body is still to be sent on this connection.
-    pub fn request_awaiting_body(&self, key: Key) -> Option<usize> {
-        let link = self.links.get(key).filter(|link| link.streamed_body.is_some())?;
-        link.active.map(|carried| carried.request)
-    }
-
-    /// Whether everything queued has been sent, and more of the request's body is to follow.
-    pub fn accepts_body(&self, key: Key) -> bool {
-        self.links
-            .get(key)
-            .is_some_and(|link| link.up && link.streamed_body.is_some() && link.connection.all_sent())
-    }
-
-    /// Sends more of a request's body, or its end. Returns how the attempt ended, if it has.
-    pub fn send_body(&mut self, key: Key, data: Option<&[u8]>, turn: &mut Turn) -> Option<EndedAttempt> {
-        let link = self.links.get_mut(key)?;
-        let (carried, streamed_body) = (link.active?, link.streamed_body?);
-        let (before, after) = http::chunk_framing(streamed_body, data);
-        if link.connection.send(&[before.as_bytes(), data.unwrap_or_default(), after]).is_err() {
-            return self.end(key, AttemptResult::Broken { request_sent: false }, turn);
-        }
-        let mut give_up = carried.give_up;
-        if data.is_none() {
-            // The time limit for the response runs from the last byte.
-            give_up = turn.now + carried.give_up.since(link.sent_at);
-            (link.streamed_body, link.active, link.sent_at) =
-                (None, Some(ActiveAttempt { give_up, ..carried }), turn.now);
-            self.sent_attempts += link.count_if_sent();
-        }
-        let until = link.deadline_for(give_up, turn.now);
-        turn.deadlines.reschedule(Due::Server(key), &mut link.deadline, Some(until));
-        None
-    }
-
-    // Streamed responses.
-
-    /// Begins to stream the rest of the response in this frame to a client.
-    pub fn begin_forwarding(
-        &mut self,
-        key: Key,
-        frame: Frame,
-        body: Body,
-        (client, method, end): (Key, usize, RequestEnd),
-    ) {
-        let Some(link) = self.links.get_mut(key) else { return };
-        link.connection.consume(frame.end);
-        link.forwarding = Some(Forwarding { client, method, end, body, keep: frame.keep });
-    }
-
-    /// The client that this connection's response is streamed to, the method of its request, and how that is counted.
-    pub fn forwarding_to(&self, key: Key) -> Option<(Key, usize, RequestEnd)> {
-        let forwarding = self.links.get(key)?.forwarding.as_ref()?;
-        Some((forwarding.client, forwarding.method, forwarding.end))
-    }
-
-    /// The methods of all responses that are being streamed.
-    pub fn forwarded_methods(&self) -> impl Iterator<Item = usize> {
-        self.links.iter().filter_map(|(_, link)| link.forwarding.as_ref().map(|forwarding| forwarding.method))
-    }
-
-    /// The next piece of the response that is being streamed.
-    pub fn next_piece(&mut self, key: Key, turn: &mut Turn) -> Piece {
-        let Some(link) = self.links.get_mut(key) else { return Piece::Truncated };
-        let Some(forwarding) = &mut link.forwarding else { return Piece::Truncated };
-        let received_before = link.connection.received;
-        let piece = forwarding.body.next(&mut link.connection, 0, true);
-        link.note_received(received_before, turn.now);
-        if matches!(piece, Piece::Pending) {
-            turn.deadlines.reschedule(Due::Server(key), &mut link.deadline, Some(turn.now + STREAM_TIMEOUT));
-        }
-        piece
-    }
-
-    /// The endpoint and the method of a response that is being streamed, if its endpoint has sent nothing of it for
-    /// `MIN_STALL`, and its client waits for that endpoint.
-    pub fn stalled_response(&self, key: Key, now: Moment) -> Option<(usize, usize)> {
-        let link = self.links.get(key)?;
-        let method = link.forwarding.as_ref()?.method;
-        // The clock runs only while the client has taken all that was sent.
-        let endpoint_awaited = link.deadline.is_some() && now.since(link.received_at) >= MIN_STALL;
-        // Danger: the index may stand for another endpoint by now.
-        let same_endpoint = self.endpoints[link.endpoint].address == Some(link.to);
-        (endpoint_awaited && same_endpoint).then_some((link.endpoint, method))
-    }
-
-    /// Stops the clock for the response while the client has not taken what was sent: the endpoint is not to blame.
-    pub fn pause_timeout(&mut self, key: Key, turn: &mut Turn) {
-        if let Some(link) = self.links.get_mut(key) {
-            turn.deadlines.reschedule(Due::Server(key), &mut link.deadline, None);
-        }
-    }
-
-    /// The bytes of a piece; `consume` drops them once they have been forwarded.
-    pub fn bytes(&self, key: Key, range: &Range<usize>) -> &[u8] {
-        self.links.get(key).map_or(&[], |link| &link.connection.input[range.clone()])
-    }
-
-    pub fn consume(&mut self, key: Key, bytes: usize) {
-        if let Some(link) = self.links.get_mut(key) {
-            link.connection.consume(bytes);
-        }
-    }
-
-    /// Ends a streamed response that is complete. Its connection may be reused.
-    pub fn end_forwarding(&mut self, key: Key, turn: &mut Turn) {
-        let Some(link) = self.links.get_mut(key) else { return };
-        let Some(forwarding) = link.forwarding.take() else { return };
-        let keep = forwarding.keep && !link.connection.ended;
-        self.release(key, Frame { head: 0, body: 0, end: 0, keep }, turn);
-    }
-
     /// The request that a connection carries, if its last byte is not written yet.
     pub fn unsent_request(&self, key: Key) -> Option<usize> {
         let link = self.links.get(key).filter(|link| !link.is_sent())?;
         link.active.map(|carried| carried.request)
     }
 
-    /// The request whose response is being buffered on this connection.
-    pub fn buffering_response_to(&self, key: Key) -> Option<usize> {
-        let link = self.links.get(key).filter(|link| link.buffered_since.is_some())?;
-        link.active.map(|carried| carried.request).filter(|request| *request != PROBE)
-    }
-
-    /// The connections on which responses to requests are being buffered.
-    pub fn buffering(&self) -> Vec<Key> {
-        let keys = self.links.iter().map(|(key, _)| key);
-        keys.filter(|key| self.buffering_response_to(*key).is_some()).collect()
-    }
-
-    /// Ends the buffering of a response: it is streamed from here on, unless it has broken off.
-    pub fn end_buffering(&mut self, key: Key, turn: &mut Turn) -> Option<EndedAttempt> {
-        self.read_response(key, Buffering::Over, turn)
-    }
-
     /// Whether a connection is not up yet, so that nothing of its attempt has been written.
     pub fn is_connecting(&self, key: Key) -> bool {
         self.links.get(key).is_some_and(|link| !link.up)
@@ -690,190 +461,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use appledyke::Outcome;
-
-    use super::*;
-
-    const HEAD: &[u8] = b"GET /view HTTP/1.1\r\nX-Txn: 1\r\n\r\n";
-
-    /// A pool for one endpoint, with a capacity of two connections.
-    fn pool_for_one() -> (std::net::TcpListener, mio::Poll, Turn, Servers) {
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-        let poll = mio::Poll::new().unwrap();
-        let registry = poll.registry().try_clone().unwrap();
-        let mut turn =
-            Turn { now: Moment::from_nanos(1), registry, deadlines: Default::default(), free_connections: 2 };
-        let mut servers = Servers::new(Span::from_millis(60_000), Span::from_millis(200));
-        servers.set_address(0, listener.local_addr().unwrap(), None, &mut turn);
-        (listener, poll, turn, servers)
-    }
-
-    /// Lets the endpoint respond to the attempt on this connection, and releases the connection.
-    fn answer(
-        servers: &mut Servers,
-        turn: &mut Turn,
-        poll: &mut mio::Poll,
-        key: Key,
-        peer: &mut std::net::TcpStream,
-    ) {
-        std::io::Write::write_all(peer, b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").unwrap();
-        let mut events = mio::Events::with_capacity(8);
-        let ended = loop {
-            poll.poll(&mut events, None).unwrap();
-            if let Some(ended) = servers.ready(key, turn) {
-                break ended;
-            }
-        };
-        servers.release(key, ended.answer.unwrap(), turn);
-    }
-
-    #[test]
-    fn connect_timeout_is_a_connect_failure_and_frees_the_connection() {
-        let (_listener, _poll, mut turn, mut servers) = pool_for_one();
-        let give_up = turn.now + Span::from_millis(2000);
-        let carried = ActiveAttempt { request: 0, attempt: 0, give_up };
-        let message = OutgoingRequest { head: HEAD, body: b"", streamed_body: None };
-        let send = |servers: &mut Servers, turn: &mut Turn| servers.send(0, carried, message, turn);
-        let key = send(&mut servers, &mut turn).unwrap();
-        send(&mut servers, &mut turn).unwrap();
-        // Both carry a request, so there is no capacity for a third.
-        assert_eq!(send(&mut servers, &mut turn), Err(AttemptResult::NoCapacity));
-        assert_eq!(AttemptResult::NoCapacity.outcome(), Outcome::NeverSent);
-        // No event has reported the connect by the time that it times out.
-        turn.now = turn.now + Span::from_millis(200);
-        assert_eq!(turn.deadlines.pop(turn.now), Some(Due::Server(key)));
-        let ended = servers.timed_out(key, &mut turn).unwrap();
-        assert_eq!(
-            (ended.ending, ended.ending.outcome()),
-            (AttemptResult::ConnectFailed, Outcome::ConnectFailure)
-        );
-        // Late events for the old connection find nothing.
-        assert!(servers.ready(key, &mut turn).is_none() && servers.timed_out(key, &mut turn).is_none());
-        assert!(send(&mut servers, &mut turn).is_ok());
-    }
-
-    #[test]
-    fn idle_connections_follow_new_limits() {
-        let (listener, mut poll, mut turn, mut servers) = pool_for_one();
-        let carried = ActiveAttempt { request: 0, attempt: 0, give_up: turn.now + Span::from_millis(2000) };
-        let key = servers
-            .send(0, carried, OutgoingRequest { head: HEAD, body: b"", streamed_body: None }, &mut turn)
-            .unwrap();
-        let (mut peer, _) = listener.accept().unwrap();
-        answer(&mut servers, &mut turn, &mut poll, key, &mut peer);
-        servers.update_terms(Span::from_millis(4000), Span::from_millis(200), &mut turn);
-        assert!(servers.has_idle(0));
-        assert_eq!(turn.deadlines.next(), Some(turn.now + Span::from_millis(4000) * IDLE_TIMEOUT_SHARE));
-    }
-
-    /// Danger: a late turn of the event loop sees that a connect has completed before it checks the timeout, and would
-    /// write a request that nobody waits for, that its group may have forgotten, or that its endpoint may no longer be
-    /// sent.
-    #[test]
-    fn connect_that_completes_after_its_timeout_sends_nothing() {
-        for (give_up, ending) in
-            [(100, AttemptResult::TimedOut { request_sent: false }), (2000, AttemptResult::ConnectFailed)]
-        {
-            let (listener, mut poll, mut turn, mut servers) = pool_for_one();
-            let carried =
-                ActiveAttempt { request: 0, attempt: 0, give_up: turn.now + Span::from_millis(give_up) };
-            let key = servers
-                .send(0, carried, OutgoingRequest { head: HEAD, body: b"", streamed_body: None }, &mut turn)
-                .unwrap();
-            let (mut peer, _) = listener.accept().unwrap();
-            let mut events = mio::Events::with_capacity(8);
-            while events.is_empty() {
-                poll.poll(&mut events, None).unwrap();
-            }
-            turn.now = turn.now + Span::from_millis(200);
-            let ended = servers.ready(key, &mut turn).expect("the connect has timed out");
-            assert_eq!((ended.ending, ended.ending.outcome()), (ending, Outcome::ConnectFailure));
-            assert_eq!(std::io::Read::read(&mut peer, &mut [0]).unwrap(), 0);
-        }
-    }
-
-    /// Danger: if an endpoint's index is reused while a response is streamed, its connection would carry the next request
-    /// for the new endpoint of that index to the old one.
-    #[test]
-    fn connection_is_closed_if_its_endpoint_index_is_reused_while_streaming() {
-        let other = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-        for (successor, stays) in [(None, true), (Some(other.local_addr().unwrap()), false)] {
-            let (listener, mut poll, mut turn, mut servers) = pool_for_one();
-            let carried =
-                ActiveAttempt { request: 0, attempt: 0, give_up: turn.now + Span::from_millis(2000) };
-            let key = servers
-                .send(0, carried, OutgoingRequest { head: HEAD, body: b"", streamed_body: None }, &mut turn)
-                .unwrap();
-            let (mut peer, _) = listener.accept().unwrap();
-            let long = format!("HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n{}", "x".repeat(1000));
-            std::io::Write::write_all(&mut peer, long.as_bytes()).unwrap();
-            let mut events = mio::Events::with_capacity(8);
-            let ended = loop {
-                poll.poll(&mut events, None).unwrap();
-                if let Some(ended) = servers.ready(key, &mut turn) {
-                    break ended;
-                }
-            };
-            servers.begin_forwarding(
-                key,
-                ended.answer.unwrap(),
-                ended.long.unwrap(),
-                (key, 0, RequestEnd::Served),
-            );
-            servers.forget(0, &mut turn);
-            servers.set_address(0, successor.unwrap_or(listener.local_addr().unwrap()), None, &mut turn);
-            std::io::Write::write_all(&mut peer, &[b'x'; 69_000]).unwrap();
-            loop {
-                match servers.next_piece(key, &mut turn) {
-                    Piece::Data(range) => servers.consume(key, range.end),
-                    Piece::End => break,
-                    Piece::Pending => poll.poll(&mut events, None).unwrap(),
-                    _ => panic!("the response was not streamed to its end"),
-                }
-            }
-            servers.end_forwarding(key, &mut turn);
-            assert_eq!(servers.has_idle(0), stays, "{successor:?}");
-        }
-    }
-
-    /// Danger: bytes that arrive late behind a response are taken for the response to the next request on its connection.
-    #[test]
-    fn connection_that_was_just_answered_is_reused_last() {
-        let (listener, mut poll, mut turn, mut servers) = pool_for_one();
-        let send = |servers: &mut Servers, turn: &mut Turn| {
-            let carried =
-                ActiveAttempt { request: 0, attempt: 0, give_up: turn.now + Span::from_millis(2000) };
-            servers
-                .send(0, carried, OutgoingRequest { head: HEAD, body: b"", streamed_body: None }, turn)
-                .unwrap()
-        };
-        let mut answered = |servers: &mut Servers, turn: &mut Turn, key, peer: &mut std::net::TcpStream| {
-            answer(servers, turn, &mut poll, key, peer);
-        };
-        let keys = [(); 2].map(|()| send(&mut servers, &mut turn));
-        let mut peers = [(); 2].map(|()| listener.accept().unwrap().0);
-        // The connects may be accepted in either order.
-        let port = |key: Key| servers.links.get(key).unwrap().connection.local_port();
-        if peers[0].peer_addr().unwrap().port() != port(keys[0]) {
-            peers.reverse();
-        }
-        answered(&mut servers, &mut turn, keys[0], &mut peers[0]);
-        turn.now = turn.now + REUSE_DELAY;
-        answered(&mut servers, &mut turn, keys[1], &mut peers[1]);
-        // The first has been idle for `REUSE_DELAY`. While it is in use the second is reused all the same, and no third
-        // is opened.
-        assert_eq!(send(&mut servers, &mut turn), keys[0]);
-        assert_eq!(send(&mut servers, &mut turn), keys[1]);
-        // Neither has been idle for `REUSE_DELAY`: the one that was answered first is used.
-        answered(&mut servers, &mut turn, keys[1], &mut peers[1]);
-        turn.now = turn.now + Span::from_millis(1);
-        answered(&mut servers, &mut turn, keys[0], &mut peers[0]);
-        assert_eq!(send(&mut servers, &mut turn), keys[1]);
-        // After recent stray bytes, a connection is not reused before `REUSE_DELAY` has passed.
-        servers.stray_bytes_until = turn.now + STRAY_BYTES_MEMORY;
-        turn.free_connections = 1;
-        let third = send(&mut servers, &mut turn);
-        assert!(!keys.contains(&third));
-    }
-}
+mod tests;
