--- a/crates/sidecar/src/net/servers.rs
+++ b/crates/sidecar/src/net/servers.rs
@@ -16,6 +16,7 @@
 use super::slots::{Key, Peer, Slots};
 pub use link::{ActiveAttempt, PROBE};
 use link::{Link, MAX_BUFFERING};
+pub use streams::StalledResponse;
 
 /// The share of the endpoints' idle timeout after which this side closes an idle connection, well before they do.
 const IDLE_TIMEOUT_SHARE: f64 = 0.75;
--- a/crates/sidecar/src/net/servers/streams.rs
+++ b/crates/sidecar/src/net/servers/streams.rs
@@ -15,6 +15,12 @@
 use crate::net::http::{self, Frame};
 use crate::net::slots::Key;
 
+/// A streamed response whose endpoint has stopped sending: that endpoint, and the method of the request.
+pub struct StalledResponse {
+    pub endpoint: usize,
+    pub method: usize,
+}
+
 impl Servers {
     // Streamed requests.
 
@@ -91,16 +97,16 @@
         piece
     }
 
-    /// The endpoint and the method of a response that is being streamed, if its endpoint has sent nothing of it for
-    /// `MIN_STALL`, and its client waits for that endpoint.
-    pub fn stalled_response(&self, key: Key, now: Moment) -> Option<(usize, usize)> {
+    /// The response that is being streamed, if its endpoint has sent nothing of it for `MIN_STALL`, and its client waits
+    /// for that endpoint.
+    pub fn stalled_response(&self, key: Key, now: Moment) -> Option<StalledResponse> {
         let link = self.links.get(key)?;
         let method = link.forwarding.as_ref()?.method;
         // The clock runs only while the client has taken all that was sent.
         let endpoint_awaited = link.deadline.is_some() && now.since(link.received_at) >= MIN_STALL;
         // Danger: the index may stand for another endpoint by now.
         let same_endpoint = self.endpoints[link.endpoint].address == Some(link.to);
-        (endpoint_awaited && same_endpoint).then_some((link.endpoint, method))
+        (endpoint_awaited && same_endpoint).then_some(StalledResponse { endpoint: link.endpoint, method })
     }
 
     /// Stops the clock for the response while the client has not taken what was sent: the endpoint is not to blame.
@@ -115,6 +121,7 @@
         self.links.get(key).map_or(&[], |link| &link.connection.input[range.clone()])
     }
 
+    /// Drops bytes of the response that have been forwarded.
     pub fn consume(&mut self, key: Key, bytes: usize) {
         if let Some(link) = self.links.get_mut(key) {
             link.connection.consume(bytes);
--- a/crates/sidecar/src/sidecar/requests.rs
+++ b/crates/sidecar/src/sidecar/requests.rs
@@ -3,6 +3,7 @@
 
 use super::*;
 use crate::metrics::AnsweredHere;
+use crate::net::servers::StalledResponse;
 use crate::trace;
 
 const PROBE_HEAD: &[u8] = b"GET /load HTTP/1.1\r\n\r\n";
@@ -185,7 +186,8 @@
     /// Reports a streamed response that ends unfinished, if its endpoint has stopped sending. Danger: with its first bytes it
     /// counted as served, and an endpoint that hangs in the middle of every response would keep its share of the requests.
     fn report_stall(&mut self, link: Key) {
-        if let Some((endpoint, method)) = self.servers.stalled_response(link, self.turn.now) {
+        let stalled = self.servers.stalled_response(link, self.turn.now);
+        if let Some(StalledResponse { endpoint, method }) = stalled {
             log::debug!("endpoint {}: a streamed response has stalled", self.endpoints.name(endpoint));
             self.balancer.response_stalled(self.turn.now, endpoint, method);
         }
