Log why streams are aborted and clients closed, and how long a turn takes

Cause: the incident's logs name neither the request nor the reason of an aborted stream, and nothing told how long a turn of the event loop takes or that unsound requests came. Change: metrics sidecar_aborted_streams, sidecar_direct_responses and sidecar_longest_turn_milliseconds, the request and reason in the log line of an aborted stream, a warning for long turns, and the reason of each close of a client's connection at debug; the target of a streamed response is a type in place of a tuple.

--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -53,6 +53,38 @@
     }
 }
 
+/// Why a streamed response was aborted before its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum StreamAbort {
+    /// Its endpoint sent nothing for too long.
+    EndpointSilent,
+    /// Its endpoint closed or reset the connection.
+    EndpointClosed,
+    /// Its framing is invalid, or it is too long.
+    InvalidFraming,
+    /// Its client disconnected.
+    ClientDisconnected,
+}
+
+impl StreamAbort {
+    const ALL: [StreamAbort; 4] = [
+        StreamAbort::EndpointSilent,
+        StreamAbort::EndpointClosed,
+        StreamAbort::InvalidFraming,
+        StreamAbort::ClientDisconnected,
+    ];
+
+    /// The reason's name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            StreamAbort::EndpointSilent => "endpoint_silent",
+            StreamAbort::EndpointClosed => "endpoint_closed",
+            StreamAbort::InvalidFraming => "invalid_framing",
+            StreamAbort::ClientDisconnected => "client_disconnected",
+        }
+    }
+}
+
 /// Metrics of the calls to service discovery.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct DiscoveryMetrics {
@@ -70,7 +102,7 @@
 }
 
 /// Values sampled when the metrics are read.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Sampled {
     /// Requests accepted and not ended.
     pub open: usize,
@@ -79,6 +111,8 @@
     /// Endpoints in the list, and how many of them are avoided.
     pub listed: usize,
     pub avoided: usize,
+    /// Responses that the sidecar wrote without passing the request to the balancer, by status.
+    pub direct_responses: BTreeMap<u16, u64>,
     pub discovery: DiscoveryMetrics,
 }
 
@@ -93,6 +127,10 @@
     partial_responses: [u64; Outcome::ALL.len()],
     /// Requests answered by the sidecar itself, by reason.
     answered_here: BTreeMap<&'static str, u64>,
+    /// Streamed responses that were aborted, by reason.
+    aborted_streams: [u64; StreamAbort::ALL.len()],
+    /// The longest turn of the event loop since the start, in milliseconds.
+    pub longest_turn_ms: u64,
     pub reloads: u64,
     pub reload_errors: u64,
 }
@@ -135,6 +173,11 @@
         *self.answered_here.entry(why.name()).or_default() += 1;
     }
 
+    /// Counts a streamed response that was aborted before its end.
+    pub fn count_aborted_stream(&mut self, why: StreamAbort) {
+        self.aborted_streams[why as usize] += 1;
+    }
+
     /// Renders all metrics as text.
     pub fn render(&self, sampled: &Sampled) -> String {
         let mut text = String::new();
@@ -152,6 +195,7 @@
             ("members_unavailable", "gauge", sampled.avoided as u64),
             ("config_reloads", "counter", self.reloads),
             ("config_reload_errors", "counter", self.reload_errors),
+            ("longest_turn_milliseconds", "gauge", self.longest_turn_ms),
         ] {
             line(format_args!("# TYPE sidecar_{name} {kind}"));
             line(format_args!("sidecar_{name} {value}"));
@@ -172,6 +216,15 @@
             let count = self.answered_here.get(why).copied().unwrap_or_default();
             line(format_args!("sidecar_answered_here{{reason=\"{why}\"}} {count}"));
         }
+        line(format_args!("# TYPE sidecar_aborted_streams counter"));
+        for why in StreamAbort::ALL {
+            let count = self.aborted_streams[why as usize];
+            line(format_args!("sidecar_aborted_streams{{reason=\"{}\"}} {count}", why.name()));
+        }
+        line(format_args!("# TYPE sidecar_direct_responses counter"));
+        for (status, count) in &sampled.direct_responses {
+            line(format_args!("sidecar_direct_responses{{status=\"{status}\"}} {count}"));
+        }
         let DiscoveryMetrics { calls, moves, turned_away, truncated, lost, version, silent_ms } =
             sampled.discovery;
         line(format_args!("# TYPE sidecar_discovery_calls_failed counter"));
--- a/crates/sidecar/src/net/clients.rs
+++ b/crates/sidecar/src/net/clients.rs
@@ -5,7 +5,7 @@
 mod head;
 mod streams;
 
-use std::collections::HashSet;
+use std::collections::{BTreeMap, HashSet};
 use std::io;
 use std::net::SocketAddr;
 
@@ -90,6 +90,17 @@
     Closing,
 }
 
+impl Stage {
+    fn name(&self) -> &'static str {
+        match self {
+            Stage::Reading => "reading",
+            Stage::Waiting { .. } => "waiting",
+            Stage::Forwarding { .. } => "forwarding",
+            Stage::Closing => "closing",
+        }
+    }
+}
+
 struct Client {
     connection: Connection,
     stage: Stage,
@@ -115,6 +126,21 @@
     deadline: Option<Moment>,
 }
 
+/// Why a client's connection was closed by this side.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CloseReason {
+    /// It was idle or incomplete, and made room for another connection or for the end of the process.
+    Evicted,
+    /// The client has disconnected, or reading or writing has failed.
+    PeerClosed,
+    /// The response that was streamed to it could not be completed.
+    ResponseAborted,
+    /// The client has read nothing of its response for too long.
+    ResponseUnread,
+    /// Its last response has been sent, and the client has had time to read it.
+    Finished,
+}
+
 /// What an event on a client's connection led to.
 pub enum ClientEvent {
     Nothing,
@@ -165,6 +191,8 @@
     slots: Slots<Client>,
     /// The ids of the requests in progress.
     open_ids: HashSet<Box<str>>,
+    /// Responses to requests that were not passed on, by status.
+    pub direct_responses: BTreeMap<u16, u64>,
     /// The maximum number of client connections.
     max_connections: usize,
     /// Connections may be waiting in the backlog that could not be accepted.
@@ -208,6 +236,7 @@
             listener: Some(listener),
             slots: Slots::default(),
             open_ids: HashSet::new(),
+            direct_responses: BTreeMap::new(),
             max_connections: max_clients(turn.free_connections as usize),
             accept_paused: false,
             lacks_descriptor: false,
@@ -235,9 +264,10 @@
         self.listener.is_none() && self.slots.is_empty()
     }
 
-    fn close(&mut self, key: Key, turn: &mut Turn) {
+    fn close(&mut self, key: Key, why: CloseReason, turn: &mut Turn) {
         self.release_request_id(key);
         let Some(mut client) = self.slots.remove(key) else { return };
+        log::debug!("client connection {} closed: {why:?} while {}", key.index(), client.stage.name());
         turn.free_connections += 1;
         turn.deadlines.reschedule(Due::Client(key), &mut client.deadline, None);
         client.connection.close(&turn.registry);
@@ -327,7 +357,7 @@
                 Stage::Forwarding { from, .. } => ClientEvent::DisconnectedMidResponse { from },
                 _ => ClientEvent::Nothing,
             };
-            self.close(key, turn);
+            self.close(key, CloseReason::PeerClosed, turn);
             return event;
         }
         let all_sent = client.connection.all_sent();
@@ -421,6 +451,8 @@
     /// Writes a response of the sidecar's own to the request in this frame.
     fn respond_directly(&mut self, key: Key, frame: Frame, status: u16, turn: &mut Turn) {
         let Some(client) = self.slots.get_mut(key) else { return };
+        log::debug!("client connection {}: answered {status} directly", key.index());
+        *self.direct_responses.entry(status).or_default() += 1;
         client.stage = Stage::Waiting { request: NO_REQUEST, frame };
         let head = |out: &mut Vec<u8>, keep| http::write_own_response(out, status, None, keep);
         self.respond(key, head, b"", turn);
@@ -450,6 +482,11 @@
         Some(OutgoingRequest { head: frame.head_in(input), body: frame.body_in(input), streamed_body })
     }
 
+    /// The id of the request in progress on this connection.
+    pub fn request_id(&self, key: Key) -> Box<str> {
+        self.message(key).map(|message| request_id(message.head)).unwrap_or_default()
+    }
+
     /// Responds to the request in progress. `head` writes the response's head; its argument says whether the connection
     /// stays open.
     pub fn respond(&mut self, key: Key, head: impl FnOnce(&mut Vec<u8>, bool), body: &[u8], turn: &mut Turn) {
@@ -462,7 +499,7 @@
         client.connection.consume(frame.end);
         (client.stage, client.has_answered) = (Stage::Closing, true);
         if client.connection.send(&[&self.head, body]).is_err() {
-            return self.close(key, turn);
+            return self.close(key, CloseReason::PeerClosed, turn);
         }
         self.after_response(key, keep, turn);
     }
@@ -509,10 +546,17 @@
                 return ClientEvent::BodyTimedOut { request };
             }
             Stage::Forwarding { from, .. } => {
-                self.close(key, turn);
+                self.close(key, CloseReason::ResponseUnread, turn);
                 return ClientEvent::DisconnectedMidResponse { from };
             }
-            _ => self.close(key, turn),
+            _ => {
+                let why = if client.connection.all_sent() {
+                    CloseReason::Finished
+                } else {
+                    CloseReason::ResponseUnread
+                };
+                self.close(key, why, turn);
+            }
         }
         ClientEvent::Nothing
     }
--- a/crates/sidecar/src/net/clients/accepting.rs
+++ b/crates/sidecar/src/net/clients/accepting.rs
@@ -4,7 +4,7 @@
 
 use appledyke::units::{Moment, Span};
 
-use super::{ACCEPT_RETRY, Client, Clients, EVICTION_GRACE, HEAD_TIMEOUT, MAX_PAUSE, Stage};
+use super::{ACCEPT_RETRY, Client, Clients, CloseReason, EVICTION_GRACE, HEAD_TIMEOUT, MAX_PAUSE, Stage};
 use crate::net::Turn;
 use crate::net::connection::{self, Connection};
 use crate::net::deadlines::Due;
@@ -131,7 +131,7 @@
             // fails, the client has disconnected.
             let _ = client.connection.send(&[&self.head]);
         }
-        self.close(key, turn);
+        self.close(key, CloseReason::Evicted, turn);
         true
     }
 }
--- a/crates/sidecar/src/net/clients/streams.rs
+++ b/crates/sidecar/src/net/clients/streams.rs
@@ -2,7 +2,7 @@
 
 use std::ops::Range;
 
-use super::{Clients, Stage, WRITE_TIMEOUT, body_deadline};
+use super::{Clients, CloseReason, Stage, WRITE_TIMEOUT, body_deadline};
 use crate::net::Turn;
 use crate::net::body::Piece;
 use crate::net::deadlines::Due;
@@ -115,7 +115,7 @@
     fn send_parts(&mut self, key: Key, parts: &[&[u8]], turn: &mut Turn) -> bool {
         let Some(client) = self.slots.get_mut(key) else { return false };
         if client.connection.send(parts).is_err() {
-            self.close(key, turn);
+            self.close(key, CloseReason::PeerClosed, turn);
             return false;
         }
         // With nothing left to send, the endpoint is awaited and the client has no deadline.
@@ -129,12 +129,12 @@
         let Some(client) = self.slots.get_mut(key) else { return };
         let Stage::Forwarding { keep, length, .. } = client.stage else { return };
         if !complete {
-            return self.close(key, turn);
+            return self.close(key, CloseReason::ResponseAborted, turn);
         }
         client.stage = Stage::Closing;
         let (end, _) = http::chunk_framing(length, None);
         if client.connection.send(&[end.as_bytes()]).is_err() {
-            return self.close(key, turn);
+            return self.close(key, CloseReason::PeerClosed, turn);
         }
         self.after_response(key, keep, turn);
     }
--- a/crates/sidecar/src/net/servers.rs
+++ b/crates/sidecar/src/net/servers.rs
@@ -14,7 +14,7 @@
 use super::deadlines::Due;
 use super::http::{self, Frame, Length, ReadState};
 use super::slots::{Key, Peer, Slots};
-pub use link::{ActiveAttempt, PROBE};
+pub use link::{ActiveAttempt, PROBE, StreamTarget};
 use link::{Link, MAX_BUFFERING};
 pub use streams::StalledResponse;
 
--- a/crates/sidecar/src/net/servers/link.rs
+++ b/crates/sidecar/src/net/servers/link.rs
@@ -60,12 +60,20 @@
     pub(super) forwarding: Option<Forwarding>,
 }
 
+/// Where a streamed response goes, and how its request is counted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StreamTarget {
+    pub client: Key,
+    pub method: usize,
+    /// How the request is counted once the response is complete.
+    pub end: RequestEnd,
+}
+
 /// A response that is being streamed to a client.
 pub(super) struct Forwarding {
-    pub(super) client: Key,
-    pub(super) method: usize,
-    /// How the request is counted once the response is complete.
-    pub(super) end: RequestEnd,
+    pub(super) target: StreamTarget,
+    /// The request's id, for the log.
+    pub(super) request_id: Box<str>,
     pub(super) body: Body,
     pub(super) keep: bool,
 }
--- a/crates/sidecar/src/net/servers/streams.rs
+++ b/crates/sidecar/src/net/servers/streams.rs
@@ -5,9 +5,8 @@
 
 use appledyke::units::Moment;
 
-use super::link::{ActiveAttempt, Forwarding, MIN_STALL, PROBE, STREAM_TIMEOUT};
+use super::link::{ActiveAttempt, Forwarding, MIN_STALL, PROBE, STREAM_TIMEOUT, StreamTarget};
 use super::{Buffering, EndedAttempt, Servers};
-use crate::metrics::RequestEnd;
 use crate::net::Turn;
 use crate::net::body::{Body, Piece};
 use crate::net::connection::AttemptResult;
@@ -66,22 +65,30 @@
         key: Key,
         frame: Frame,
         body: Body,
-        (client, method, end): (Key, usize, RequestEnd),
+        target: StreamTarget,
+        request_id: Box<str>,
     ) {
         let Some(link) = self.links.get_mut(key) else { return };
         link.connection.consume(frame.end);
-        link.forwarding = Some(Forwarding { client, method, end, body, keep: frame.keep });
+        link.forwarding = Some(Forwarding { target, request_id, body, keep: frame.keep });
     }
 
-    /// The client that this connection's response is streamed to, the method of its request, and how that is counted.
-    pub fn forwarding_to(&self, key: Key) -> Option<(Key, usize, RequestEnd)> {
-        let forwarding = self.links.get(key)?.forwarding.as_ref()?;
-        Some((forwarding.client, forwarding.method, forwarding.end))
+    /// Where this connection's response is streamed to, if it is.
+    pub fn forwarding_to(&self, key: Key) -> Option<StreamTarget> {
+        Some(self.links.get(key)?.forwarding.as_ref()?.target)
+    }
+
+    /// The id of the request whose response is streamed from this connection.
+    pub fn forwarded_request_id(&self, key: Key) -> &str {
+        let forwarding = self.links.get(key).and_then(|link| link.forwarding.as_ref());
+        forwarding.map_or("", |forwarding| &forwarding.request_id)
     }
 
     /// The methods of all responses that are being streamed.
     pub fn forwarded_methods(&self) -> impl Iterator<Item = usize> {
-        self.links.iter().filter_map(|(_, link)| link.forwarding.as_ref().map(|forwarding| forwarding.method))
+        self.links
+            .iter()
+            .filter_map(|(_, link)| link.forwarding.as_ref().map(|forwarding| forwarding.target.method))
     }
 
     /// The next piece of the response that is being streamed.
@@ -101,7 +108,7 @@
     /// for that endpoint.
     pub fn stalled_response(&self, key: Key, now: Moment) -> Option<StalledResponse> {
         let link = self.links.get(key)?;
-        let method = link.forwarding.as_ref()?.method;
+        let method = link.forwarding.as_ref()?.target.method;
         // The clock runs only while the client has taken all that was sent.
         let endpoint_awaited = link.deadline.is_some() && now.since(link.received_at) >= MIN_STALL;
         // Danger: the index may stand for another endpoint by now.
--- a/crates/sidecar/src/net/servers/tests.rs
+++ b/crates/sidecar/src/net/servers/tests.rs
@@ -129,7 +129,8 @@
             key,
             ended.answer.unwrap(),
             ended.long.unwrap(),
-            (key, 0, RequestEnd::Served),
+            StreamTarget { client: key, method: 0, end: RequestEnd::Served },
+            "".into(),
         );
         servers.forget(0, &mut turn);
         servers.set_address(0, successor.unwrap_or(listener.local_addr().unwrap()), None, &mut turn);
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -23,7 +23,7 @@
 use crate::config::{Config, Precedence, ReloadIdentity, StartupConfig};
 use crate::fleet::{AgreedSettings, Fleet, FleetEvent, PlannedAttempt};
 use crate::handover::{self, RecentAttempts};
-use crate::metrics::{Metrics, RequestEnd, Sampled};
+use crate::metrics::{Metrics, RequestEnd, Sampled, StreamAbort};
 use crate::net::body::{Body, Piece};
 use crate::net::clients::{ClientEvent, ClientState, Clients};
 use crate::net::connection::AttemptResult;
@@ -55,6 +55,8 @@
 /// A poll that took at least this long was blocked waiting, so its events arrived at its end.
 const BLOCKING_POLL: Span = Span::from_millis(1);
 const _: () = assert!(BLOCKING_POLL.nanos() < MAX_DISCONNECT_AGE.nanos());
+/// A turn that takes at least this long, in milliseconds, is logged: operators wait one second at most.
+const LONG_TURN_MS: u64 = 250;
 /// Time allowed after the shutdown deadline for the last responses to be written.
 const SHUTDOWN_LAST_WRITES: Span = Span::from_millis(150);
 /// Time allowed after the shutdown deadline for streamed responses that have already begun.
@@ -347,6 +349,7 @@
                 self.accept();
                 self.run_decisions();
             }
+            self.trace_turn(events.iter().count());
             let expired = self.shutdown.is_some_and(|shutdown| self.shutdown_expired(shutdown));
             if expired || self.clients.is_closed() {
                 self.log_shadow_counts();
@@ -357,6 +360,18 @@
         }
     }
 
+    /// Records how long this turn has taken, and logs it if that was long.
+    fn trace_turn(&mut self, events: usize) {
+        let took_ms = self.clock.now().since(self.turn.now).nanos() / 1_000_000;
+        self.metrics.longest_turn_ms = self.metrics.longest_turn_ms.max(took_ms);
+        if took_ms >= LONG_TURN_MS {
+            let waiting = self.clients_to_recheck.len();
+            log::warn!(
+                "a turn of the event loop took {took_ms} ms: {events} events, {waiting} clients to recheck"
+            );
+        }
+    }
+
     fn handle_event(&mut self, peer: Peer) {
         match peer {
             Peer::Listener => self.accept(),
@@ -449,7 +464,9 @@
                 let said = self.clients.timed_out(key, turn);
                 self.handle_client(key, said);
             }
-            Due::Server(key) if self.servers.forwarding_to(key).is_some() => self.abort_response(key),
+            Due::Server(key) if self.servers.forwarding_to(key).is_some() => {
+                self.abort_response(key, StreamAbort::EndpointSilent)
+            }
             Due::Server(key) => {
                 let ended = self.servers.timed_out(key, turn);
                 self.attempt_ended(key, ended);
--- a/crates/sidecar/src/sidecar/process.rs
+++ b/crates/sidecar/src/sidecar/process.rs
@@ -305,6 +305,7 @@
             written,
             listed,
             avoided,
+            direct_responses: self.clients.direct_responses.clone(),
             discovery: self.list.figures(self.turn.now),
         });
         match &self.fleet {
--- a/crates/sidecar/src/sidecar/requests.rs
+++ b/crates/sidecar/src/sidecar/requests.rs
@@ -2,8 +2,8 @@
 //! it.
 
 use super::*;
-use crate::metrics::AnsweredHere;
-use crate::net::servers::StalledResponse;
+use crate::metrics::{AnsweredHere, StreamAbort};
+use crate::net::servers::{StalledResponse, StreamTarget};
 use crate::trace;
 
 const PROBE_HEAD: &[u8] = b"GET /load HTTP/1.1\r\n\r\n";
@@ -34,6 +34,7 @@
             ClientEvent::ResponseSent { from } => self.forward_response(from),
             ClientEvent::DisconnectedMidResponse { from } => {
                 self.report_stall(from);
+                self.trace_aborted_stream(from, StreamAbort::ClientDisconnected);
                 self.servers.close(from, &mut self.turn);
             }
             ClientEvent::BodyTimedOut { request } => {
@@ -148,7 +149,8 @@
     /// Forwards the available part of a streamed response, as far as the client accepts it.
     pub(super) fn forward_response(&mut self, link: Key) {
         for _ in 0..MAX_PIECES_PER_TURN {
-            let Some((client, method, end)) = self.servers.forwarding_to(link) else { return };
+            let Some(target) = self.servers.forwarding_to(link) else { return };
+            let StreamTarget { client, method, end } = target;
             if !self.clients.response_is_sent(client) {
                 return self.servers.pause_timeout(link, &mut self.turn);
             }
@@ -167,16 +169,17 @@
                     return self.count_request(method, end);
                 }
                 Piece::Pending => return,
-                Piece::Invalid(_) | Piece::Truncated => return self.abort_response(link),
+                Piece::Invalid(_) => return self.abort_response(link, StreamAbort::InvalidFraming),
+                Piece::Truncated => return self.abort_response(link, StreamAbort::EndpointClosed),
             }
         }
         self.streams_to_resume.push(Peer::Server(link));
     }
 
     /// Aborts a streamed response that cannot be completed.
-    pub(super) fn abort_response(&mut self, link: Key) {
-        let Some((client, method, _)) = self.servers.forwarding_to(link) else { return };
-        log::info!("a streamed response was aborted before its end");
+    pub(super) fn abort_response(&mut self, link: Key, why: StreamAbort) {
+        let Some(StreamTarget { client, method, .. }) = self.servers.forwarding_to(link) else { return };
+        self.trace_aborted_stream(link, why);
         self.report_stall(link);
         self.clients.end_response(client, false, &mut self.turn);
         self.servers.close(link, &mut self.turn);
@@ -193,6 +196,13 @@
         }
     }
 
+    /// Counts and logs a streamed response that is aborted.
+    fn trace_aborted_stream(&mut self, link: Key, why: StreamAbort) {
+        self.metrics.count_aborted_stream(why);
+        let (id, why) = (self.servers.forwarded_request_id(link), why.name());
+        log::info!("a streamed response was aborted before its end: request {id}, {why}");
+    }
+
     pub(super) fn count_request(&mut self, method: usize, end: RequestEnd) {
         self.metrics.count_request(&self.balancer.terms().methods[method].name, end);
         self.fleet.iter_mut().for_each(|fleet| fleet.count_request(end, false));
@@ -234,7 +244,8 @@
                 let end = if outcome == Outcome::Success { RequestEnd::Served } else { RequestEnd::Failed };
                 match &long {
                     Some(body) => {
-                        streaming = self.begin_streaming(key, frame, body.clone(), (client, method, end))
+                        let target = StreamTarget { client, method, end };
+                        streaming = self.begin_streaming(key, frame, body.clone(), target)
                     }
                     None => {
                         self.send_response(key, frame, client);
@@ -296,13 +307,14 @@
         key: Key,
         frame: Frame,
         body: Body,
-        target: (Key, usize, RequestEnd),
+        target: StreamTarget,
     ) -> bool {
         let Some((head, _)) = self.servers.message(key, frame) else { return false };
+        let request_id = self.clients.request_id(target.client);
         let write = |out: &mut Vec<u8>, length, keep| http::write_response_head(out, head, length, keep);
-        let started = self.clients.begin_response(target.0, key, body.length(), write, &mut self.turn);
+        let started = self.clients.begin_response(target.client, key, body.length(), write, &mut self.turn);
         if started {
-            self.servers.begin_forwarding(key, frame, body, target);
+            self.servers.begin_forwarding(key, frame, body, target, request_id);
         }
         started
     }
--- a/crates/sidecar/tests/trace.rs
+++ b/crates/sidecar/tests/trace.rs
@@ -131,3 +131,35 @@
     assert!(logger::level(Some("loud")).unwrap_err().contains("BALANCER_LOG"));
     assert!(logger::level(None).is_ok());
 }
+
+/// Guards against a streamed response that was cut off without a trace of which one it was and why.
+#[test]
+fn an_aborted_stream_is_logged_with_its_request_and_reason() {
+    let breaks_off = Endpoint::start(|_| {
+        let part = "x".repeat(1000);
+        Some(format!("HTTP/1.1 200 OK\r\nContent-Length: 100000\r\nX-Then: close\r\n\r\n{part}"))
+    });
+    let (sidecar, _watch) = traced(&[&breaks_off]);
+    let mut client = Client::connect(&sidecar);
+    client.send("GET /view/1 HTTP/1.1\r\nX-Txn: cut7\r\n\r\n");
+    assert!(client.answer().starts_with("HTTP/1.1 200 "));
+    let line = "a streamed response was aborted before its end: request cut7, endpoint_closed";
+    wait_until("the abort is logged", || sidecar.logged(line).len() == 1);
+    assert_eq!(sidecar.metric("sidecar_aborted_streams{reason=\"endpoint_closed\"}"), 1);
+}
+
+/// Guards against clients that send unsound requests being invisible in the metrics.
+#[test]
+fn responses_without_an_endpoint_are_counted_by_status() {
+    let endpoint = Endpoint::start(|_| ok("menu"));
+    let (sidecar, _watch) = traced(&[&endpoint]);
+    let mut client = Client::connect(&sidecar);
+    for (request, status) in [("/none", "404"), ("/view/1", "400"), ("/none", "404"), ("/healthz", "200")] {
+        client.send(format!("GET {request} HTTP/1.1\r\n\r\n"));
+        assert_eq!(client.status(), status);
+    }
+    for (status, count) in [("404", 2), ("400", 1), ("200", 1)] {
+        let name = format!("sidecar_direct_responses{{status=\"{status}\"}}");
+        assert_eq!(sidecar.metric(&name), count, "{name}");
+    }
+}
