Bound what clients at full speed get done in one turn of the event loop

Cause: read_request answered every request of a full buffer in one call, also where the answers were not read; run_decisions looked at such clients up to 256 times more in a turn, through a queue that each event made longer. As a client at full speed always has more, one turn went on for as long as they sent. Class of bug: unbounded work per event. Related paths, bounded as well: input that is discarded behind a last response (64 full buffers an event), accepting at the clients' and the operators' address (until no connection waited). Change: 16 direct responses a look, none while responses are unsent; clients with more wait in a queue that holds each once, of which a turn handles 5 ms, and their events wait with them.

--- a/crates/sidecar/src/net/clients.rs
+++ b/crates/sidecar/src/net/clients.rs
@@ -61,8 +61,9 @@
     let batch_time = MAX_PAUSE.nanos() + ACCEPT_RETRY.nanos();
     assert!(EVICTION_GRACE.nanos() + batches * batch_time <= HEALTH_CHECK_TIMEOUT.nanos());
 };
-/// The number of full buffers to read and discard per event on a connection that is being closed.
-const MAX_DISCARD_READS: usize = 64;
+/// Requests of one connection that are answered at once without an endpoint before others are served. Danger: a client
+/// that sends at full speed always has more.
+const MAX_DIRECT_RESPONSES: usize = 16;
 /// Bytes to read beyond a message to find out whether the client has closed the connection behind them.
 const PRESENCE_READ_AHEAD: usize = 16 * 1024;
 /// The listener's backlog. Danger: when it is full, the connect of a health check is dropped, and the peer's kernel
@@ -340,14 +341,7 @@
         let moved = client.connection.unsent() < unsent;
         client.unread_since = client.connection.full.then(|| client.unread_since.unwrap_or(self.input_since));
         if matches!(client.stage, Stage::Closing) {
-            // Input is discarded from here on. Danger: input left unread raises no event, and a client that is still
-            // sending would not get to read its response.
-            for _ in 0..MAX_DISCARD_READS {
-                client.connection.input.clear();
-                if !client.connection.full || client.connection.fill(http::MAX_MESSAGE_BYTES).is_err() {
-                    break;
-                }
-            }
+            // Input is discarded from here on.
             client.connection.input.clear();
         }
         // A client that closes its sending side counts as disconnected.
@@ -368,7 +362,16 @@
         match client.stage {
             Stage::Forwarding { from, .. } if all_sent => return ClientEvent::ResponseSent { from },
             Stage::Waiting { .. } if client.remaining_body.is_some() => return ClientEvent::BodyReadable,
-            Stage::Closing if client.connection.all_sent() => client.connection.finish(),
+            Stage::Closing => {
+                if all_sent {
+                    client.connection.finish();
+                }
+                // Danger: input left unread raises no event, and a client that is still sending would not get to read
+                // its response.
+                if client.connection.full {
+                    return ClientEvent::InputPending;
+                }
+            }
             Stage::Reading if client.connection.all_sent() && !client.connection.input.is_empty() => {
                 let event = self.read_request(key, terms, turn);
                 // Danger: neither an event nor an endpoint's response would lead back to the input left beyond the read
@@ -386,7 +389,7 @@
     }
 
     fn read_request(&mut self, key: Key, terms: &Terms, turn: &mut Turn) -> ClientEvent {
-        loop {
+        for _ in 0..MAX_DIRECT_RESPONSES {
             let Some(client) = self.slots.get_mut(key) else { return ClientEvent::Nothing };
             let input = &mut client.connection.input;
             let read = http::request(input);
@@ -441,11 +444,14 @@
                 }
                 Err(MessageError(status)) => self.respond_directly(key, frame, status, turn),
             }
-            let more = |c: &Client| c.reading() && !c.connection.input.is_empty();
+            // Danger: the responses to a client that does not read them would pile up. It is served again once they are
+            // sent.
+            let more = |c: &Client| c.reading() && c.connection.all_sent() && !c.connection.input.is_empty();
             if !self.slots.get(key).is_some_and(more) {
                 return ClientEvent::Nothing;
             }
         }
+        ClientEvent::InputPending
     }
 
     /// Writes a response of the sidecar's own to the request in this frame.
@@ -519,10 +525,14 @@
         }
     }
 
-    /// Whether the connection may hold a request that has not been parsed yet.
-    pub fn may_hold_request(&self, key: Key) -> bool {
-        let more = |c: &Client| c.reading() && (c.connection.full || !c.connection.input.is_empty());
-        self.slots.get(key).is_some_and(more)
+    /// Whether the connection may hold input that no event will report: a request that has not been parsed yet, or what is
+    /// to be discarded.
+    pub fn has_pending_input(&self, key: Key) -> bool {
+        self.slots.get(key).is_some_and(|client| match client.stage {
+            Stage::Reading => client.connection.full || !client.connection.input.is_empty(),
+            Stage::Closing => client.connection.full,
+            _ => false,
+        })
     }
 
     /// Handles a connection whose deadline has passed.
--- a/crates/sidecar/src/net/clients/accepting.rs
+++ b/crates/sidecar/src/net/clients/accepting.rs
@@ -4,7 +4,9 @@
 
 use appledyke::units::{Moment, Span};
 
-use super::{ACCEPT_RETRY, Client, Clients, CloseReason, EVICTION_GRACE, HEAD_TIMEOUT, MAX_PAUSE, Stage};
+use super::{
+    ACCEPT_RETRY, BACKLOG, Client, Clients, CloseReason, EVICTION_GRACE, HEAD_TIMEOUT, MAX_PAUSE, Stage,
+};
 use crate::net::Turn;
 use crate::net::connection::{self, Connection};
 use crate::net::deadlines::Due;
@@ -21,7 +23,13 @@
         // Danger: if the whole machine is out of descriptors, other processes take each one freed here, and every connection
         // would be closed for nothing. So only one is evicted per accepted connection.
         let mut may_evict = true;
-        loop {
+        // Danger: clients that connect at full speed would keep all others waiting. What had come before is accepted.
+        for accepted in 0.. {
+            if accepted == BACKLOG {
+                let next_turn = turn.now + Span::from_nanos(1);
+                turn.deadlines.reschedule(Due::Accept, &mut self.accept_retry_at, Some(next_turn));
+                break;
+            }
             // One connection above the maximum is accepted, because only then is it known that another must be evicted.
             let full = turn.free_connections < 0 || self.slots.len() > self.max_connections;
             if full && !self.evict_for(true, turn, &mut with_input) {
--- a/crates/sidecar/src/net/operator.rs
+++ b/crates/sidecar/src/net/operator.rs
@@ -12,6 +12,8 @@
 use super::slots::{Key, Peer, Slots};
 use super::{DESCRIPTOR_RETRY, Turn};
 
+/// Connections accepted in one turn of the event loop.
+const MAX_ACCEPTS_PER_TURN: usize = 256;
 /// The maximum length of a line in bytes: several times the longest command.
 const MAX_LINE_BYTES: usize = 128;
 /// The maximum number of connections. To accept another one, the oldest is closed, answered ones first.
@@ -98,6 +100,12 @@
         let logged = self.accept_retry_at.is_some();
         turn.deadlines.reschedule(Due::Operators, &mut self.accept_retry_at, None);
         loop {
+            // Danger: callers that connect at full speed would keep all else waiting.
+            if accepted == MAX_ACCEPTS_PER_TURN {
+                let next_turn = turn.now + Span::from_nanos(1);
+                turn.deadlines.reschedule(Due::Operators, &mut self.accept_retry_at, Some(next_turn));
+                return (accepted, false);
+            }
             let stream = match connection::accept(&self.listener) {
                 Ok(Some(stream)) => stream,
                 Ok(None) => return (accepted, false),
--- a/crates/sidecar/src/net/slots.rs
+++ b/crates/sidecar/src/net/slots.rs
@@ -2,7 +2,7 @@
 
 use mio::Token;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Key {
     index: u32,
     generation: u32,
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -2,6 +2,7 @@
 //! decisions until there are none left.
 
 mod process;
+mod recheck;
 mod requests;
 
 use std::collections::{HashMap, HashSet};
@@ -38,13 +39,14 @@
 use crate::presence::{Presence, ProcessState, Siblings};
 use crate::shadow::ShadowedBalancer;
 use crate::trace::EndpointStates;
+use recheck::RecheckQueue;
 
 /// Event capacity for the fixed sources (listeners, signals, discovery), in addition to one event per possible
 /// connection. Danger: events that do not fit wait for the next poll, and decisions are made without them.
 const FIXED_SOURCE_EVENTS: usize = 512;
-/// Most pipelined requests processed in one turn, so that other connections are not starved. This is well above what
-/// a turn normally brings and takes a few milliseconds.
-const MAX_PIPELINED_PER_TURN: usize = 256;
+/// How long a turn may go on with clients that have more input than they may use at once. Danger: clients that send at
+/// full speed always have more, and all others would wait for them.
+const MAX_RECHECK_TIME: Span = Span::from_millis(5);
 /// Longest time between the arrival of a client's close at this machine and the start of an attempt made for that
 /// client.
 pub const MAX_SEND_AFTER_CLOSE: Span = Span::from_millis(100);
@@ -111,7 +113,7 @@
     servers: Servers,
     list: DiscoveryClient,
     /// Clients whose next request may already be in the buffer.
-    clients_to_recheck: Vec<Key>,
+    clients_to_recheck: RecheckQueue,
     /// Client and endpoint connections whose streamed body exceeded one turn's share and continues in the next.
     streams_to_resume: Vec<Peer>,
     operators: Option<Operators>,
@@ -224,7 +226,7 @@
                 config.seed,
                 callers,
             ),
-            clients_to_recheck: Vec::new(),
+            clients_to_recheck: RecheckQueue::default(),
             streams_to_resume: Vec::new(),
             operators,
             metrics: Metrics::default(),
@@ -376,6 +378,8 @@
         match peer {
             Peer::Listener => self.accept(),
             Peer::Signal => self.handle_signals(),
+            // It is looked at in its turn. Danger: a client that sends at full speed raises an event in every turn.
+            Peer::Client(key) if self.waits_for_recheck(key) => {}
             Peer::Client(key) => self.client_ready(key),
             Peer::Server(key) => self.server_ready(key),
             Peer::Discovery(key) => self.list_ready(key),
@@ -550,24 +554,38 @@
         }
     }
 
+    /// Carries out the balancer's decisions, and looks once at each client whose next request may have come, for as long
+    /// as `MAX_RECHECK_TIME` allows.
     fn run_decisions(&mut self) {
-        let mut rechecked = 0;
-        loop {
-            while let Some(decision) = self.balancer.next_decision(self.turn.now) {
-                self.execute(decision);
+        self.run_decisions_until(Some(self.clock.now() + MAX_RECHECK_TIME));
+    }
+
+    /// The same, with this time limit for the clients, if there is one.
+    fn run_decisions_until(&mut self, limit: Option<Moment>) {
+        self.execute_decisions();
+        for _ in 0..self.clients_to_recheck.len() {
+            let Some(key) = self.clients_to_recheck.pop() else { return };
+            if self.clients.has_pending_input(key) {
+                self.client_ready(key);
+                self.execute_decisions();
             }
-            // Danger: a client that pipelines requests which are answered at once would starve all others.
-            if self.clients_to_recheck.is_empty() || rechecked == MAX_PIPELINED_PER_TURN {
+            if limit.is_some_and(|limit| self.clock.now() >= limit) {
                 return;
             }
-            let key = self.clients_to_recheck.remove(0);
-            if self.clients.may_hold_request(key) {
-                rechecked += 1;
-                self.client_ready(key);
-            }
         }
     }
 
+    fn execute_decisions(&mut self) {
+        while let Some(decision) = self.balancer.next_decision(self.turn.now) {
+            self.execute(decision);
+        }
+    }
+
+    /// Whether a client has a place in the queue of those that may hold a request.
+    fn waits_for_recheck(&self, client: Key) -> bool {
+        self.clients_to_recheck.contains(client) && self.clients.has_pending_input(client)
+    }
+
     fn subscribe(&mut self) {
         let may = may_call_list(&mut self.fleet, &self.clock);
         let failed = self.list.start_watch(may, &mut self.turn);
--- a/crates/sidecar/src/sidecar/process.rs
+++ b/crates/sidecar/src/sidecar/process.rs
@@ -331,7 +331,7 @@
             self.stream_buffered_responses();
             // Requests that arrived in this turn are decided first: a rejection invites the client to retry
             // elsewhere, a failure does not.
-            self.run_decisions();
+            self.run_decisions_until(None);
             // Danger: requests without an answer when this process is killed are lost.
             let open: Vec<_> = self.requests.iter().map(|(key, _)| key.index()).collect();
             for request in open {
--- a/crates/sidecar/tests/floods.rs
+++ b/crates/sidecar/tests/floods.rs
@@ -139,6 +139,7 @@
     let (sidecar, _endpoint) = start();
     let Beside { client, operator, unserved } = beside(&sidecar, flood);
     let turn = sidecar.metric("sidecar_longest_turn_milliseconds");
+    println!("{flood:?}: {client:?}, operator {operator:?}, turn {turn} ms, {} bytes", sidecar.memory());
     assert!(client < WAIT, "{flood:?}: a client waited for {client:?}, a turn took {turn} ms");
     assert!(
         operator < OPERATOR_WAIT,
