A long request's time for its answer runs from the last byte that its client wrote

Cause: the time ran from the last byte that the endpoint's connection took. Until then nothing but 10 s without progress ended the attempt (deadline_for), each piece moved the balancer's deadline (partly_forwarded), the last one began the time anew (send_body), and the client's own limit stood still while its endpoint took nothing (pause_body_timeout). Class of bug: a clock that a peer can hold up. Related path, mended too: a client that stops halfway while its endpoint takes nothing was told after 10 s, 3 s allowed. Change: clients/upload_clock.rs, without I/O, gives the earliest time at which the client can have written its last byte: when all has been read, or, while input waits unread, when that began or when the buffers between can last have had room. Deadlines of the attempt and of the balancer follow it; a client that surely still writes has no deadline but progress. The limit for more of a body counts bytes as they arrive, also while its endpoint takes nothing. An endpoint that takes a piece bit by bit makes progress.

--- a/crates/sidecar/src/net/body.rs
+++ b/crates/sidecar/src/net/body.rs
@@ -75,6 +75,26 @@
         self.length
     }
 
+    /// Whether the rest of the body is in this buffer, which begins where the last step ended.
+    pub fn ends_within(&self, buffer: &[u8]) -> bool {
+        let (mut rest, mut at) = (self.clone(), 0);
+        loop {
+            match rest.step(&buffer[at..]) {
+                Ok(Step::Data(range)) => at += range.end,
+                Ok(Step::Done(_)) => return true,
+                Ok(Step::More(_)) | Err(_) => return false,
+            }
+        }
+    }
+
+    /// The number of bytes of the body that are to come, if that is known, when this many of them are buffered.
+    pub fn missing(&self, buffered: usize) -> Option<u64> {
+        match self.at {
+            Position::Length(remaining) => Some(remaining.saturating_sub(buffered as u64)),
+            _ => None,
+        }
+    }
+
     pub fn is_complete(&self) -> bool {
         self.at == Position::Done
     }
--- a/crates/sidecar/src/net/clients.rs
+++ b/crates/sidecar/src/net/clients.rs
@@ -4,6 +4,7 @@
 mod draining;
 mod head;
 mod streams;
+mod upload_clock;
 
 use std::collections::{BTreeMap, HashSet};
 use std::io;
@@ -23,6 +24,7 @@
 use super::servers::OutgoingRequest;
 use super::slots::{Key, Peer, Slots};
 use head::{Parsed, parse_head, request_id};
+use upload_clock::UploadClock;
 
 /// The share of all connections that clients may use. Danger: without connections to endpoints nothing can be served.
 const CLIENT_CONNECTIONS_SHARE: f64 = 0.75;
@@ -116,9 +118,11 @@
     /// How long the first request may have waited in the backlog. Danger: a client's deadline runs from the last byte
     /// that it sent, so without this an attempt would tell its endpoint more remaining time than there is.
     queued_for: Span,
-    /// Input length at the last look at a body, and the deadline for more of it.
-    body_seen: usize,
+    /// Bytes received by the last look at a body, and the deadline for more of it.
+    body_seen: u64,
     body_deadline: Option<Moment>,
+    /// Since when the time for the answer to a request runs whose body is streamed.
+    upload_clock: UploadClock,
     /// When it was accepted, or its last response was sent.
     waiting_since: Moment,
     /// When input last arrived, and `since` if none has.
@@ -181,9 +185,9 @@
 }
 
 /// Returns the deadline for more of a body, extended by what `bytes` earn at `MIN_BODY_RATE`.
-fn body_deadline(until: Option<Moment>, bytes: usize, now: Moment) -> Moment {
+fn body_deadline(until: Option<Moment>, bytes: u64, now: Moment) -> Moment {
     let latest = now + BODY_TIMEOUT;
-    let earned = Span::from_nanos(bytes as u64 * (1_000_000_000 / MIN_BODY_RATE));
+    let earned = Span::from_nanos(bytes * (1_000_000_000 / MIN_BODY_RATE));
     until.map_or(latest, |until| (until + earned).min(latest))
 }
 
@@ -290,7 +294,8 @@
             (Stage::Reading, false, false, turn.now);
         client.last_input = turn.now;
         (client.remaining_body, client.unread_since, client.body_seen, client.body_deadline) =
-            (None, None, 0, None);
+            (None, None, client.connection.received, None);
+        client.upload_clock = UploadClock::default();
         self.set_deadline(key, turn.now + MAX_IDLE, turn);
     }
 
@@ -414,11 +419,7 @@
                 }
                 Ok(ReadState::PartialBody { .. }) => {
                     client.partial = true;
-                    let more =
-                        input.len() - std::mem::replace(&mut client.body_seen, input.len()).min(input.len());
-                    let until = body_deadline(client.body_deadline, more, turn.now);
-                    client.body_deadline = Some(until);
-                    self.set_deadline(key, until, turn);
+                    self.extend_body_deadline(key, turn);
                     return ClientEvent::Nothing;
                 }
                 Err(MessageError(status)) => {
--- a/crates/sidecar/src/net/clients/accepting.rs
+++ b/crates/sidecar/src/net/clients/accepting.rs
@@ -6,6 +6,7 @@
 
 use super::{
     ACCEPT_RETRY, BACKLOG, Client, Clients, CloseReason, EVICTION_GRACE, HEAD_TIMEOUT, MAX_PAUSE, Stage,
+    UploadClock,
 };
 use crate::net::Turn;
 use crate::net::connection::{self, Connection};
@@ -72,6 +73,7 @@
                     queued_for,
                     body_seen: 0,
                     body_deadline: None,
+                    upload_clock: UploadClock::default(),
                     waiting_since: turn.now,
                     last_input: turn.now,
                     has_answered: false,
--- a/crates/sidecar/src/net/clients/streams.rs
+++ b/crates/sidecar/src/net/clients/streams.rs
@@ -2,6 +2,9 @@
 
 use std::ops::Range;
 
+use appledyke::units::Moment;
+
+use super::upload_clock::Arrival;
 use super::{Clients, CloseReason, Stage, WRITE_TIMEOUT, body_deadline};
 use crate::net::Turn;
 use crate::net::body::Piece;
@@ -33,13 +36,10 @@
         };
         // Danger: the last bytes from a client that has disconnected could complete its request, which would then run.
         let piece = body.next(&mut client.connection, frame.end, false);
-        let until = match piece {
-            Piece::Pending => Some(body_deadline(client.body_deadline, 0, turn.now)),
-            Piece::End => None,
-            _ => return piece,
-        };
-        client.body_deadline = until;
-        turn.deadlines.reschedule(Due::Client(key), &mut client.deadline, until);
+        if matches!(piece, Piece::End) {
+            client.body_deadline = None;
+            turn.deadlines.reschedule(Due::Client(key), &mut client.deadline, None);
+        }
         piece
     }
 
@@ -47,20 +47,46 @@
         self.slots.get(key).map_or(&[], |client| &client.connection.input[range.clone()])
     }
 
-    /// Drops a piece of the body that has been forwarded, and extends the deadline for the next.
-    pub fn consume_piece(&mut self, key: Key, range: &Range<usize>, turn: &mut Turn) {
+    /// Drops a piece of the body that has been forwarded.
+    pub fn consume_piece(&mut self, key: Key, range: &Range<usize>) {
         let Some(client) = self.slots.get_mut(key) else { return };
         let Stage::Waiting { frame, .. } = client.stage else { return };
         client.connection.consume_at(frame.end, range.end - frame.end);
-        client.body_deadline = Some(body_deadline(client.body_deadline, range.len(), turn.now));
     }
 
-    /// Stops the clock for the body while the endpoint has not taken what was written: the client is not to blame.
-    pub fn pause_body_timeout(&mut self, key: Key, turn: &mut Turn) {
-        if let Some(client) = self.slots.get_mut(key) {
+    /// Takes note of what has arrived of the streamed request in progress, and sets the time limit for more of it. Returns
+    /// since when its time for an answer runs: `None` while the client is surely still writing.
+    pub fn note_upload(&mut self, key: Key, turn: &mut Turn) -> Option<Moment> {
+        let client = self.slots.get_mut(key)?;
+        let Stage::Waiting { frame, .. } = client.stage else { return None };
+        let body = client.remaining_body.as_ref()?;
+        let buffered = &client.connection.input[frame.end..];
+        let arrival = match body {
+            body if body.ends_within(buffered) => Arrival::Complete,
+            body if client.connection.full => Arrival::Blocked { missing: body.missing(buffered.len()) },
+            _ => Arrival::Partial,
+        };
+        let (read, receive_buffer) = (client.connection.received, client.connection.receive_buffer());
+        client.upload_clock.note(arrival, read, receive_buffer, self.input_since, turn.now);
+        let runs_since = client.upload_clock.runs_since();
+        if arrival == Arrival::Partial {
+            self.extend_body_deadline(key, turn);
+        } else {
+            // Nothing more is awaited, or the endpoint has not taken what was written: the client is not to blame.
             client.body_deadline = None;
             turn.deadlines.reschedule(Due::Client(key), &mut client.deadline, None);
         }
+        runs_since
+    }
+
+    /// Extends the time limit for more of a body by what has arrived since the last look.
+    pub(super) fn extend_body_deadline(&mut self, key: Key, turn: &mut Turn) {
+        let Some(client) = self.slots.get_mut(key) else { return };
+        let received = client.connection.received;
+        let more = received - std::mem::replace(&mut client.body_seen, received);
+        let until = body_deadline(client.body_deadline, more, turn.now);
+        client.body_deadline = Some(until);
+        self.set_deadline(key, until, turn);
     }
 
     // Streamed responses.
--- a/crates/sidecar/src/net/connection.rs
+++ b/crates/sidecar/src/net/connection.rs
@@ -127,6 +127,11 @@
         self.stream.local_addr().expect("an address").port()
     }
 
+    /// The size of the socket's receive buffer in bytes.
+    pub fn receive_buffer(&self) -> u64 {
+        SockRef::from(&self.stream).recv_buffer_size().unwrap_or(0) as u64
+    }
+
     /// Whether the connect has completed.
     pub fn is_up(&self) -> io::Result<bool> {
         if let Some(error) = self.stream.take_error()? {
--- a/crates/sidecar/src/net/servers.rs
+++ b/crates/sidecar/src/net/servers.rs
@@ -220,9 +220,9 @@
             }
             (link.active, link.counted, link.sent_at, link.streamed_body) =
                 (Some(carried), false, now, streamed_body);
-            link.buffered_since = None;
+            (link.buffered_since, link.progress_at, link.upload_due) = (None, now, None);
             self.sent_attempts += link.count_if_sent();
-            let until = link.deadline_for(carried.give_up, now);
+            let until = link.deadline_for(carried.give_up);
             turn.deadlines.reschedule(Due::Server(key), &mut link.deadline, Some(until));
             return Ok(key);
         }
@@ -277,6 +277,8 @@
                 counted: false,
                 sent_at: turn.now,
                 streamed_body,
+                progress_at: turn.now,
+                upload_due: None,
                 buffered_since: None,
                 received_at: turn.now,
                 forwarding: None,
@@ -319,7 +321,8 @@
                 let last_line = http::remaining_time_line(carried.give_up.since(turn.now));
                 link.connection.insert(at, last_line.as_bytes());
             }
-            let until = link.deadline_for(carried.give_up, turn.now);
+            link.progress_at = turn.now;
+            let until = link.deadline_for(carried.give_up);
             turn.deadlines.reschedule(Due::Server(key), &mut link.deadline, Some(until));
         }
         self.read_response(key, Buffering::Allowed, turn)
@@ -329,7 +332,11 @@
     fn read_response(&mut self, key: Key, buffering: Buffering, turn: &mut Turn) -> Option<EndedAttempt> {
         let link = self.links.get_mut(key)?;
         let carried = link.active?;
+        let unsent_before = link.connection.unsent();
         let written = link.connection.flush();
+        if link.connection.unsent() < unsent_before {
+            link.progress_at = turn.now;
+        }
         let request_sent = link.is_sent();
         self.sent_attempts += link.count_if_sent();
         let received_before = link.connection.received;
@@ -379,7 +386,7 @@
             Ok(_) if ended || read.is_err() || written.is_err() => AttemptResult::Broken { request_sent },
             Ok((ReadState::PartialBody { open: true }, ..)) => {
                 link.buffered_since.get_or_insert(turn.now);
-                let until = link.deadline_for(carried.give_up, turn.now);
+                let until = link.deadline_for(carried.give_up);
                 turn.deadlines.reschedule(Due::Server(key), &mut link.deadline, Some(until));
                 return None;
             }
--- a/crates/sidecar/src/net/servers/link.rs
+++ b/crates/sidecar/src/net/servers/link.rs
@@ -53,6 +53,10 @@
     /// When that attempt started, and how the rest of its request's body is framed if it is streamed.
     pub(super) sent_at: Moment,
     pub(super) streamed_body: Option<Length>,
+    /// When the endpoint last took part of the request.
+    pub(super) progress_at: Moment,
+    /// Until when an answer is of use to the client of a request whose body is streamed, once its time runs.
+    pub(super) upload_due: Option<Moment>,
     /// Since when an incomplete response of unknown length has been buffered.
     pub(super) buffered_since: Option<Moment>,
     /// When the last bytes of a response arrived.
@@ -86,10 +90,15 @@
         u64::from(newly)
     }
 
-    /// The deadline for its attempt, or for buffering its response if that is earlier. Danger: a request's deadlines run
-    /// from its last byte, so while its body is streamed only a stall ends the attempt.
-    pub(super) fn deadline_for(&self, give_up: Moment, now: Moment) -> Moment {
-        let attempt_deadline = if self.streamed_body.is_some() { now + STREAM_TIMEOUT } else { give_up };
+    /// The deadline for its attempt, or for buffering its response if that is earlier. A request's time runs from the last
+    /// byte that its client wrote: while the client is still writing, only a stall of the endpoint ends the attempt.
+    pub(super) fn deadline_for(&self, give_up: Moment) -> Moment {
+        let stalled_at = self.progress_at + STREAM_TIMEOUT;
+        let attempt_deadline = match (self.streamed_body, self.upload_due) {
+            (None, _) => give_up,
+            (Some(_), None) => stalled_at,
+            (Some(_), Some(due)) => stalled_at.min(due),
+        };
         let buffering_deadline = self.buffered_since.map(|since| since + MAX_STALLED_BUFFERING);
         buffering_deadline.map_or(attempt_deadline, |deadline| deadline.min(attempt_deadline))
     }
--- a/crates/sidecar/src/net/servers/streams.rs
+++ b/crates/sidecar/src/net/servers/streams.rs
@@ -5,7 +5,7 @@
 
 use appledyke::units::Moment;
 
-use super::link::{ActiveAttempt, Forwarding, MIN_STALL, PROBE, STREAM_TIMEOUT, StreamTarget};
+use super::link::{Forwarding, MIN_STALL, PROBE, STREAM_TIMEOUT, StreamTarget};
 use super::{Buffering, EndedAttempt, Servers};
 use crate::net::Turn;
 use crate::net::body::{Body, Piece};
@@ -44,19 +44,28 @@
         if link.connection.send(&[before.as_bytes(), data.unwrap_or_default(), after]).is_err() {
             return self.end(key, AttemptResult::Broken { request_sent: false }, turn);
         }
-        let mut give_up = carried.give_up;
+        link.progress_at = turn.now;
         if data.is_none() {
-            // The time limit for the response runs from the last byte.
-            give_up = turn.now + carried.give_up.since(link.sent_at);
-            (link.streamed_body, link.active, link.sent_at) =
-                (None, Some(ActiveAttempt { give_up, ..carried }), turn.now);
+            (link.streamed_body, link.sent_at) = (None, turn.now);
             self.sent_attempts += link.count_if_sent();
         }
-        let until = link.deadline_for(give_up, turn.now);
+        let until = link.deadline_for(carried.give_up);
         turn.deadlines.reschedule(Due::Server(key), &mut link.deadline, Some(until));
         None
     }
 
+    /// Sets until when an answer to the request whose body is streamed on this connection is of use: `None` while its
+    /// client is still writing.
+    pub fn set_upload_due(&mut self, key: Key, due: Option<Moment>, turn: &mut Turn) {
+        let Some(link) = self.links.get_mut(key).filter(|link| link.up) else { return };
+        let Some(carried) = &mut link.active else { return };
+        link.upload_due = due;
+        // It holds for the answer as well, once the body is complete.
+        carried.give_up = due.unwrap_or(carried.give_up);
+        let until = link.deadline_for(link.active.map_or(turn.now, |carried| carried.give_up));
+        turn.deadlines.reschedule(Due::Server(key), &mut link.deadline, Some(until));
+    }
+
     // Streamed responses.
 
     /// Begins to stream the rest of the response in this frame to a client.
--- a/crates/sidecar/src/shadow.rs
+++ b/crates/sidecar/src/shadow.rs
@@ -94,6 +94,14 @@
         self.for_both(|balancer| balancer.apply_reports(now, reports.iter().copied(), false));
     }
 
+    /// As `Balancer::time_runs_from`, for both; the answer is that of the real one.
+    pub fn time_runs_from(&mut self, request: usize, since: Moment) -> Option<Moment> {
+        if let Some(shadow) = &mut self.shadow {
+            shadow.balancer.time_runs_from(request, since);
+        }
+        self.real.time_runs_from(request, since)
+    }
+
     pub fn partly_forwarded(&mut self, now: Moment, request: usize) {
         self.for_both(|balancer| balancer.partly_forwarded(now, request));
     }
--- a/crates/sidecar/src/sidecar/requests.rs
+++ b/crates/sidecar/src/sidecar/requests.rs
@@ -13,6 +13,22 @@
 /// most.
 const MAX_PIECES_PER_TURN: usize = 16;
 
+/// What one turn has done for a streamed request body.
+enum UploadStep {
+    /// The client or the endpoint has to go on first.
+    Waits,
+    /// More can be forwarded in the next turn.
+    Continues,
+    /// The last piece has been forwarded.
+    Complete,
+    /// The attempt on this connection has ended.
+    AttemptEnded(Key, Box<EndedAttempt>),
+    /// The framing is invalid; the client is sent this status.
+    Invalid(u16),
+    /// The client's connection has ended before the body did.
+    Truncated,
+}
+
 impl Sidecar {
     pub(super) fn client_ready(&mut self, key: Key) {
         let said = self.clients.ready(key, self.balancer.terms(), &mut self.turn);
@@ -111,39 +127,75 @@
         }
     }
 
-    /// Forwards the available part of a streamed request body, as far as the endpoint accepts it.
+    /// Forwards the available part of a streamed request body, as far as the endpoint accepts it, and sets the time limits
+    /// that follow from what has arrived.
     pub(super) fn forward_request(&mut self, client: Key) {
         let Some(request) = self.clients.streaming_request(client) else { return };
-        let now = self.turn.now;
+        let upload = self.forward_pieces(client, request);
+        // Danger: while an endpoint takes nothing, or takes it slowly, the client may have written all and wait already.
+        let since = self.clients.note_upload(client, &mut self.turn);
+        let link = self.request(request).and_then(|r| r.attempts.last().copied().flatten());
+        if let Some(link) = link {
+            let useful_until = self.balancer.time_runs_from(request, since.unwrap_or(self.turn.now));
+            self.servers.set_upload_due(link, useful_until.filter(|_| since.is_some()), &mut self.turn);
+        }
+        match upload {
+            UploadStep::Waits => {}
+            UploadStep::Continues => self.streams_to_resume.push(Peer::Client(client)),
+            UploadStep::Complete => self.trace_complete_upload(request, since),
+            UploadStep::AttemptEnded(link, ended) => self.attempt_ended(link, Some(*ended)),
+            UploadStep::Invalid(status) => {
+                self.answer_locally(request, status, None, AnsweredHere::BadRequest);
+                self.client_disconnected(request);
+            }
+            UploadStep::Truncated => self.client_ready(client),
+        }
+    }
+
+    /// Forwards what one turn allows of a streamed request body.
+    fn forward_pieces(&mut self, client: Key, request: usize) -> UploadStep {
         for _ in 0..MAX_PIECES_PER_TURN {
             let link = self.request(request).and_then(|r| r.attempts.last().copied().flatten());
             let Some(link) = link.filter(|link| self.servers.accepts_body(*link)) else {
-                return self.clients.pause_body_timeout(client, &mut self.turn);
+                return UploadStep::Waits;
             };
             match self.clients.next_piece(client, &mut self.turn) {
                 Piece::Data(range) => {
-                    self.balancer.partly_forwarded(now, request);
+                    self.balancer.partly_forwarded(self.turn.now, request);
                     let data = self.clients.bytes(client, &range);
                     let ended = self.servers.send_body(link, Some(data), &mut self.turn);
-                    self.clients.consume_piece(client, &range, &mut self.turn);
-                    if ended.is_some() {
-                        return self.attempt_ended(link, ended);
+                    self.clients.consume_piece(client, &range);
+                    if let Some(ended) = ended {
+                        return UploadStep::AttemptEnded(link, Box::new(ended));
                     }
                 }
                 Piece::End => {
-                    self.balancer.partly_forwarded(now, request);
+                    self.balancer.partly_forwarded(self.turn.now, request);
                     let ended = self.servers.send_body(link, None, &mut self.turn);
-                    return self.attempt_ended(link, ended);
+                    return match ended {
+                        Some(ended) => UploadStep::AttemptEnded(link, Box::new(ended)),
+                        None => UploadStep::Complete,
+                    };
                 }
-                Piece::Pending => return,
-                Piece::Invalid(status) => {
-                    self.answer_locally(request, status, None, AnsweredHere::BadRequest);
-                    return self.client_disconnected(request);
-                }
-                Piece::Truncated => return self.client_ready(client),
+                Piece::Pending => return UploadStep::Waits,
+                Piece::Invalid(status) => return UploadStep::Invalid(status),
+                Piece::Truncated => return UploadStep::Truncated,
             }
         }
-        self.streams_to_resume.push(Peer::Client(client));
+        UploadStep::Continues
+    }
+
+    /// Logs that all of a streamed request has been forwarded, and since when its time for an answer runs.
+    fn trace_complete_upload(&mut self, request: usize, since: Option<Moment>) {
+        let now = self.turn.now;
+        if let Some(r) = self.request(request) {
+            let (took_ms, ago_ms) =
+                (now.since(r.since).secs() * 1e3, since.map_or(0.0, |since| now.since(since).secs() * 1e3));
+            log::debug!(
+                "request {}: forwarded whole after {took_ms:.0} ms, its time runs for {ago_ms:.0} ms",
+                r.id
+            );
+        }
     }
 
     /// Forwards the available part of a streamed response, as far as the client accepts it.
--- a/crates/sidecar/tests/uploads.rs
+++ b/crates/sidecar/tests/uploads.rs
@@ -221,6 +221,18 @@
     }
 }
 
+/// Guards against a deadline that is counted from before the client's last byte: a client whose endpoint holds it up for
+/// longer than it would wait is still writing, and waits for nothing yet.
+#[test]
+fn upload_that_its_endpoint_holds_up_is_not_cut_off_while_it_is_written() {
+    for framing in Framing::ALL {
+        let sidecar = start(endpoint(Reading::BytesPerSecond(10_000_000)));
+        let upload = Upload::start(&sidecar, framing, 38_000_000, 38_000_000);
+        let (status, took) = upload.answer();
+        assert_eq!(status.as_deref(), Some("200"), "{framing:?}, after {took:?}");
+    }
+}
+
 /// Guards against a deadline that is counted from before the client's last byte: a client that is still writing waits for
 /// nothing yet, however long its endpoint takes.
 #[test]
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -525,14 +525,21 @@
         }
     }
 
-    /// Part of the request has been forwarded and is no longer buffered: it cannot be retried, and its time runs from
-    /// now.
+    /// Part of the request has been forwarded and is no longer buffered: it cannot be retried.
     pub fn partly_forwarded(&mut self, now: Moment, request: usize) {
         let Some(Some(r)) = self.requests.get_mut(request) else { return };
-        (r.max_attempts, r.deadline, r.arrived) = (r.attempts.len(), r.deadline + now.since(r.arrived), now);
+        r.max_attempts = r.attempts.len();
         r.attempts.last_mut().into_iter().for_each(|a| a.sent = now);
     }
 
+    /// The request's time for an answer runs from `since`, the earliest time at which its client can have written its
+    /// last byte, and not from its arrival. Returns until when an answer is of use.
+    pub fn time_runs_from(&mut self, request: usize, since: Moment) -> Option<Moment> {
+        let r = self.requests.get_mut(request)?.as_mut()?;
+        (r.deadline, r.arrived) = (since + r.deadline.since(r.arrived), since);
+        Some(r.useful_until(&self.terms))
+    }
+
     /// A probe has ended; `load` is the number of requests in flight that the endpoint reported, if it did.
     pub fn probe_result(&mut self, now: Moment, endpoint: usize, load: Option<f64>) {
         let Some(Some(e)) = self.endpoints.get_mut(endpoint) else { return };
