Send nothing for a client that has left behind unread input, after an answer as before it

Cause: since when input waits unread, which decides whether the client's end may stand behind it, was forgotten with each answer (wait_for_request). The first request of such a client was answered 503, and the next counted as just arrived. Class of bug: state about a connection that was kept for a request. Change: it is kept for as long as more input waits than the buffer takes.

--- a/crates/sidecar/src/net/clients.rs
+++ b/crates/sidecar/src/net/clients.rs
@@ -113,7 +113,7 @@
     continue_sent: bool,
     /// The rest of the body of the request in progress, if it is streamed.
     remaining_body: Option<Body>,
-    /// Since when, during this request, the socket may hold more input than the buffer takes.
+    /// Since when the socket may hold more input than the buffer takes.
     unread_since: Option<Moment>,
     /// How long the first request may have waited in the backlog. Danger: a client's deadline runs from the last byte
     /// that it sent, so without this an attempt would tell its endpoint more remaining time than there is.
@@ -293,8 +293,10 @@
         (client.stage, client.partial, client.continue_sent, client.waiting_since) =
             (Stage::Reading, false, false, turn.now);
         client.last_input = turn.now;
-        (client.remaining_body, client.unread_since, client.body_seen, client.body_deadline) =
-            (None, None, client.connection.received, None);
+        (client.remaining_body, client.body_seen, client.body_deadline) =
+            (None, client.connection.received, None);
+        // Danger: an answer does not show that the client is still there: its end may stand behind what is unread.
+        client.unread_since = client.unread_since.filter(|_| client.connection.full);
         client.upload_clock = UploadClock::default();
         self.set_deadline(key, turn.now + MAX_IDLE, turn);
     }
--- a/crates/sidecar/tests/crossings/clients.rs
+++ b/crates/sidecar/tests/crossings/clients.rs
@@ -577,6 +577,32 @@
     assert_eq!(sidecar.metric("sidecar_upstream_requests"), 0);
 }
 
+/// Guards against requests being sent for a client that has ended its sending behind more input than is read: the time
+/// since when that input waits began anew with each answer.
+#[test]
+fn requests_of_a_client_that_left_behind_unread_input_are_not_sent_after_an_answer() {
+    let endpoint = Endpoint::start(|_| ok("menu"));
+    let sidecar = Sidecar::start(&configuration_without_timeouts(
+        start_discovery().0,
+        &[entry("e0", endpoint.at, 0, "up")],
+        300_000,
+    ));
+    let mut client = Client::connect(&sidecar);
+    client.send("GET /healthz HTTP/1.1\r\n\r\n");
+    assert_eq!(client.status(), "200");
+    sidecar.in_one_turn(|| {
+        let request = |number: u32| format!("GET /view/1 HTTP/1.1\r\nX-Txn: left{number}\r\n\r\n");
+        let requests: String = (0..8000).map(request).collect();
+        assert!(client.flood(&requests, 1) >= 200_000);
+        client.end_sending();
+        std::thread::sleep(MAX_AFTER_CLOSE);
+    });
+    // The answers to a client that reads none show that its requests have been dealt with.
+    wait_until("its end is read", || connections(None, sidecar.at.port(), "01") == 0);
+    sidecar.wait_pending(0);
+    assert_eq!(sidecar.metric("sidecar_upstream_requests"), 0);
+}
+
 /// Danger: a process that hands its address over accepts its whole backlog at once, including clients that have
 /// disconnected there.
 #[test]
