--- a/crates/sidecar/src/net/servers/tests.rs
+++ b/crates/sidecar/src/net/servers/tests.rs
@@ -186,3 +186,31 @@
     let third = send(&mut servers, &mut turn);
     assert!(!keys.contains(&third));
 }
+
+/// Guards against a new process at the address of one that has gone being sent what is meant for that.
+#[test]
+fn address_belongs_to_the_endpoint_that_started_last() {
+    let (listener, _poll, mut turn, mut servers) = pool_for_one();
+    let address = listener.local_addr().unwrap();
+    let started = |ms| Some(Moment::from_nanos(ms));
+    let send = |servers: &mut Servers, turn: &mut Turn, endpoint| {
+        let carried = ActiveAttempt { request: 0, attempt: 0, give_up: turn.now + Span::from_millis(2000) };
+        let message = OutgoingRequest { head: HEAD, body: b"", streamed_body: None };
+        servers.send(endpoint, carried, message, turn)
+    };
+    servers.set_address(1, address, started(5), &mut turn);
+    assert_eq!(send(&mut servers, &mut turn, 0), Err(AttemptResult::ConnectFailed));
+    // The list still names the old one.
+    servers.set_address(0, address, None, &mut turn);
+    assert_eq!(send(&mut servers, &mut turn, 0), Err(AttemptResult::ConnectFailed));
+    assert!(send(&mut servers, &mut turn, 1).is_ok());
+    // It starts again there, after the other has gone.
+    servers.forget(1, &mut turn);
+    servers.set_address(0, address, started(9), &mut turn);
+    assert!(send(&mut servers, &mut turn, 0).is_ok());
+    // Of two that started at the same time neither is known to be the older.
+    servers.set_address(2, address, started(9), &mut turn);
+    servers.set_address(0, address, started(9), &mut turn);
+    turn.free_connections = 2;
+    assert!(send(&mut servers, &mut turn, 0).is_ok() && send(&mut servers, &mut turn, 2).is_ok());
+}
--- a/crates/sidecar/tests/crossings/retries.rs
+++ b/crates/sidecar/tests/crossings/retries.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use crate::stand_ins::{
-    Client, Endpoint, Sidecar, configuration, connections, entry, list_of, ok, read_message, start_discovery,
-    wait_until, with_admin_endpoint,
+    Client, Endpoint, OPEN, Sidecar, configuration, connections, entry, list_of, ok, read_message,
+    start_discovery, wait_until, watch_line, with_admin_endpoint,
 };
 
 /// A sidecar with these endpoints, configured so that `view` is unsafe to repeat.
@@ -129,3 +129,32 @@
     assert!(second.ends_with("next"), "{second}");
     sidecar.wait_pending(0);
 }
+
+/// Guards against picture (e) of incident 735e58: a retry meant for an endpoint that has gone reached the new process at
+/// its address, which belongs to another group, and the order ran twice.
+#[test]
+fn keyed_request_is_not_retried_at_an_address_that_has_a_new_process() {
+    let (reused, broken) = (Endpoint::start(|_| ok("menu")), Endpoint::start(|_| None));
+    let old = [entry("old", reused.at, 0, "up"), entry("broken", broken.at, 0, "up")];
+    let (discovery, watches) = start_discovery();
+    let known = list_of(1, true, &old);
+    let sidecar = Sidecar::start(&with_admin_endpoint(&configuration(discovery, 1024, &known)));
+    let (_, mut watch) = watches.recv().unwrap();
+    watch.write_all(OPEN).unwrap();
+    let new = entry("new", reused.at, 5, "up").replace("\"since_ms\":0", "\"since_ms\":1700000000000");
+    watch_line(&mut watch, &list_of(2, false, &[new]));
+    wait_until("it is heard", || sidecar.metric("sidecar_discovery_version") == 2);
+    let mut client = Client::connect(&sidecar);
+    for number in 0..40 {
+        client.order_as(&format!("reuse{number}"));
+        client.status();
+    }
+    let ids = |endpoint: &Endpoint| -> Vec<String> {
+        let id = |text: &str| text.lines().find_map(|line| line.strip_prefix("X-Txn: ").map(str::to_string));
+        endpoint.requests.try_iter().filter_map(|text| id(&text)).collect()
+    };
+    let (at_broken, at_reused) = (ids(&broken), ids(&reused));
+    assert!(!at_broken.is_empty());
+    let twice: Vec<_> = at_broken.iter().filter(|id| at_reused.contains(id)).collect();
+    assert!(twice.is_empty(), "{twice:?}");
+}
