Tell a new process from the one before it at its address

Cause: a retry of a keyed request compared groups by what the list says now of the endpoint that had the attempt, so a restarted process passed for the one that knows the key, also in a group joined since; and an endpoint that had gone but was still listed kept its address when the list gave that to another. Class of bug: an identity (name, address) that outlives the process it stood for. Change: an attempt keeps the endpoint's entry as it was sent; a retry goes to that group, and not to the same endpoint once it has started anew. An address belongs to the endpoint that started last; another that is still listed with it has none, so its attempts count as not connected. The two on the balancer expected a failure at once; the balancer waits for the group until the deadline, so they now follow the request to its deadline: never sent, and a final answer by then.

--- a/crates/sidecar/src/net/servers.rs
+++ b/crates/sidecar/src/net/servers.rs
@@ -4,6 +4,7 @@
 mod link;
 mod streams;
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 
 use appledyke::units::{Moment, Span};
@@ -67,6 +68,8 @@
 pub struct Servers {
     links: Slots<Link>,
     endpoints: Vec<Endpoint>,
+    /// The endpoint that each address belongs to: the one that started last.
+    by_address: HashMap<SocketAddr, usize>,
     max_idle: Span,
     connect_timeout: Span,
     /// Until when connections are not reused before `REUSE_DELAY` has passed.
@@ -83,6 +86,7 @@
         Servers {
             links: Slots::default(),
             endpoints: Vec::new(),
+            by_address: HashMap::new(),
             max_idle: idle_limit * IDLE_TIMEOUT_SHARE,
             connect_timeout,
             stray_bytes_until: Moment::from_nanos(0),
@@ -113,13 +117,47 @@
         if self.endpoints.len() <= endpoint {
             self.endpoints.resize(endpoint + 1, Endpoint::default());
         }
-        let state = &mut self.endpoints[endpoint];
-        if (state.address, state.started) != (Some(at), started) {
-            (state.address, state.started) = (Some(at), started);
+        let owns = self.claim_address(endpoint, at, started, turn);
+        let (state, address) = (&mut self.endpoints[endpoint], owns.then_some(at));
+        if (state.address, state.started) != (address, started) {
+            let before = std::mem::replace(&mut state.address, address);
+            state.started = started;
+            self.release_address(endpoint, before.filter(|before| *before != at));
             self.close_idle(endpoint, turn);
         }
     }
 
+    /// Notes that an address belongs to this endpoint no longer.
+    fn release_address(&mut self, endpoint: usize, address: Option<SocketAddr>) {
+        if let Some(address) = address.filter(|address| self.by_address.get(address) == Some(&endpoint)) {
+            self.by_address.remove(&address);
+        }
+    }
+
+    /// Whether an address belongs to this endpoint, whose process started at this time. Danger: a list may still name an
+    /// endpoint that has gone while a new one has come up at its address, which would be sent what is meant for the old.
+    fn claim_address(
+        &mut self,
+        endpoint: usize,
+        at: SocketAddr,
+        started: Option<Moment>,
+        turn: &mut Turn,
+    ) -> bool {
+        let holder = self.by_address.get(&at).copied().filter(|holder| *holder != endpoint);
+        let held = holder.map(|holder| &self.endpoints[holder]).filter(|state| state.address == Some(at));
+        match (holder, held.map(|state| state.started)) {
+            (Some(_), Some(held_since)) if held_since > started => return false,
+            (Some(holder), Some(held_since)) if held_since < started => {
+                log::info!("address {at} has passed to an endpoint that started later");
+                self.endpoints[holder].address = None;
+                self.close_idle(holder, turn);
+            }
+            _ => {}
+        }
+        self.by_address.insert(at, endpoint);
+        true
+    }
+
     pub fn close_idle(&mut self, endpoint: usize, turn: &mut Turn) {
         let idle = self.endpoints.get_mut(endpoint).map(|state| std::mem::take(&mut state.idle));
         for (key, _) in idle.unwrap_or_default() {
@@ -164,9 +202,8 @@
 
     pub fn forget(&mut self, endpoint: usize, turn: &mut Turn) {
         self.close_idle(endpoint, turn);
-        if let Some(state) = self.endpoints.get_mut(endpoint) {
-            state.address = None;
-        }
+        let address = self.endpoints.get_mut(endpoint).and_then(|state| state.address.take());
+        self.release_address(endpoint, address);
     }
 
     pub fn close(&mut self, key: Key, turn: &mut Turn) {
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -575,8 +575,10 @@
             self.endpoints[endpoint].iter_mut().for_each(|e| e.attempt_ended(client_reading));
         }
         if let Some(endpoint) = endpoint.filter(|at| self.endpoints[*at].is_some()) {
+            let entry = self.endpoints[endpoint].as_ref().map(|e| e.entry).unwrap_or_default();
             r.attempts.push(Attempt {
                 endpoint,
+                entry,
                 sent: now,
                 ended: None,
                 client_reading: false,
@@ -750,8 +752,16 @@
     fn send(&mut self, now: Moment, request: usize, endpoint: usize, retry: bool) {
         let credit = self.endpoints[endpoint].as_ref().map_or(0.0, |e| self.credit(now, e).0 - 1.0);
         let load_deviation = self.endpoints[endpoint].as_ref().and_then(|e| self.load_deviation(e));
+        let entry = self.endpoints[endpoint].as_ref().expect("only known endpoints are drawn").entry;
         let r = self.requests[request].as_mut().expect("only open requests are sent");
-        r.attempts.push(Attempt { endpoint, sent: now, ended: None, client_reading: false, load_deviation });
+        r.attempts.push(Attempt {
+            endpoint,
+            entry,
+            sent: now,
+            ended: None,
+            client_reading: false,
+            load_deviation,
+        });
         r.probed.clear();
         r.response_begun = false;
         let mut give_up = self.attempt_deadline(now, request);
@@ -1070,12 +1080,15 @@
         let remembered =
             now.since(first.sent) + self.terms.connect_timeout + self.terms.tick * DEDUP_MARGIN_TICKS
                 < m.window;
-        let earlier = |a: &Attempt| self.endpoints[a.endpoint].as_ref().map(|e| &e.entry);
-        let alike = |a: &Attempt| earlier(a).is_some_and(|earlier| m.group.same_group(earlier, &e.entry));
+        // Danger: a new process does not know what the one before it was sent, and may belong to another group.
+        let restarted =
+            |a: &Attempt| a.entry.name_hash == e.entry.name_hash && a.entry.started != e.entry.started;
+        let shares_keys =
+            |a: &Attempt| m.group == Group::All || m.group.same_group(&a.entry, &e.entry) && !restarted(a);
         match m.effect {
             Effect::Retryable => true,
             Effect::NonRetryable => false,
-            Effect::Deduplicated => remembered && may_have_run().all(alike),
+            Effect::Deduplicated => remembered && may_have_run().all(shares_keys),
         }
     }
 
--- a/src/known.rs
+++ b/src/known.rs
@@ -6,6 +6,8 @@
 /// State of one attempt.
 pub struct Attempt {
     pub endpoint: usize,
+    /// The endpoint's entry when it was sent: its process may have been replaced since.
+    pub entry: Entry,
     pub sent: Moment,
     pub ended: Option<Outcome>,
     /// Treated as answered, because the client seems to be reading the answer.
--- a/tests/restarted_endpoints.rs
+++ b/tests/restarted_endpoints.rs
@@ -7,6 +7,9 @@
 use appledyke::units::{Moment, Span};
 use appledyke::{Decision, EndpointState, Entry, Outcome, RequestInfo};
 
+/// How long a client waits for its answer.
+const DEADLINE_MS: u64 = 5000;
+
 fn at(ms: u64) -> Moment {
     Moment::from_nanos(1_000_000_000 + ms * 1_000_000)
 }
@@ -47,16 +50,27 @@
     (sent, failed)
 }
 
-/// Sends a request to endpoint 0, the only one then, lists `changes`, and resets the attempt. Returns what follows.
+/// Sends a request to endpoint 0, the only one then, lists `changes`, and resets the attempt. Returns what follows up to
+/// the request's deadline.
 fn after_reset(changes: &[Entry]) -> (Vec<usize>, bool) {
     let mut balancer = balancer();
     list(&mut balancer, 0, &[entry(0, 3, None)]);
-    let info = RequestInfo { left: Span::from_millis(5000), ..RequestInfo::default() };
+    let info = RequestInfo { left: Span::from_millis(DEADLINE_MS), ..RequestInfo::default() };
     balancer.arrival(at(10), 0, info);
     assert_eq!(decisions(&mut balancer, 10), (vec![0], false));
     list(&mut balancer, 20, changes);
     balancer.outcome(at(30), 0, 0, Outcome::Reset, false);
-    decisions(&mut balancer, 30)
+    let (mut sent, mut failed) = decisions(&mut balancer, 30);
+    for ms in (40..=10 + DEADLINE_MS).step_by(10) {
+        if !sent.is_empty() {
+            break;
+        }
+        balancer.wake(at(ms));
+        let (later, fails) = decisions(&mut balancer, ms);
+        sent.extend(later);
+        failed |= fails;
+    }
+    (sent, failed)
 }
 
 #[test]
