Do not send an id again whose client has left, at this process or the next

Cause: the id of a request was forgotten with its connection, also where its attempt had run or was still out, and no process knew the ids of another. Class of bug: a guard that ends before what it guards. Change: the ids of requests that must not run twice (unsafe, or keyed within a group) are kept from the first attempt until the client has its answer or it is sure that none ran: the latest 4,096, in memory and in a file of 32 kB in TMPDIR that other processes at the address read; what an ended process leaves is taken over. Such an id is answered 409.

--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod metrics;
 pub mod net;
 pub mod presence;
+pub mod sent_ids;
 pub mod shadow;
 pub mod sidecar;
 pub mod trace;
--- a/crates/sidecar/src/net/clients.rs
+++ b/crates/sidecar/src/net/clients.rs
@@ -74,6 +74,8 @@
 /// Delay before accepting is retried after no connection was free.
 const ACCEPT_RETRY: Span = Span::from_millis(100);
 
+/// The status for a request whose id is in use, or has been used.
+const REPEATED_ID: u16 = 409;
 /// Used in place of a request's index for a response that the sidecar writes itself.
 const NO_REQUEST: usize = usize::MAX;
 
@@ -439,7 +441,7 @@
                         let left = remaining.less(std::mem::take(&mut client.queued_for));
                         return ClientEvent::Arrival { method, left, work: cost, frame };
                     }
-                    self.respond_directly(key, frame, 409, turn);
+                    self.respond_directly(key, frame, REPEATED_ID, turn);
                 }
                 Ok(Parsed::Health) => {
                     let status = if self.failing_health_checks { 503 } else { 200 };
@@ -457,6 +459,25 @@
         ClientEvent::InputPending
     }
 
+    /// Whether the connection is open, as far as is known.
+    pub fn is_connected(&self, key: Key) -> bool {
+        self.slots.get(key).is_some()
+    }
+
+    /// The id of the request in this frame.
+    pub fn id_in(&self, key: Key, frame: Frame) -> Box<str> {
+        self.slots
+            .get(key)
+            .map(|client| request_id(frame.head_in(&client.connection.input)))
+            .unwrap_or_default()
+    }
+
+    /// Answers a request that has arrived with an id that was sent before.
+    pub fn answer_repeated(&mut self, key: Key, frame: Frame, turn: &mut Turn) {
+        self.open_ids.remove(&self.id_in(key, frame));
+        self.respond_directly(key, frame, REPEATED_ID, turn);
+    }
+
     /// Writes a response of the sidecar's own to the request in this frame.
     fn respond_directly(&mut self, key: Key, frame: Frame, status: u16, turn: &mut Turn) {
         let Some(client) = self.slots.get_mut(key) else { return };
--- a/crates/sidecar/src/presence.rs
+++ b/crates/sidecar/src/presence.rs
@@ -4,12 +4,17 @@
 use std::fs::{self, File, TryLockError};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::time::SystemTime;
 
 use crate::net::connection::lacks_descriptor;
+use crate::sent_ids::{self, IdHash};
 
 /// Suffix of the file in which a process leaves a message for the others at its address.
 const MESSAGE_SUFFIX: &str = "word";
 
+/// Suffix of the file with the ids of requests that a process has sent.
+const IDS_SUFFIX: &str = "ids";
+
 /// State of a process at its address; also the suffix of its file.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ProcessState {
@@ -43,6 +48,9 @@
     /// The file's name without the state.
     file_name: String,
     state: ProcessState,
+    /// The other processes with a file of ids, and the time of the folder's last change when they were listed.
+    with_ids: Vec<String>,
+    ids_listed_at: Option<SystemTime>,
     _lock: File,
 }
 
@@ -83,6 +91,8 @@
             prefix,
             file_name,
             state: ProcessState::Starting,
+            with_ids: Vec::new(),
+            ids_listed_at: None,
             _lock: lock,
         })
     }
@@ -121,6 +131,52 @@
         paths.filter_map(|path| fs::read_to_string(path).ok()).collect()
     }
 
+    /// Creates the file for the ids of requests that this process sends.
+    ///
+    /// # Errors
+    /// The folder cannot be written to, or there is no file descriptor.
+    pub fn create_ids_file(&self) -> std::io::Result<File> {
+        File::create(self.ids_path(&self.file_name))
+    }
+
+    fn ids_path(&self, process: &str) -> PathBuf {
+        self.folder.join(format!("{process}.{IDS_SUFFIX}"))
+    }
+
+    /// Whether another process at this address has sent a request with this id.
+    pub fn was_sent_elsewhere(&mut self, id: IdHash) -> bool {
+        // Danger: a process that has just started may send before the next look for others. A change of the folder shows it.
+        let changed = fs::metadata(&self.folder).and_then(|folder| folder.modified()).ok();
+        if changed.is_none() || changed != self.ids_listed_at {
+            self.with_ids = self.processes_with_ids();
+            self.ids_listed_at = changed;
+        }
+        self.with_ids.iter().any(|name| sent_ids::read(&self.ids_path(name)).contains(&id))
+    }
+
+    /// The processes at this address that have left a file of ids, this one excluded.
+    pub fn processes_with_ids(&self) -> Vec<String> {
+        let entries = fs::read_dir(&self.folder).into_iter().flatten().flatten();
+        let names = entries.map(|entry| entry.file_name().to_string_lossy().into_owned());
+        let process = |name: String| {
+            let (process, suffix) = name.rsplit_once('.')?;
+            let other = process.starts_with(&self.prefix) && process != self.file_name;
+            (suffix == IDS_SUFFIX && other).then(|| process.to_string())
+        };
+        names.filter_map(process).collect()
+    }
+
+    /// Takes over the ids that ended processes have left. `with_ids` is from before the running ones were found. Danger: a
+    /// process that has just started would pass for one that has ended.
+    pub fn take_ids(&self, with_ids: &[String], running: &Siblings) -> Vec<IdHash> {
+        let mut ids = Vec::new();
+        for process in with_ids.iter().filter(|process| !running.names.contains(process)) {
+            ids.extend(sent_ids::read(&self.ids_path(process)));
+            let _ = fs::remove_file(self.ids_path(process));
+        }
+        ids
+    }
+
     /// Finds the other running processes, and removes the files of dead ones.
     ///
     /// # Errors
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -37,6 +37,7 @@
 use crate::net::slots::{Key, Peer, Slots};
 use crate::net::{Turn, http};
 use crate::presence::{Presence, ProcessState, Siblings};
+use crate::sent_ids::{IdHash, SentIds};
 use crate::shadow::ShadowedBalancer;
 use crate::trace::EndpointStates;
 use recheck::RecheckQueue;
@@ -87,6 +88,10 @@
     attempts: Vec<Option<Key>>,
     /// Outcome of its last attempt.
     last_outcome: Option<Outcome>,
+    /// The hash of its id, if it must not run twice.
+    unrepeatable_id: Option<IdHash>,
+    /// An attempt that has ended may have run.
+    may_have_run: bool,
     /// The client's request id; empty unless individual requests are logged.
     id: String,
 }
@@ -140,6 +145,8 @@
     /// This process's presence file, and the other processes last seen at the same address.
     presence: Option<Presence>,
     siblings: Siblings,
+    /// The ids of requests that have been sent and must not run twice, shared with those processes.
+    sent_ids: SentIds,
     /// Outcomes of recent attempts, shared with those processes.
     recent_attempts: RecentAttempts,
     /// This process's share of the connections allowed at this address.
@@ -243,6 +250,7 @@
             drained_by_release: false,
             presence: None,
             siblings: Siblings::default(),
+            sent_ids: SentIds::new(None),
             recent_attempts: RecentAttempts::default(),
             connection_share: connections,
             shutdown: None,
@@ -255,7 +263,13 @@
         if let Some(folder) = &config.folder {
             let at = sidecar.clients.address().unwrap_or(listen);
             match Presence::announce(folder, at, std::process::id()) {
-                Ok(presence) => sidecar.presence = Some(presence),
+                Ok(presence) => {
+                    match presence.create_ids_file() {
+                        Ok(file) => sidecar.sent_ids = SentIds::new(Some(file)),
+                        Err(e) => log::warn!("TMPDIR: {}: {e}; ids are not shared", folder.display()),
+                    }
+                    sidecar.presence = Some(presence);
+                }
                 Err(e) => log::warn!(
                     "TMPDIR: {}: {e}; another process at this address cannot be detected",
                     folder.display()
--- a/crates/sidecar/src/sidecar/process.rs
+++ b/crates/sidecar/src/sidecar/process.rs
@@ -240,6 +240,7 @@
         } else if ready {
             presence.set_state(ProcessState::Ready);
         }
+        let with_ids = presence.processes_with_ids();
         let mut found = presence.siblings();
         for _ in 0..SIBLING_CHECK_DESCRIPTORS {
             if found.is_ok() || !self.make_room() {
@@ -257,6 +258,10 @@
             share as isize - std::mem::replace(&mut self.connection_share, share) as isize;
         self.clients.resize(share);
         self.siblings = siblings;
+        if let Some(presence) = &self.presence {
+            let taken = presence.take_ids(&with_ids, &self.siblings);
+            taken.into_iter().for_each(|id| self.sent_ids.insert(id));
+        }
         self.share_recent_attempts();
         self.turn.deadlines.reschedule(
             Due::OtherProcesses,
--- a/crates/sidecar/src/sidecar/requests.rs
+++ b/crates/sidecar/src/sidecar/requests.rs
@@ -2,6 +2,8 @@
 //! it.
 
 use super::*;
+use appledyke::terms::{Effect, Group};
+
 use crate::metrics::{AnsweredHere, StreamAbort};
 use crate::net::servers::{StalledResponse, StreamTarget};
 use crate::trace;
@@ -58,12 +60,19 @@
                 self.client_disconnected(request);
             }
             ClientEvent::Arrival { method, left, work, frame } => {
+                let unrepeatable_id = self.unrepeatable_id(method, frame, key);
+                if unrepeatable_id.is_some_and(|id| self.was_sent(id)) {
+                    self.clients.answer_repeated(key, frame, &mut self.turn);
+                    return self.check_next_request(key);
+                }
                 let request = Request {
                     method,
                     since: self.turn.now,
                     client: Some(key),
                     attempts: Vec::new(),
                     last_outcome: None,
+                    unrepeatable_id,
+                    may_have_run: false,
                     id: String::new(),
                 };
                 let Ok(at) = self.requests.insert_with(|_| Ok::<_, Infallible>(request));
@@ -88,11 +97,38 @@
         }
     }
 
+    /// The hash of the id of a request that must not run twice: one that is unsafe to repeat, or whose key not every
+    /// endpoint knows.
+    fn unrepeatable_id(&self, method: usize, frame: Frame, client: Key) -> Option<IdHash> {
+        let method = &self.balancer.terms().methods[method];
+        let repeatable = match method.effect {
+            Effect::Retryable => true,
+            Effect::Deduplicated => method.group == Group::All,
+            Effect::NonRetryable => false,
+        };
+        (!repeatable).then(|| IdHash::of(&self.clients.id_in(client, frame)))
+    }
+
+    /// Whether a request with this id has been sent to an endpoint, by this process or another at its address.
+    fn was_sent(&mut self, id: IdHash) -> bool {
+        self.sent_ids.contains(id)
+            || self.presence.as_mut().is_some_and(|presence| presence.was_sent_elsewhere(id))
+    }
+
+    /// The request has its answer, or has provably not run: its id may be used again.
+    fn release_id(&mut self, request: usize) {
+        let id = self.request(request).and_then(|r| r.unrepeatable_id);
+        id.into_iter().for_each(|id| self.sent_ids.remove(id));
+    }
+
     /// The client no longer waits for this request. Danger: an attempt that is still connecting or partly unwritten
     /// would be sent all the same, and cancelling does not cover it as it was never sent. So such attempts are
     /// withdrawn here.
     pub(super) fn client_disconnected(&mut self, request: usize) {
         self.balancer.client_disconnected(request);
+        if !self.may_have_run(request) {
+            self.release_id(request);
+        }
         let attempts_out =
             self.request(request).map(|r| r.attempts.iter().flatten().copied().collect::<Vec<_>>());
         for link in attempts_out.unwrap_or_default() {
@@ -103,6 +139,15 @@
         }
     }
 
+    /// Whether an attempt of the request has run, may have, or may yet.
+    fn may_have_run(&self, request: usize) -> bool {
+        let Some(r) = self.requests.key_at(request).and_then(|key| self.requests.get(key)) else {
+            return false;
+        };
+        let sent_whole = |link: &Key| self.servers.unsent_request(*link).is_none();
+        r.may_have_run || r.attempts.iter().flatten().any(sent_whole)
+    }
+
     pub(super) fn server_ready(&mut self, key: Key) {
         if self.servers.forwarding_to(key).is_some() {
             return self.forward_response(key);
@@ -216,6 +261,9 @@
                 }
                 Piece::End => {
                     self.clients.end_response(client, true, &mut self.turn);
+                    if self.clients.is_connected(client) {
+                        self.sent_ids.remove(IdHash::of(self.servers.forwarded_request_id(link)));
+                    }
                     self.servers.end_forwarding(link, &mut self.turn);
                     self.check_next_request(client);
                     return self.count_request(method, end);
@@ -288,6 +336,7 @@
         let (mut closed, mut streaming) = (true, false);
         if let Some(r) = self.request(request) {
             r.attempts[attempt] = None;
+            r.may_have_run |= !outcome.never_ran();
             let is_final = matches!(outcome, Outcome::Success | Outcome::ClientError);
             let (method, since) = (r.method, r.since);
             let client = if is_final { r.client.take() } else { None };
@@ -301,6 +350,9 @@
                     }
                     None => {
                         self.send_response(key, frame, client);
+                        if self.clients.is_connected(client) {
+                            self.release_id(request);
+                        }
                         self.count_request_since(method, end, since);
                     }
                 }
@@ -419,6 +471,9 @@
                     (r.client, ActiveAttempt { request, attempt: r.attempts.len(), give_up });
                 // Nothing is sent, and no budget spent, for a client that has just disconnected.
                 let allowed = client.is_some() && self.budgets_allow(endpoint, carried.attempt > 0);
+                if let Some(id) = self.request(request).and_then(|r| r.unrepeatable_id).filter(|_| allowed) {
+                    self.sent_ids.insert(id);
+                }
                 let mut sent = if allowed {
                     self.send_attempt(client, endpoint, carried)
                 } else {
@@ -598,6 +653,10 @@
             return;
         };
         self.metrics.count_answered_here(why);
+        if status == 503 {
+            // A rejection says that the request has not run and may be sent again.
+            self.release_id(request);
+        }
         let id = self.request(request).map_or("", |r| &r.id);
         log::debug!("request {id}: answered {status} here, {}", why.name());
         self.count_request(method, if status == 503 { RequestEnd::Rejected } else { RequestEnd::Failed });
--- a/crates/sidecar/tests/crossings/retries.rs
+++ b/crates/sidecar/tests/crossings/retries.rs
@@ -158,3 +158,40 @@
     let twice: Vec<_> = at_broken.iter().filter(|id| at_reused.contains(id)).collect();
     assert!(twice.is_empty(), "{twice:?}");
 }
+
+/// Guards against picture (d) of incident 735e58: an id ran twice when it came again after its client had left.
+#[test]
+fn id_that_comes_again_after_its_client_has_left_is_not_sent_again() {
+    // It answers long after its client has left.
+    let endpoints = [(); 2].map(|()| {
+        Endpoint::start(|_| {
+            std::thread::sleep(Duration::from_millis(300));
+            ok("menu")
+        })
+    });
+    let [one, other] = endpoints.each_ref();
+    let sidecar = start_with_unsafe_view(&[("e0", one.at), ("e1", other.at)]);
+    for number in 0..10 {
+        let id = format!("again{number}");
+        for send in [post, Client::order_as] {
+            let mut client = Client::connect(&sidecar);
+            send(&mut client, &format!("{id}-{}", send as usize));
+            wait_until("it is sent", || sidecar.metric("sidecar_pending") == 1);
+            drop(client);
+            wait_until("its client has left", || sidecar.metric("sidecar_pending") == 0);
+            let mut client = Client::connect(&sidecar);
+            send(&mut client, &format!("{id}-{}", send as usize));
+            assert_eq!(client.status(), "409", "{id}");
+        }
+    }
+    assert_no_id_twice(&endpoints);
+}
+
+fn assert_no_id_twice(endpoints: &[Endpoint]) {
+    let id = |text: &str| text.lines().find_map(|line| line.strip_prefix("X-Txn: ").map(str::to_string));
+    let requests = endpoints.iter().flat_map(|endpoint| endpoint.requests.try_iter());
+    let mut ids: Vec<String> = requests.filter_map(|text| id(&text)).collect();
+    ids.sort_unstable();
+    let twice: Vec<_> = ids.windows(2).filter(|pair| pair[0] == pair[1]).map(|pair| &pair[0]).collect();
+    assert!(!ids.is_empty() && twice.is_empty(), "{twice:?}");
+}
