Soak long requests, endpoints that stop reading, floods, and ids that come again

Change: in half of the plans some requests are long and endpoints, with segments as on a network, stop reading for a while; in half of them clients send unsound requests at full speed; a client that leaves an unsafe request comes again at once with its id. They are drawn from a random sequence of their own, so that the rest of a seed's plan is as before. The checker counts an attempt after a disconnect unless the client has come again by then; the table says which plans have what.

--- a/crates/lab/src/soak/checker.rs
+++ b/crates/lab/src/soak/checker.rs
@@ -55,7 +55,7 @@
     for request in &record.requests {
         let of_request = attempts.get(request.id.as_str()).map(Vec::as_slice).unwrap_or_default();
         violations.extend(lost_request(request, of_request, record));
-        violations.extend(attempts_after_disconnect(request, of_request));
+        violations.extend(attempts_after_disconnect(request, of_request, record));
         violations.extend(excessive_deadlines(request, of_request, record));
     }
     // Clients may resend requests that were pending in a killed sidecar.
@@ -127,13 +127,21 @@
     }
 }
 
-/// Checks that no attempt begins after its client has disconnected.
-fn attempts_after_disconnect(request: &Request, attempts: &[&Attempt]) -> Vec<Violation> {
+/// Checks that no attempt begins after its client has disconnected, unless it has come again with the same id by then.
+fn attempts_after_disconnect(request: &Request, attempts: &[&Attempt], record: &Record) -> Vec<Violation> {
     if request.outcome != RequestOutcome::Disconnected {
         return Vec::new();
     }
     let until = request.ended_at + DISCONNECT_TOLERANCE + RECORDING_DELAY;
-    let late = attempts.iter().filter(|attempt| attempt.first_byte_at > until);
+    let returned = record
+        .requests
+        .iter()
+        .filter(|other| other.id == request.id && other.sent_at > request.ended_at)
+        .map(|other| other.sent_at)
+        .min();
+    let late = attempts.iter().filter(|attempt| {
+        attempt.first_byte_at > until && returned.is_none_or(|at| attempt.first_byte_at < at)
+    });
     let violation = |attempt: &&Attempt| Violation {
         rule: Rule::Lost,
         at: attempt.first_byte_at,
--- a/crates/lab/src/soak/plan.rs
+++ b/crates/lab/src/soak/plan.rs
@@ -21,6 +21,8 @@
     BreaksOff,
     /// It closes the connection right after a response.
     Closes,
+    /// It stops reading within a request, and closes the connection later.
+    StopsReading,
 }
 
 /// An event of a plan.
@@ -52,6 +54,8 @@
     Pause(usize, Duration),
     /// This many clients connect to a sidecar, send nothing and stay connected.
     ConnectIdleClients(usize, usize),
+    /// Some clients send unsound requests to a sidecar at full speed for this long.
+    Flood(usize, Duration),
 }
 
 /// The plan of a whole run.
@@ -73,6 +77,8 @@
     pub duration: Duration,
     /// Whether idle clients connect to a sidecar, whose limit on sockets is lower in such a plan.
     pub has_idle_clients: bool,
+    /// Whether some requests are longer than a sidecar buffers as a whole.
+    pub has_long_requests: bool,
 }
 
 /// Time in which discovery can serve one call of each sidecar.
@@ -82,6 +88,10 @@
     Duration::from_millis(count)
 }
 
+/// Marks a random sequence of its own for slow and flooding peers, so that the rest of a seed's plan does not depend on
+/// them.
+const PEERS_STREAM: u128 = 1 << 64;
+
 /// Draws random time spans and choices.
 struct Random(Rand64);
 
@@ -128,6 +138,7 @@
             events: Vec::new(),
             duration: Duration::ZERO,
             has_idle_clients: random.chance(0.3),
+            has_long_requests: false,
         };
         let begin = random.millis(1500, 3000);
         let restored = plan.outage(&mut random, begin);
@@ -144,6 +155,7 @@
             let (at, sidecar) = (begin + random.millis(0, 9000), random.below(sidecars));
             plan.events.push((at, Event::Pause(sidecar, random.millis(40, 150))));
         }
+        plan.slow_and_flooding_peers(&mut Random(Rand64::new(u128::from(seed) | PEERS_STREAM)), begin);
         plan.events.sort_by_key(|(at, _)| *at);
         let last = plan.events.iter().map(|(at, _)| *at).max().unwrap_or_default();
         plan.duration = last.max(from + millis(6000)) + plan.deadline + millis(4000);
@@ -220,6 +232,23 @@
         }
     }
 
+    /// In some plans requests are long and endpoints stop reading for a while, and clients send at full speed.
+    fn slow_and_flooding_peers(&mut self, random: &mut Random, begin: Duration) {
+        self.has_long_requests = random.chance(0.5);
+        if self.has_long_requests {
+            for _ in 0..random.between(1, 3) {
+                let (endpoint, at) = (random.below(self.endpoints - 1), begin + random.millis(0, 6000));
+                self.events.push((at, Event::Behaves(endpoint, Behaviour::StopsReading)));
+                self.events
+                    .push((at + random.millis(1000, 5000), Event::Behaves(endpoint, Behaviour::Healthy)));
+            }
+        }
+        if random.chance(0.5) {
+            let (at, sidecar) = (begin + random.millis(0, 6000), random.below(self.sidecars));
+            self.events.push((at, Event::Flood(sidecar, random.millis(1000, 4000))));
+        }
+    }
+
     /// Some endpoints fail in some manner for a while.
     fn faulty_endpoints(&mut self, random: &mut Random, begin: Duration) {
         let faults = [
