--- a/crates/fleet/src/liveness.rs
+++ b/crates/fleet/src/liveness.rs
@@ -235,7 +235,9 @@
             });
             // A member that is gone stays so until it reports again.
             let gone = agreed.is_some_and(|m| m.incarnation == incarnation && m.status == MemberStatus::Gone);
-            if same || gone && status == MemberStatus::Silent {
+            // Danger: a member that an operator has forgotten would come back by the last report that is kept of it.
+            let forgotten = agreed.is_none() && matches!(status, MemberStatus::Silent | MemberStatus::Gone);
+            if same || forgotten || gone && status == MemberStatus::Silent {
                 self.proposed.remove(&(name, false));
                 continue;
             }
