--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -576,14 +576,7 @@
         }
         if let Some(endpoint) = endpoint.filter(|at| self.endpoints[*at].is_some()) {
             let entry = self.endpoints[endpoint].as_ref().map(|e| e.entry).unwrap_or_default();
-            r.attempts.push(Attempt {
-                endpoint,
-                entry,
-                sent: now,
-                ended: None,
-                client_reading: false,
-                load_deviation: None,
-            });
+            r.attempts.push(Attempt::new(endpoint, entry, now));
             self.endpoints[endpoint].iter_mut().for_each(|e| e.in_flight += 1);
         }
     }
@@ -754,14 +747,7 @@
         let load_deviation = self.endpoints[endpoint].as_ref().and_then(|e| self.load_deviation(e));
         let entry = self.endpoints[endpoint].as_ref().expect("only known endpoints are drawn").entry;
         let r = self.requests[request].as_mut().expect("only open requests are sent");
-        r.attempts.push(Attempt {
-            endpoint,
-            entry,
-            sent: now,
-            ended: None,
-            client_reading: false,
-            load_deviation,
-        });
+        r.attempts.push(Attempt { load_deviation, ..Attempt::new(endpoint, entry, now) });
         r.probed.clear();
         r.response_begun = false;
         let mut give_up = self.attempt_deadline(now, request);
--- a/src/known.rs
+++ b/src/known.rs
@@ -16,6 +16,13 @@
     pub load_deviation: Option<f64>,
 }
 
+impl Attempt {
+    /// An attempt that is sent now to an endpoint with this entry.
+    pub fn new(endpoint: usize, entry: Entry, sent: Moment) -> Attempt {
+        Attempt { endpoint, entry, sent, ended: None, client_reading: false, load_deviation: None }
+    }
+}
+
 /// State of one request.
 #[derive(Default)]
 pub struct Request {
