An answer counts as read once its client has sent another request

Callers see: an order runs twice whose client leaves just as its answer is written, and comes again with its id. Cause: the id was given free when the answer had been written to a connection that looked open; the client's end had reached the machine 0.05 ms before and was seen only by the next poll. Change: the id stays with the connection, and is free once another request has come on it that was not there before the answer. A client that leaves instead keeps it taken.

--- a/crates/sidecar/src/net/clients.rs
+++ b/crates/sidecar/src/net/clients.rs
@@ -23,6 +23,7 @@
 use super::http::{self, Frame, Length, MessageError, ReadState};
 use super::servers::OutgoingRequest;
 use super::slots::{Key, Peer, Slots};
+use crate::sent_ids::IdHash;
 use head::{Parsed, parse_head, request_id};
 use upload_clock::UploadClock;
 
@@ -130,6 +131,8 @@
     /// When input last arrived, and `since` if none has.
     last_input: Moment,
     has_answered: bool,
+    /// The id of the request that was answered last, if it must not run twice.
+    answered_id: Option<IdHash>,
     deadline: Option<Moment>,
 }
 
@@ -459,9 +462,17 @@
         ClientEvent::InputPending
     }
 
-    /// Whether the connection is open, as far as is known.
-    pub fn is_connected(&self, key: Key) -> bool {
-        self.slots.get(key).is_some()
+    /// Keeps the id of a request that has been answered on this connection until `take_answered_id`. Danger: a client that
+    /// has left does not read its answer, which shows only later; a request that it had sent before shows nothing.
+    pub fn set_answered_id(&mut self, key: Key, id: IdHash) {
+        if let Some(client) = self.slots.get_mut(key).filter(|client| client.connection.input.is_empty()) {
+            client.answered_id = Some(id);
+        }
+    }
+
+    /// The id of the request before, once another has come on this connection: its client has read the answer.
+    pub fn take_answered_id(&mut self, key: Key) -> Option<IdHash> {
+        self.slots.get_mut(key)?.answered_id.take()
     }
 
     /// The id of the request in this frame.
--- a/crates/sidecar/src/net/clients/accepting.rs
+++ b/crates/sidecar/src/net/clients/accepting.rs
@@ -77,6 +77,7 @@
                     waiting_since: turn.now,
                     last_input: turn.now,
                     has_answered: false,
+                    answered_id: None,
                     deadline: None,
                 })
             });
--- a/crates/sidecar/src/sidecar/requests.rs
+++ b/crates/sidecar/src/sidecar/requests.rs
@@ -60,6 +60,8 @@
                 self.client_disconnected(request);
             }
             ClientEvent::Arrival { method, left, work, frame } => {
+                let answered_id = self.clients.take_answered_id(key);
+                answered_id.into_iter().for_each(|id| self.sent_ids.remove(id));
                 let unrepeatable_id = self.unrepeatable_id(method, frame, key);
                 if unrepeatable_id.is_some_and(|id| self.was_sent(id)) {
                     self.clients.answer_repeated(key, frame, &mut self.turn);
@@ -115,7 +117,7 @@
             || self.presence.as_mut().is_some_and(|presence| presence.was_sent_elsewhere(id))
     }
 
-    /// The request has its answer, or has provably not run: its id may be used again.
+    /// The request has provably not run: its id may be used again.
     fn release_id(&mut self, request: usize) {
         let id = self.request(request).and_then(|r| r.unrepeatable_id);
         id.into_iter().for_each(|id| self.sent_ids.remove(id));
@@ -261,8 +263,9 @@
                 }
                 Piece::End => {
                     self.clients.end_response(client, true, &mut self.turn);
-                    if self.clients.is_connected(client) {
-                        self.sent_ids.remove(IdHash::of(self.servers.forwarded_request_id(link)));
+                    let id = IdHash::of(self.servers.forwarded_request_id(link));
+                    if self.sent_ids.contains(id) {
+                        self.clients.set_answered_id(client, id);
                     }
                     self.servers.end_forwarding(link, &mut self.turn);
                     self.check_next_request(client);
@@ -350,9 +353,8 @@
                     }
                     None => {
                         self.send_response(key, frame, client);
-                        if self.clients.is_connected(client) {
-                            self.release_id(request);
-                        }
+                        let id = self.request(request).and_then(|r| r.unrepeatable_id);
+                        id.into_iter().for_each(|id| self.clients.set_answered_id(client, id));
                         self.count_request_since(method, end, since);
                     }
                 }
--- a/crates/sidecar/tests/crossings/retries.rs
+++ b/crates/sidecar/tests/crossings/retries.rs
@@ -187,6 +187,23 @@
     assert_no_id_twice(&endpoints);
 }
 
+/// Guards against the answer to a client that has left being taken for one that it has read.
+#[test]
+fn id_that_comes_again_after_its_answer_was_not_read_is_not_sent_again() {
+    let endpoints = [Endpoint::start(|_| ok("menu"))];
+    let sidecar = start_with_unsafe_view(&[("e0", endpoints[0].at)]);
+    for number in 0..10 {
+        let (id, mut client) = (format!("unread{number}"), Client::connect(&sidecar));
+        post(&mut client, &id);
+        wait_until("it is answered", || sidecar.metric("sidecar_completed{lane=\"view\"}") == number + 1);
+        drop(client);
+        let mut client = Client::connect(&sidecar);
+        post(&mut client, &id);
+        assert_eq!(client.status(), "409", "{id}");
+    }
+    assert_no_id_twice(&endpoints);
+}
+
 fn assert_no_id_twice(endpoints: &[Endpoint]) {
     let id = |text: &str| text.lines().find_map(|line| line.strip_prefix("X-Txn: ").map(str::to_string));
     let requests = endpoints.iter().flat_map(|endpoint| endpoint.requests.try_iter());
