--- a/crates/sidecar/src/net/clients/accepting.rs
+++ b/crates/sidecar/src/net/clients/accepting.rs
@@ -15,7 +15,7 @@
 use crate::net::slots::{Key, Peer};
 
 impl Clients {
-    /// Accepts all waiting connections, closing idle ones where no connection is free. Returns the connections that were
+    /// Accepts all connections that wait at the call, closing idle ones where no connection is free. Returns the connections that were
     /// to be closed but turned out to have unread input.
     pub fn accept(&mut self, turn: &mut Turn) -> Vec<Key> {
         let mut with_input = Vec::new();
@@ -27,7 +27,7 @@
         // Danger: clients that connect at full speed would keep all others waiting. What had come before is accepted.
         for accepted in 0.. {
             if accepted == BACKLOG {
-                let next_turn = turn.now + Span::from_nanos(1);
+                let next_turn = turn.next_turn();
                 turn.deadlines.reschedule(Due::Accept, &mut self.accept_retry_at, Some(next_turn));
                 break;
             }
--- a/crates/sidecar/src/net/clients/streams.rs
+++ b/crates/sidecar/src/net/clients/streams.rs
@@ -29,18 +29,13 @@
     }
 
     /// The next piece of that request's body.
-    pub fn next_piece(&mut self, key: Key, turn: &mut Turn) -> Piece {
+    pub fn next_piece(&mut self, key: Key) -> Piece {
         let Some(client) = self.slots.get_mut(key) else { return Piece::Truncated };
         let (Stage::Waiting { frame, .. }, Some(body)) = (&client.stage, &mut client.remaining_body) else {
             return Piece::Truncated;
         };
         // Danger: the last bytes from a client that has disconnected could complete its request, which would then run.
-        let piece = body.next(&mut client.connection, frame.end, false);
-        if matches!(piece, Piece::End) {
-            client.body_deadline = None;
-            turn.deadlines.reschedule(Due::Client(key), &mut client.deadline, None);
-        }
-        piece
+        body.next(&mut client.connection, frame.end, false)
     }
 
     pub fn bytes(&self, key: Key, range: &Range<usize>) -> &[u8] {
@@ -66,8 +61,9 @@
             body if client.connection.full => Arrival::Blocked { missing: body.missing(buffered.len()) },
             _ => Arrival::Partial,
         };
-        let (read, receive_buffer) = (client.connection.received, client.connection.receive_buffer());
-        client.upload_clock.note(arrival, read, receive_buffer, self.input_since, turn.now);
+        let connection = &client.connection;
+        let receive_buffer = || connection.receive_buffer();
+        client.upload_clock.note(arrival, connection.received, receive_buffer, self.input_since, turn.now);
         let runs_since = client.upload_clock.runs_since();
         if arrival == Arrival::Partial {
             self.extend_body_deadline(key, turn);
--- a/crates/sidecar/src/net/clients/upload_clock.rs
+++ b/crates/sidecar/src/net/clients/upload_clock.rs
@@ -42,8 +42,16 @@
 
 impl UploadClock {
     /// Takes note of what has arrived by `now`. `read` counts the bytes read from the connection, which may have arrived
-    /// from `earliest` on; `receive_buffer` is the size in bytes of its socket's buffer.
-    pub fn note(&mut self, arrival: Arrival, read: u64, receive_buffer: u64, earliest: Moment, now: Moment) {
+    /// from `earliest` on; `receive_buffer` looks up the size in bytes of its socket's buffer.
+    pub fn note(
+        &mut self,
+        arrival: Arrival,
+        read: u64,
+        receive_buffer: impl FnOnce() -> u64,
+        earliest: Moment,
+        now: Moment,
+    ) {
+        let capacity = || receive_buffer() + MAX_CLIENT_SEND_BUFFER;
         match arrival {
             Arrival::Partial => *self = UploadClock::default(),
             Arrival::Blocked { missing } => {
@@ -52,10 +60,10 @@
                     self.marks.push_back(Mark { read, at: now });
                 }
                 let end = read + missing.unwrap_or(0);
-                self.runs_since = self.earliest_write(end, read, receive_buffer + MAX_CLIENT_SEND_BUFFER);
+                self.runs_since = self.earliest_write(end, read, capacity());
             }
             Arrival::Complete if self.runs_since.is_some() || self.blocked_since.is_some() => {
-                let bound = self.earliest_write(read, read, receive_buffer + MAX_CLIENT_SEND_BUFFER);
+                let bound = self.earliest_write(read, read, capacity());
                 self.runs_since = self.runs_since.max(bound);
                 (self.blocked_since, self.marks) = (None, VecDeque::new());
             }
--- a/crates/sidecar/src/net/clients/upload_clock_tests.rs
+++ b/crates/sidecar/src/net/clients/upload_clock_tests.rs
@@ -13,7 +13,7 @@
 fn runs_since(arrivals: &[(Arrival, u64, u64)]) -> Option<Moment> {
     let mut clock = UploadClock::default();
     for (arrival, read, ms) in arrivals {
-        clock.note(*arrival, *read, RECEIVE_BUFFER, at(*ms), at(*ms));
+        clock.note(*arrival, *read, || RECEIVE_BUFFER, at(*ms), at(*ms));
     }
     clock.runs_since()
 }
--- a/crates/sidecar/src/net/mod.rs
+++ b/crates/sidecar/src/net/mod.rs
@@ -21,3 +21,10 @@
     /// The number of connections that may still be opened or accepted by all peers together; below 0, one must be closed.
     pub free_connections: isize,
 }
+
+impl Turn {
+    /// A deadline for what this turn leaves to the next one, which then does not wait for events.
+    pub fn next_turn(&self) -> appledyke::units::Moment {
+        self.now + appledyke::units::Span::from_nanos(1)
+    }
+}
--- a/crates/sidecar/src/net/operator.rs
+++ b/crates/sidecar/src/net/operator.rs
@@ -93,7 +93,8 @@
         self.listener.local_addr()
     }
 
-    /// Accepts all waiting connections. Returns how many, and whether the process ran out of file descriptors.
+    /// Accepts waiting connections, up to `MAX_ACCEPTS_PER_TURN`. Returns how many, and whether the process ran out of file
+    /// descriptors.
     pub fn accept(&mut self, turn: &mut Turn) -> (usize, bool) {
         let mut accepted = 0;
         // Danger: logged at every retry, this would crowd all other lines out of the log.
@@ -102,7 +103,7 @@
         loop {
             // Danger: callers that connect at full speed would keep all else waiting.
             if accepted == MAX_ACCEPTS_PER_TURN {
-                let next_turn = turn.now + Span::from_nanos(1);
+                let next_turn = turn.next_turn();
                 turn.deadlines.reschedule(Due::Operators, &mut self.accept_retry_at, Some(next_turn));
                 return (accepted, false);
             }
--- a/crates/sidecar/src/sent_ids.rs
+++ b/crates/sidecar/src/sent_ids.rs
@@ -22,6 +22,7 @@
 pub struct IdHash(u64);
 
 impl IdHash {
+    /// The hash of this id.
     pub fn of(id: &str) -> IdHash {
         let hash = id.bytes().fold(FNV_OFFSET, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME));
         IdHash(hash.max(FREE + 1))
@@ -38,6 +39,7 @@
 }
 
 impl SentIds {
+    /// An empty ring, which writes its ids to this file, if there is one.
     pub fn new(file: Option<File>) -> SentIds {
         SentIds { slots: vec![FREE; MAX_IDS], next: 0, slot_of: HashMap::new(), file }
     }
@@ -61,6 +63,7 @@
         }
     }
 
+    /// Whether this id has been sent.
     pub fn contains(&self, IdHash(id): IdHash) -> bool {
         self.slot_of.contains_key(&id)
     }
--- a/crates/sidecar/src/sidecar/requests.rs
+++ b/crates/sidecar/src/sidecar/requests.rs
@@ -117,9 +117,14 @@
             || self.presence.as_mut().is_some_and(|presence| presence.was_sent_elsewhere(id))
     }
 
+    /// The hash of the id of an open request, if it must not run twice.
+    fn kept_id(&mut self, request: usize) -> Option<IdHash> {
+        self.request(request)?.unrepeatable_id
+    }
+
     /// The request has provably not run: its id may be used again.
     fn release_id(&mut self, request: usize) {
-        let id = self.request(request).and_then(|r| r.unrepeatable_id);
+        let id = self.kept_id(request);
         id.into_iter().for_each(|id| self.sent_ids.remove(id));
     }
 
@@ -206,7 +211,7 @@
             let Some(link) = link.filter(|link| self.servers.accepts_body(*link)) else {
                 return UploadStep::Waits;
             };
-            match self.clients.next_piece(client, &mut self.turn) {
+            match self.clients.next_piece(client) {
                 Piece::Data(range) => {
                     self.balancer.partly_forwarded(self.turn.now, request);
                     let data = self.clients.bytes(client, &range);
@@ -353,7 +358,7 @@
                     }
                     None => {
                         self.send_response(key, frame, client);
-                        let id = self.request(request).and_then(|r| r.unrepeatable_id);
+                        let id = self.kept_id(request);
                         id.into_iter().for_each(|id| self.clients.set_answered_id(client, id));
                         self.count_request_since(method, end, since);
                     }
@@ -473,7 +478,7 @@
                     (r.client, ActiveAttempt { request, attempt: r.attempts.len(), give_up });
                 // Nothing is sent, and no budget spent, for a client that has just disconnected.
                 let allowed = client.is_some() && self.budgets_allow(endpoint, carried.attempt > 0);
-                if let Some(id) = self.request(request).and_then(|r| r.unrepeatable_id).filter(|_| allowed) {
+                if let Some(id) = self.kept_id(request).filter(|_| allowed) {
                     self.sent_ids.insert(id);
                 }
                 let mut sent = if allowed {
