Review case 6: also counts requests that must never run twice and did

Cause: a late second answer that turns away passes for the answer to the next request on its connection, which then counts as never run and is sent again.

Change: the requests of case 6 are of a class that must never run twice, and endpoints turn one in six away. build-2.sh removes a case's program before it builds it, so that none of an earlier text is run.

--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -19,17 +19,31 @@
 const SPOILT_ONE_IN: u64 = 20;
 const LATEST_MS: u64 = 6;
 
-/// Answers after 20 to 40 ms. The second answer is the first one again, on the same connection.
-fn handler(name: &'static str, case: &Case) -> Handler {
-    let (count, record, trouble) = (AtomicU64::new(0), case.record.clone(), case.trouble);
+/// One request in so many finds the endpoint's queue full.
+const FULL_ONE_IN: u64 = 6;
+const FULL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n";
+
+/// The ids of the requests that have run, one for each time.
+type Runs = Arc<Mutex<Vec<String>>>;
+
+/// Answers after 20 to 40 ms, or turns the request away. The second answer is the first one again, on the same connection.
+fn handler(name: &'static str, case: &Case, runs: &Runs) -> Handler {
+    let (count, record, trouble, runs) = (AtomicU64::new(0), case.record.clone(), case.trouble, runs.clone());
     Arc::new(move |message, stream| {
-        let number = count.fetch_add(1, Ordering::Relaxed);
-        sleep(ms(20 + number * 7 % 20));
-        let whole = answer(name, message);
+        let (number, id) = (count.fetch_add(1, Ordering::Relaxed), message.header("x-txn"));
+        let whole = if number % FULL_ONE_IN == FULL_ONE_IN - 1 {
+            sleep(ms(2));
+            record.say(format!("endpoint {name}: {id} is turned away"));
+            FULL.to_vec()
+        } else {
+            runs.lock().unwrap().push(id.to_string());
+            sleep(ms(20 + number * 7 % 20));
+            answer(name, message)
+        };
         stream.write_all(&whole)?;
         if trouble && number % SPOILT_ONE_IN == SPOILT_ONE_IN - 1 {
             sleep(ms(1 + number / SPOILT_ONE_IN % LATEST_MS));
-            record.say(format!("endpoint {name}: the answer to {} a second time", message.header("x-txn")));
+            record.say(format!("endpoint {name}: the answer to {id} a second time"));
             stream.write_all(&whole)?;
         }
         Ok(())
@@ -38,7 +52,8 @@
 
 fn play(case: &Case) -> Result<bool> {
     let record = &case.record;
-    let endpoints = [("v1", handler("v1", case)), ("v2", handler("v2", case))];
+    let runs = Runs::default();
+    let endpoints = ["v1", "v2"].map(|name| (name, handler(name, case, &runs)));
     let endpoints = endpoints.map(|(name, handler)| Endpoint::start(record, name, handler));
     let rows: Vec<Row> = endpoints.iter().map(Row::of).collect();
     let discovery = Discovery::start(record, rows.clone());
@@ -58,7 +73,7 @@
                 sleep(ms(pause));
                 let id = new_id();
                 record.say(format!("client {number}: sends {id}"));
-                let answer = client.get("stav", &id, 3000);
+                let answer = client.post("vydaj", &id, 3000);
                 let mut counts = counts.lock().unwrap();
                 match answer {
                     Ok(answer) if answer.status() == 200 => {
@@ -87,15 +102,20 @@
         client.join().map_err(|_| "a client panicked".to_string())?;
     }
     let (served, foreign, unanswered) = *counts.lock().unwrap();
+    let mut runs = std::mem::take(&mut *runs.lock().unwrap());
+    runs.sort();
+    let twice: Vec<_> = runs.windows(2).filter(|pair| pair[0] == pair[1]).map(|pair| &pair[0]).collect();
+    twice.iter().for_each(|id| record.say(format!("{id} HAS RUN TWICE")));
+    let twice = twice.len();
     let text = format!(
-        "{served} requests served, {foreign} of them with another request's answer; {unanswered} unanswered"
+        "{served} requests served, {foreign} of them with another request's answer; {twice} ran twice; {unanswered} unanswered"
     );
     record.say(&text);
     println!("{text}");
     if served == 0 {
         return Err("nothing was served".to_string());
     }
-    Ok(foreign > 0)
+    Ok(foreign > 0 || twice > 0)
 }
 
 fn main() -> ExitCode {
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,6 +7,7 @@
 for source in review/{6,7,8,9,10}/case.rs; do
     if [ -f "$source" ]; then
         number=$(basename "$(dirname "$source")")
+        rm -f "target/review-2/case-$number"
         rustc --edition 2024 -O -o "target/review-2/case-$number" "$source"
     fi
 done
