--- a/review/6/run.sh
+++ /dev/null
@@ -1,2 +0,0 @@
-#!/usr/bin/env bash
-exec "$(dirname "$0")/../run-case-2.sh" "$(dirname "$0")"
