--- a/review/stand_ins_2.rs
+++ b/review/stand_ins_2.rs
@@ -29,9 +29,19 @@
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
 }
 
-/// A port that was free a moment ago.
+/// The next port to try, below those that the operating system gives to outgoing connections.
+static NEXT_PORT: AtomicU64 = AtomicU64::new(0);
+
+/// An address with a port that was free a moment ago, and that this process gives out once.
 pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr()).expect("a free port")
+    loop {
+        let start = u64::from(std::process::id()) * 311;
+        let port = 12_000 + (start + NEXT_PORT.fetch_add(1, Ordering::Relaxed)) % 18_000;
+        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 // The record.
@@ -57,6 +67,11 @@
         self.lines.lock().unwrap().push(line);
     }
 
+    /// How many lines have this text.
+    pub fn count(&self, text: &str) -> usize {
+        self.lines.lock().unwrap().iter().filter(|line| line.contains(text)).count()
+    }
+
     fn save(&self, path: &Path) {
         let mut text = self.lines.lock().unwrap().join("\n");
         text.push('\n');
@@ -317,6 +332,8 @@
     pub name: String,
     pub address: SocketAddr,
     pub seen: Arc<Mutex<Vec<Seen>>>,
+    /// Its open connections; `None` once it has ended.
+    connections: Arc<Mutex<Option<Vec<TcpStream>>>>,
 }
 
 impl Endpoint {
@@ -324,10 +341,19 @@
     pub fn start(record: &Record, name: &str, handler: Handler) -> Endpoint {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
-        let endpoint = Endpoint { name: name.to_string(), address, seen: Arc::default() };
+        let endpoint = Endpoint {
+            name: name.to_string(),
+            address,
+            seen: Arc::default(),
+            connections: Arc::new(Mutex::new(Some(Vec::new()))),
+        };
         let (own, record) = (endpoint.clone(), record.clone());
         serve(listener, move |mut stream| {
-            let Ok(copy) = stream.try_clone() else { return };
+            let (Ok(copy), Ok(other)) = (stream.try_clone(), stream.try_clone()) else { return };
+            match &mut *own.connections.lock().unwrap() {
+                Some(open) => open.push(other),
+                None => return,
+            }
             let mut reader = BufReader::new(copy);
             while let Ok(Some(message)) = read_message(&mut reader) {
                 let path = message.first.split(' ').nth(1).unwrap_or("");
@@ -357,6 +383,12 @@
         endpoint
     }
 
+    /// Its process ends: connections end, and new ones are ended at once.
+    pub fn end(&self) {
+        let open = self.connections.lock().unwrap().take();
+        open.into_iter().flatten().for_each(|stream| drop(stream.shutdown(Shutdown::Both)));
+    }
+
     pub fn requests(&self) -> Vec<Seen> {
         self.seen.lock().unwrap().clone()
     }
