Review case 9: an upgrade while discovery is down forgets which endpoint drains

Cause: the processes of one address pass on outcomes and ids, but not the list; the new process says yes after 3 s without one and serves by the list that its file has.

Nothing is fixed.

--- a/review/stand_ins_2.rs
+++ b/review/stand_ins_2.rs
@@ -426,6 +426,8 @@
 struct List {
     index: u64,
     rows: Vec<Row>,
+    /// It is down: calls are answered 503, and watches have ended.
+    down: bool,
 }
 
 /// Discovery: the whole list at once, then a watch with a line for each change and an empty one every 2 s.
@@ -449,13 +451,17 @@
     pub fn start(record: &Record, rows: Vec<Row>) -> Discovery {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
-        let list = Arc::new((Mutex::new(List { index: 1, rows }), Condvar::new()));
+        let list = Arc::new((Mutex::new(List { index: 1, rows, down: false }), Condvar::new()));
         let discovery = Discovery { address, list };
         let (own, record) = (discovery.clone(), record.clone());
         serve(listener, move |mut stream| {
             let Ok(copy) = stream.try_clone() else { return };
             let Ok(Some(call)) = read_message(&mut BufReader::new(copy)) else { return };
             record.say(format!("discovery: {}", call.first));
+            if own.is_down() {
+                let _ = stream.write_all(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+                return;
+            }
             if !call.first.contains("follow=1") {
                 let body = own.whole().0;
                 let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
@@ -474,7 +480,10 @@
                     return;
                 }
                 let list = own.list.0.lock().unwrap();
-                drop(own.list.1.wait_timeout_while(list, ms(2000), |list| list.index == told));
+                drop(own.list.1.wait_timeout_while(list, ms(2000), |list| list.index == told && !list.down));
+                if own.is_down() {
+                    return;
+                }
             }
         });
         discovery
@@ -486,6 +495,16 @@
         (format!("{{\"index\":{},\"snapshot\":true,\"endpoints\":[{rows}]}}\n", list.index), list.index)
     }
 
+    fn is_down(&self) -> bool {
+        self.list.0.lock().unwrap().down
+    }
+
+    /// Takes it down, which ends all watches, or up again.
+    pub fn set_down(&self, down: bool) {
+        self.list.0.lock().unwrap().down = down;
+        self.list.1.notify_all();
+    }
+
     /// Replaces the list, and tells all watches.
     pub fn set(&self, rows: Vec<Row>) {
         let mut list = self.list.0.lock().unwrap();
