--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -1,4 +1,4 @@
-//! An endpoint is out of service, and the fleet says that it is empty. Sidecars are killed and started again.
+//! Sidecars are down for some seconds, an endpoint begins to drain meanwhile, and they come back with their last list.
 
 #[path = "../stand_ins_2.rs"]
 mod stand_ins;
@@ -8,127 +8,125 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::{sleep, spawn};
-use std::time::{Duration, Instant};
 
 use stand_ins::*;
 
-/// How long a request takes at an endpoint.
-const WORK: Duration = Duration::from_millis(1200);
-/// Clients of each sidecar, each with one request at a time.
-const CLIENTS: usize = 4;
-/// The endpoint that is taken out of service.
-const OUT: &str = "v1";
-/// Kills, each of one sidecar in turn, and the time between two.
-const KILLS: usize = 4;
-const BETWEEN: Duration = Duration::from_millis(4500);
+const SIDECARS: usize = 60;
+/// How many of them are killed: 45 in a hundred.
+const KILLED: usize = 27;
+/// They are down for six seconds; the drain begins half a second after the kill.
+const DRAIN_AFTER_KILL_MS: u64 = 500;
+const START_AFTER_DRAIN_MS: u64 = 5500;
+/// The latest time by which a change counts as told, the grace of the settings, and the slack on sockets, in seconds.
+const TOLD_S: f64 = 6.0;
+const GRACE_S: f64 = 1.5;
+const SLACK_S: f64 = 0.05;
+/// The endpoint ends so long after the last moment at which it may be sent anything new: longer than its longest work.
+const ENDS_AFTER_S: f64 = 1.0;
+const DRAINS: &str = "v1";
 
 fn work(name: &'static str) -> Handler {
     Arc::new(move |message, stream| {
-        sleep(WORK);
+        sleep(ms(600));
         stream.write_all(&answer(name, message))
     })
 }
 
 fn play(case: &Case) -> Result<bool> {
     let record = &case.record;
-    let endpoints = ["v1", "v2", "v3"].map(|name| Endpoint::start(record, name, work(name)));
+    let endpoints = ["v1", "v2", "v3", "v4"].map(|name| Endpoint::start(record, name, work(name)));
     let rows: Vec<Row> = endpoints.iter().map(Row::of).collect();
     let discovery = Discovery::start(record, rows.clone());
-    let sidecars = ["s1", "s2"].map(|name| (name, free_address(), free_address()));
-    let file = |(name, listen, operators): (&str, _, _), more: &str| {
-        sidecar_file(name, listen, operators, &discovery, &rows, &settings(2), more)
-    };
-    let daemons = Daemons::start(case, &file(sidecars[0], ""), "")?;
-    let files = sidecars.map(|own| file(own, &daemons.member_key("")));
-    let mut ids = Vec::new();
-    for ((name, listen, _), file) in sidecars.iter().zip(&files) {
-        ids.push(case.start_sidecar(name, file, name)?);
-        case.wait_for(&format!("{name} is healthy"), ms(10_000), || is_healthy(*listen))?;
+    // Discovery is asked, and has to be asked within 10 s.
+    let settings = settings(SIDECARS as u64)
+        .replace("\"discovery\":\"automatic\"", "\"discovery\":\"subscribe\"")
+        .replace("\"rules\":{", "\"rules\":{\"askWithinNs\":10000000000,");
+    let mut sidecars = Vec::new();
+    for number in 0..SIDECARS {
+        let (name, listen) = (format!("s{number}"), free_address());
+        let seed = |life: usize| format!("\"seed\":\"{:x}\"", 1 + life * SIDECARS + number);
+        let file = sidecar_file(&name, listen, free_address(), &discovery, &rows, &settings, "");
+        let (before, after) = file.split_once("\"seed\":").ok_or("a file without a seed")?;
+        let after = after.split_once(',').ok_or("a file that ends with its seed")?.1.to_string();
+        // The seed is new with each start.
+        let files = [0, 1].map(|life| format!("{before}{},{after}", seed(life)));
+        let id = case.start_sidecar(&name, &files[0], &name)?;
+        sidecars.push((name, listen, files, id));
     }
-    let config = daemons.config(0);
-    case.wait_for("both sidecars are members that serve", ms(10_000), || {
-        let members = case.daemon_command(&["members", "--config", &config]);
-        members.is_ok_and(|(_, text)| text.lines().filter(|line| line.contains(" serving ")).count() == 2)
-    })?;
+    for (name, listen, ..) in &sidecars {
+        case.wait_for(&format!("{name} is healthy"), ms(15_000), || is_healthy(*listen))?;
+    }
+    let watches = || record.count("discovery: GET /v1/servers?follow=1");
+    case.wait_for("each sidecar has a watch", ms(15_000), || watches() >= SIDECARS)?;
     let over = Arc::new(AtomicBool::new(false));
     let mut clients = Vec::new();
-    for (name, listen, _) in sidecars {
-        for number in 0..CLIENTS {
-            let (record, over) = (record.clone(), over.clone());
-            clients.push(spawn(move || {
-                let mut client = Client::new(listen);
-                while !over.load(Ordering::Relaxed) {
-                    let id = new_id();
-                    record.say(format!("client {number} of {name}: sends {id}"));
-                    match client.post("vydaj", &id, 4000) {
-                        Ok(answer) => {
-                            record.say(format!("client {number} of {name}: {id}: {}", answer.status()))
-                        }
-                        Err(e) => {
-                            record.say(format!("client {number} of {name}: {id}: {e}"));
-                            sleep(ms(50));
-                        }
+    for (name, listen, ..) in sidecars.iter().chain(&sidecars) {
+        let (record, over, name, listen) = (record.clone(), over.clone(), name.clone(), *listen);
+        clients.push(spawn(move || {
+            let (mut client, mut failed) = (Client::new(listen), 0);
+            while !over.load(Ordering::Relaxed) {
+                let (id, from) = (new_id(), record.at());
+                match client.post("vydaj", &id, 4000) {
+                    Ok(answer) if answer.status() == 200 => {}
+                    Ok(answer) => {
+                        failed += 1;
+                        record.say(format!("client of {name}: {id}: {}", answer.status()));
                     }
+                    // A sidecar that is down refuses the connection.
+                    Err(_) if record.at() - from < 0.05 => sleep(ms(100)),
+                    Err(e) => record.say(format!("client of {name}: {id}: {e}")),
                 }
-            }));
-        }
+                sleep(ms(50));
+            }
+            failed
+        }));
     }
-    sleep(ms(2500));
-    let (code, text) = case.daemon_command(&["out", OUT, "--config", &config])?;
-    record.say(format!("out {OUT}: exit code {code}: {}", text.trim_end()));
-    if code != 0 {
-        return Err(format!("out: {text}"));
+    sleep(ms(2000));
+    if case.trouble {
+        record.say(format!("{KILLED} sidecars are killed"));
+        sidecars.iter().take(KILLED).for_each(|(.., id)| case.kill(*id));
     }
-    let says_empty = || {
-        let outs = case.daemon_command(&["outs", "--config", &config]);
-        outs.is_ok_and(|(code, text)| code == 0 && text.contains(&format!("{OUT}: empty")))
-    };
-    case.wait_for(&format!("outs says that {OUT} is empty"), ms(20_000), says_empty)?;
-    let empty_at = record.at();
-    // From here on `outs` is asked again and again, and one sidecar after the other is killed and started again.
-    let mut said = Vec::new();
-    let (mut kills, mut next, until) =
-        (0, Instant::now() + ms(1000), Instant::now() + BETWEEN * (KILLS as u32 + 1));
-    while Instant::now() < until {
-        if case.trouble && kills < KILLS && Instant::now() >= next {
-            let at = kills % sidecars.len();
-            let (name, ..) = sidecars[at];
-            record.say(format!("{name} is killed"));
-            case.kill(ids[at]);
-            ids[at] = case.start_sidecar(name, &files[at], name)?;
-            (kills, next) = (kills + 1, next + BETWEEN);
+    sleep(ms(DRAIN_AFTER_KILL_MS));
+    let mut draining = rows.clone();
+    draining[0].status = "draining";
+    discovery.set(draining.clone());
+    let drains_at = record.at();
+    record.say(format!("discovery has that {DRAINS} drains"));
+    sleep(ms(START_AFTER_DRAIN_MS));
+    if case.trouble {
+        for (name, _, files, id) in sidecars.iter_mut().take(KILLED) {
+            *id = case.start_sidecar(name, &files[1], name)?;
         }
-        let from = record.at();
-        let empty = says_empty();
-        said.push((from, record.at(), empty));
-        record.say(format!(
-            "outs: {OUT} {}",
-            if empty { "is empty" } else { "is held, or not known to be empty" }
-        ));
-        sleep(ms(40));
+        record.say("they are started again, each with its last list");
     }
+    let last = drains_at + TOLD_S + GRACE_S + SLACK_S;
+    sleep(std::time::Duration::from_secs_f64((last + ENDS_AFTER_S - record.at()).max(0.0)));
+    // What was sent in time has been answered, so the endpoint ends. Discovery is told a moment later.
+    endpoints[0].end();
+    record.say(format!("{DRAINS} ends"));
+    sleep(ms(500));
+    discovery.set(draining.split_off(1));
+    sleep(ms(1500));
     over.store(true, Ordering::Relaxed);
-    clients.into_iter().for_each(|client| drop(client.join()));
-    let late: Vec<Seen> = endpoints[0].requests().into_iter().filter(|seen| seen.at > empty_at).collect();
-    // A request that ran at the endpoint over all of a call that said that it is empty.
-    let runs_at =
-        |seen: &Seen, from: f64, to: f64| seen.at < from && seen.until.is_none_or(|until| until > to);
-    let mut broken = 0;
+    let failed: usize = clients.into_iter().filter_map(|client| client.join().ok()).sum();
+    let late: Vec<Seen> = endpoints[0].requests().into_iter().filter(|seen| seen.at > last).collect();
+    let cut = late.iter().filter(|seen| seen.until.is_none_or(|until| until > last + ENDS_AFTER_S)).count();
     for seen in &late {
-        let untrue = said.iter().filter(|(from, to, empty)| *empty && runs_at(seen, *from, *to)).count();
-        broken += usize::from(untrue > 0);
         record.say(format!(
-            "{} reached {OUT} at {:.3}; {untrue} calls of outs said meanwhile that it is empty",
-            seen.id, seen.at
+            "{} reached {DRAINS} {:.3} s after discovery had that it drains",
+            seen.id,
+            seen.at - drains_at
         ));
     }
+    let latest = late.iter().map(|seen| seen.at - drains_at).fold(0.0, f64::max);
     let text = format!(
-        "{} requests reached {OUT} after outs had said that it is empty; while {broken} of them ran there, outs said so again",
-        late.len()
+        "{} requests reached {DRAINS} later than {:.2} s after discovery had that it drains, the last at {latest:.2} s; {cut} of them were cut off by its end, {failed} requests were not served",
+        late.len(),
+        last - drains_at
     );
     record.say(&text);
     println!("{text}");
-    Ok(broken > 0)
+    Ok(!late.is_empty())
 }
 
 fn main() -> ExitCode {
