Review: each run.sh names its record.txt, which is written as the run goes

Cause: only the shared stand-ins named record.txt, and wrote it at the end of a run, so a run that was ended early left none and might leave processes.

Change: run.sh hands record.txt to the program, which writes each line at once; run-case-2.sh ends what an ended program has left.

--- a/review/stand_ins_2.rs
+++ b/review/stand_ins_2.rs
@@ -46,16 +46,18 @@
 
 // The record.
 
-/// What was sent, answered and run, with the time since the start of the case.
+/// What was sent, answered and run, with the time since the start of the case. Each line is in the file at once, so that a
+/// run that is ended early leaves its record too.
 #[derive(Clone)]
 pub struct Record {
     start: Instant,
-    lines: Arc<Mutex<Vec<String>>>,
+    lines: Arc<Mutex<(Vec<String>, fs::File)>>,
 }
 
 impl Record {
-    pub fn new() -> Record {
-        Record { start: Instant::now(), lines: Arc::default() }
+    fn create(path: &Path) -> std::io::Result<Record> {
+        let file = fs::File::create(path)?;
+        Ok(Record { start: Instant::now(), lines: Arc::new(Mutex::new((Vec::new(), file))) })
     }
 
     pub fn at(&self) -> f64 {
@@ -64,20 +66,16 @@
 
     pub fn say(&self, text: impl AsRef<str>) {
         let line = format!("{:9.3} {}", self.at(), text.as_ref());
-        self.lines.lock().unwrap().push(line);
+        let mut lines = self.lines.lock().unwrap();
+        if let Err(e) = lines.1.write_all(format!("{line}\n").as_bytes()) {
+            eprintln!("the record: {e}");
+        }
+        lines.0.push(line);
     }
 
     /// How many lines have this text.
     pub fn count(&self, text: &str) -> usize {
-        self.lines.lock().unwrap().iter().filter(|line| line.contains(text)).count()
-    }
-
-    fn save(&self, path: &Path) {
-        let mut text = self.lines.lock().unwrap().join("\n");
-        text.push('\n');
-        if let Err(e) = fs::write(path, text) {
-            eprintln!("{}: {e}", path.display());
-        }
+        self.lines.lock().unwrap().0.iter().filter(|line| line.contains(text)).count()
     }
 }
 
@@ -98,16 +96,25 @@
 /// A reason why the case could not run.
 pub type Result<T> = std::result::Result<T, String>;
 
-/// Runs a case: `play` returns whether the rule was broken. Arguments: the folder of the case, and a temporary folder.
+/// Runs a case: `play` returns whether the rule was broken. Arguments: the folder of the case, a temporary folder, and the file of
+/// the record, `record.txt` in the folder of the case.
 pub fn run(play: impl FnOnce(&Case) -> Result<bool> + Send + 'static) -> ExitCode {
     let mut arguments = std::env::args().skip(1);
-    let (Some(own), Some(folder)) = (arguments.next(), arguments.next()) else {
-        eprintln!("usage: case FOLDER-OF-THE-CASE TEMPORARY-FOLDER");
+    let (Some(own), Some(folder), Some(record)) = (arguments.next(), arguments.next(), arguments.next())
+    else {
+        eprintln!("usage: case FOLDER-OF-THE-CASE TEMPORARY-FOLDER RECORD");
         return ExitCode::from(NOT_RUN);
     };
     let own = PathBuf::from(own);
+    let record = match Record::create(Path::new(&record)) {
+        Ok(record) => record,
+        Err(e) => {
+            eprintln!("{record}: {e}");
+            return ExitCode::from(NOT_RUN);
+        }
+    };
     let case = Case {
-        record: Record::new(),
+        record,
         trouble: std::env::var("TROUBLE").as_deref() != Ok("0"),
         root: own.join("../..").canonicalize().expect("the repository"),
         folder: PathBuf::from(folder),
@@ -132,7 +139,6 @@
         Err(why) => (NOT_RUN, format!("could not run: {why}")),
     };
     case.record.say(&text);
-    case.record.save(&own.join("record.txt"));
     println!("{text}");
     ExitCode::from(code)
 }
@@ -160,10 +166,16 @@
             .map_err(|e| format!("{name}: {e}"))?;
         let id = child.id();
         self.children.lock().unwrap().insert(id, child);
+        // `run-case-2.sh` ends it by this, should this program be ended.
+        fs::write(self.id_file(id), "").map_err(|e| e.to_string())?;
         self.record.say(format!("{name} started"));
         Ok(id)
     }
 
+    fn id_file(&self, id: u32) -> PathBuf {
+        self.folder.join(format!("{id}.pid"))
+    }
+
     /// Starts a sidecar with this configuration, by `run` of the deploy file.
     pub fn start_sidecar(&self, name: &str, configuration: &str, log: &str) -> Result<u32> {
         let file = self.folder.join(format!("{name}.json"));
@@ -207,6 +219,7 @@
     /// Kills a process and waits for its end.
     pub fn kill(&self, id: u32) {
         if let Some(mut child) = self.children.lock().unwrap().remove(&id) {
+            let _ = fs::remove_file(self.id_file(id));
             let _ = child.kill();
             let _ = child.wait();
         }
@@ -218,7 +231,8 @@
     }
 
     fn end_all(&self) {
-        for (_, mut child) in std::mem::take(&mut *self.children.lock().unwrap()) {
+        for (id, mut child) in std::mem::take(&mut *self.children.lock().unwrap()) {
+            let _ = fs::remove_file(self.id_file(id));
             let _ = child.kill();
             let _ = child.wait();
         }
