Tests: clients and recording endpoints of discovery_crowded.rs become shared fakes

Cause: a second test file with real processes needs the same clients and endpoints.

Change: both move to tests/fakes/traffic.rs; a client also returns its answers. No check changes.

--- a/crates/sidecar/tests/discovery_crowded.rs
+++ b/crates/sidecar/tests/discovery_crowded.rs
@@ -4,39 +4,25 @@
 mod fakes;
 mod stand_ins;
 
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use fakes::discovery::{Capacity, Discovery, Outcome};
-use stand_ins::{Client, Endpoint, Sidecar, configuration, entry, list_of, ok};
+use fakes::traffic::{recording_endpoint, send_requests};
+use stand_ins::{Sidecar, configuration, entry, list_of};
 
 /// Time after the SIGHUP at which what discovery at a newly configured address has counts as announced.
 const TOLD_AFTER_MOVE: Duration = Duration::from_millis(4000);
 /// From then on sending to a draining endpoint must end within this time, plus the rule's tolerance.
 const STOP_SENDING: Duration = Duration::from_millis(1000);
 const SLACK: Duration = Duration::from_millis(50);
-/// Interval between two requests of a client, and between the SIGHUP series of two sidecars.
-const REQUEST_EVERY: Duration = Duration::from_millis(25);
+/// Interval between the SIGHUP series of two sidecars.
 const STAGGER: Duration = Duration::from_millis(400);
 /// Times of the SIGHUPs in a series, from its first.
 const SERIES: [u64; 4] = [0, 300, 700, 1600];
 const SIDECARS: u32 = 9;
 
-/// When requests reached an endpoint, and from which sidecar: the first digit of their path.
-type Arrivals = Arc<Mutex<Vec<(Instant, usize)>>>;
-
-fn recording_endpoint() -> (Endpoint, Arrivals) {
-    let arrivals = Arrivals::default();
-    let record = arrivals.clone();
-    let endpoint = Endpoint::start(move |request| {
-        let sidecar = request.split('/').nth(2).and_then(|path| path.split(' ').next()?.parse().ok());
-        record.lock().unwrap().push((Instant::now(), sidecar.expect("a sidecar's number")));
-        ok("menu")
-    });
-    (endpoint, arrivals)
-}
-
 fn settings(discovery: std::net::SocketAddr, known: &str, number: u32) -> String {
     let text = configuration(discovery, 1024, known);
     let text = text.replace("8c1f30d27a5be964", &format!("8c1f30d27a5be9{number:02x}"));
@@ -47,23 +33,6 @@
     text.replace("\"rules\":{", &rules)
 }
 
-/// Sends requests to this sidecar until told to stop.
-fn send_requests(sidecar: &Sidecar, number: u32, over: &Arc<AtomicBool>) -> std::thread::JoinHandle<()> {
-    let mut client = Client::connect(sidecar);
-    let over = over.clone();
-    std::thread::spawn(move || {
-        let mut sent = 0;
-        while !over.load(Ordering::Relaxed) {
-            sent += 1;
-            let lines = "Host: h\r\nX-Lane: view\r\nX-Remaining-Ms: 2000\r\n\r\n";
-            client.send(format!("GET /view/{number} HTTP/1.1\r\nX-Txn: {number}-{sent}\r\n{lines}"));
-            let status = client.status();
-            assert!(status == "200" || status == "503", "{status}");
-            std::thread::sleep(REQUEST_EVERY);
-        }
-    })
-}
-
 /// Prints the outcomes of the calls at each address, for the analysis of a failure.
 fn print_calls(discovery: &Discovery) {
     let calls = discovery.calls();
@@ -122,7 +91,7 @@
     // Longer than any of them may take.
     std::thread::sleep(TOLD_AFTER_MOVE + STOP_SENDING + Duration::from_secs(4));
     over.store(true, Ordering::Relaxed);
-    clients.into_iter().for_each(|client| client.join().unwrap());
+    clients.into_iter().for_each(|client| drop(client.join().unwrap()));
 
     print_calls(&discovery);
     let mut late = Vec::new();
