A process sends by the list of its start only until that may be out of date

What callers saw: sidecars that came back with an old list sent requests of a class that must never run twice to an endpoint that had begun to drain while they were down, up to 2.75 s after their start.

Cause: nothing bounded how long a process sends by the list that it was started with. A change counts as received 6 s after it was made, whether or not the process was there, so an old list may have to be left alone from the start on, while the first call to discovery is drawn from up to 0.1 s for each instance, 5 s from 50 on (Balancer::new). Evidence: the log of each late sender shows its first call answered at once with the drain, and every late request lies before that; no call failed, none was retried.

Change: the list of the start is leased (src/list_lease.rs). The lease ends with the time in which sending must stop, less the connect timeout and 0.15 s for a stalled process. From then on requests are queued for a moment and rejected with a time to come back, until discovery has answered. The load on discovery is unchanged. While discovery is down the lease is extended, as nothing can have been received: at once where connections are refused; where calls are rejected or hang, once a service with too many callers would have answered (0.1 s for each instance, 8 s at most). `ready` says no for up to 5.5 s (3 s before) while the list may not be used. Log line and metric: `list confirmed N ms after the start`, reason `list_unconfirmed`.

--- a/crates/sidecar/src/config.rs
+++ b/crates/sidecar/src/config.rs
@@ -25,9 +25,6 @@
 const DEFAULT_SOCKETS: u64 = 1024;
 const DEFAULT_MEMORY_MB: u64 = 192;
 
-/// The setting for how soon nothing more may be sent to a draining endpoint.
-const STOP_SENDING_WITHIN: &str = "rules.stopSendingWithinNs";
-
 /// Keys that a reloaded file may add or drop.
 const OPTIONAL_KEYS: [&str; 3] = ["known", "watch", "fleet"];
 
@@ -398,12 +395,6 @@
         // Danger: a request that waits for its connect is sent once that completes, and the endpoint may have begun
         // to drain meanwhile. So the connect timeout is at most the time in which sending must stop.
         let connect_timeout = span("ceilings.connectTimeoutNs")?;
-        let stop_sending_within = pairs
-            .iter()
-            .any(|(at, _)| at == STOP_SENDING_WITHIN)
-            .then(|| span(STOP_SENDING_WITHIN))
-            .transpose()?;
-        let stop_sending_within = stop_sending_within.filter(|span| *span > Span::ZERO);
         let sockets = limit(&file, "sockets", DEFAULT_SOCKETS)? as usize;
         let memory = limit(&file, "memory_mb", DEFAULT_MEMORY_MB)? as f64 * 1e6 * BUFFER_MEMORY_SHARE;
         let memory_allows = (memory / (2.0 * http::MAX_MESSAGE_BYTES as f64)) as usize;
@@ -451,7 +442,9 @@
             discovery,
             seed: seed(&file)?,
             connection_idle: span("ceilings.connIdleNs")?,
-            connect_timeout: stop_sending_within.map_or(connect_timeout, |stop| connect_timeout.min(stop)),
+            connect_timeout: terms
+                .stop_sending_within
+                .map_or(connect_timeout, |stop| connect_timeout.min(stop)),
             reload_identity: ReloadIdentity::of(&file),
             known: file["known"].take(),
             terms,
--- a/crates/sidecar/src/net/discovery.rs
+++ b/crates/sidecar/src/net/discovery.rs
@@ -3,8 +3,10 @@
 mod format;
 pub mod schedule;
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 
+use appledyke::list_lease::FailedCall;
 use appledyke::units::Moment;
 use serde_json::{Value, json};
 
@@ -35,6 +37,8 @@
     received: bool,
     /// The service ended it without a list: by another response, or by a reset.
     turned_away: bool,
+    /// Its connect was refused.
+    refused: bool,
     /// The received data that is not a complete list yet, and the scanner that finds where a list ends in it.
     text: Vec<u8>,
     scanner: ListScanner,
@@ -78,6 +82,10 @@
     call_counts: DiscoveryMetrics,
     /// When a list or a heartbeat last arrived; before the first one, when a watch was first wanted.
     last_heard: Option<Moment>,
+    /// The last call that failed, or watch that ended.
+    last_failed: Option<FailedCall>,
+    /// A list or a heartbeat has been received from any address: what is known of the list is up to date.
+    answered: bool,
     /// The last version received from this address.
     version: u64,
     /// The entries of a truncated list for endpoints that are draining or removed.
@@ -99,6 +107,8 @@
             schedule: Schedule::new(callers, seed),
             call_counts: DiscoveryMetrics::default(),
             last_heard: None,
+            last_failed: None,
+            answered: false,
             version,
             salvaged: Vec::new(),
         }
@@ -109,6 +119,16 @@
         self.version
     }
 
+    /// The last call that failed, or watch that ended.
+    pub fn last_failed(&self) -> Option<FailedCall> {
+        self.last_failed
+    }
+
+    /// Whether the service has answered since the start.
+    pub fn has_answered(&self) -> bool {
+        self.answered
+    }
+
     /// The discovery metrics.
     pub fn figures(&self, now: Moment) -> DiscoveryMetrics {
         let silent_ms = self.last_heard.map_or(0, |at| now.since(at).nanos() / 1_000_000);
@@ -220,6 +240,7 @@
                     "list: version {} received from a previous address, {took:.0} ms after the call",
                     list["index"]
                 );
+                self.answered = true;
                 hear(complete, list);
             }
             _ => {}
@@ -250,6 +271,7 @@
                 any_received: false,
                 received: false,
                 turned_away: false,
+                refused: false,
                 text,
                 scanner,
                 partial_since: None,
@@ -298,6 +320,7 @@
         let end = match open {
             _ if partial_list.is_some() => CallEnd::Truncated,
             Some(watch) if watch.turned_away => CallEnd::Rejected,
+            Some(watch) if watch.refused => CallEnd::Refused,
             _ => CallEnd::Lost,
         };
         let open_since = open.map_or(turn.now, |watch| watch.since);
@@ -306,8 +329,9 @@
         match end {
             CallEnd::Rejected => self.call_counts.turned_away += 1,
             CallEnd::Truncated => self.call_counts.truncated += 1,
-            CallEnd::Lost => self.call_counts.lost += 1,
+            CallEnd::Refused | CallEnd::Lost => self.call_counts.lost += 1,
         }
+        self.last_failed = Some(FailedCall { started: since, refused: end == CallEnd::Refused });
         let next = self.schedule.call_failed(since, turn.now, end);
         let took = turn.now.since(open_since).secs() * 1e3;
         let wait = next.since(turn.now).secs() * 1e3;
@@ -371,7 +395,9 @@
         let Some(watch) = self.watches.get_mut(key) else { return Ok(()) };
         let broken = |e: std::io::Error| e.to_string();
         if !watch.up {
-            watch.up = watch.connection.is_up().map_err(broken)?;
+            let connected = watch.connection.is_up();
+            watch.refused = connected.as_ref().is_err_and(|e| e.kind() == ErrorKind::ConnectionRefused);
+            watch.up = connected.map_err(broken)?;
             if !watch.up {
                 return Ok(());
             }
@@ -418,7 +444,7 @@
                         self.calls_made
                     );
                 }
-                (self.version, watch.received) = (version, true);
+                (self.version, watch.received, self.answered) = (version, true, true);
                 self.schedule.list_received();
                 hear(complete, list);
             }
@@ -426,7 +452,7 @@
             // Danger: a watch with only heartbeats is healthy too; if earlier failures stayed counted, the next call
             // would be delayed for long.
             if any && watch.text.is_empty() {
-                watch.received = true;
+                (watch.received, self.answered) = (true, true);
                 self.schedule.list_received();
             }
             if let Some(what) = chunk_error {
--- a/crates/sidecar/src/net/discovery/schedule.rs
+++ b/crates/sidecar/src/net/discovery/schedule.rs
@@ -1,15 +1,13 @@
 //! When discovery is called: pure arithmetic on how earlier calls have ended, with seeded jitter.
 //!
 //! Two bounds must hold for every sequence of failures: a change is received within `NOTIFIED_AFTER` of the service's
-//! recovery, and within `NOTIFIED_AFTER_MOVE` of a new configuration with the service's address. The sums behind these
-//! bounds are asserted below.
+//! recovery, or of a watch falling silent that would have sent it, and within `NOTIFIED_AFTER_MOVE` of a new
+//! configuration with the service's address. The sums behind these bounds are asserted below.
 
+use appledyke::list_lease::NOTIFIED_AFTER;
 use appledyke::units::{Moment, Span};
 use oorandom::Rand64;
 
-/// A change counts as notified this long after the service had it and was reachable, and this long after a watch that would
-/// have sent it fell silent.
-const NOTIFIED_AFTER: Span = Span::from_millis(6000);
 /// What the service at a newly configured address has counts as notified this long after the configuration.
 const NOTIFIED_AFTER_MOVE: Span = Span::from_millis(4000);
 /// Time within which a recovered, healthy service answers a call, and the allowance for long turns of the event loop.
@@ -119,7 +117,9 @@
     Rejected,
     /// It broke off within a list.
     Truncated,
-    /// Its connect failed, or it was lost, fell silent or sent invalid data.
+    /// Its connect was refused: nobody listens at the address.
+    Refused,
+    /// Its connect failed otherwise, or it was lost, fell silent or sent invalid data.
     Lost,
 }
 
--- a/crates/sidecar/src/shadow.rs
+++ b/crates/sidecar/src/shadow.rs
@@ -7,6 +7,7 @@
 use std::fmt;
 
 use appledyke::balancer::Balancer;
+use appledyke::list_lease::FailedCall;
 use appledyke::reports::AttemptReport;
 use appledyke::terms::Terms;
 use appledyke::units::Moment;
@@ -175,6 +176,23 @@
         self.for_both(|balancer| balancer.list_end(now));
     }
 
+    pub fn list_from_startup(&mut self, now: Moment) {
+        self.for_both(|balancer| balancer.list_from_startup(now));
+    }
+
+    pub fn list_confirmed(&mut self) {
+        self.for_both(Balancer::list_confirmed);
+    }
+
+    pub fn discovery_call_failed(&mut self, call: FailedCall) {
+        self.for_both(|balancer| balancer.discovery_call_failed(call));
+    }
+
+    /// Whether the deciding balancer may use its list now.
+    pub fn may_use_list(&self, now: Moment) -> bool {
+        self.real.may_use_list(now)
+    }
+
     pub fn list_failed(&mut self, now: Moment) {
         self.for_both(|balancer| balancer.list_failed(now));
     }
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -139,6 +139,8 @@
     started_at: Moment,
     /// Service discovery has sent a list since the start.
     list_received: bool,
+    /// The balancer knows that service discovery has answered since the start.
+    list_confirmed: bool,
     /// Since when this process drains, on an operator's command or for a release; and whether a release asked for it.
     draining: Option<Moment>,
     drained_by_release: bool,
@@ -246,6 +248,7 @@
             drain_forced: false,
             started_at: now,
             list_received: false,
+            list_confirmed: false,
             draining: None,
             drained_by_release: false,
             presence: None,
@@ -283,6 +286,7 @@
         }
         if known.is_some() {
             sidecar.apply_list(true, &config.known);
+            sidecar.balancer.list_from_startup(now);
         }
         if pushed {
             // Where discovery pushes changes, the balancer makes no decision to subscribe.
@@ -512,19 +516,37 @@
             self.list_received = true;
             self.apply_list(complete, &list);
         }
+        self.confirm_list();
         self.handle_list_failure(failed);
     }
 
+    /// Tells the balancer once that service discovery has answered since the start.
+    fn confirm_list(&mut self) {
+        if self.list_confirmed || !self.list.has_answered() {
+            return;
+        }
+        self.list_confirmed = true;
+        let after = self.turn.now.since(self.started_at).secs() * 1e3;
+        let usable = if self.balancer.may_use_list(self.turn.now) { "in use" } else { "not used any more" };
+        log::info!("list confirmed {after:.0} ms after the start; the one of the start was {usable}");
+        self.balancer.list_confirmed();
+    }
+
     /// Handles a call to service discovery that may have failed, possibly in the middle of a line.
     fn handle_list_failure(&mut self, failed: bool) {
         if let Some(list) = self.list.take_salvaged() {
             self.apply_list(false, &list);
         }
         if failed {
-            self.balancer.list_failed(self.turn.now);
+            self.report_failed_call();
         }
     }
 
+    fn report_failed_call(&mut self) {
+        self.list.last_failed().into_iter().for_each(|call| self.balancer.discovery_call_failed(call));
+        self.balancer.list_failed(self.turn.now);
+    }
+
     /// Applies an endpoint list that has been validated.
     fn apply_list(&mut self, complete: bool, list: &Value) {
         let Sidecar {
@@ -604,7 +626,7 @@
         let may = may_call_list(&mut self.fleet, &self.clock);
         let failed = self.list.start_watch(may, &mut self.turn);
         if self.retry_list_call() || failed {
-            self.balancer.list_failed(self.turn.now);
+            self.report_failed_call();
         }
     }
 
--- a/crates/sidecar/src/sidecar/process.rs
+++ b/crates/sidecar/src/sidecar/process.rs
@@ -30,9 +30,12 @@
 const SIBLING_CHECK_INTERVAL: Span = Span::from_millis(300);
 /// File descriptors that such a check needs: the folder, and a file in it.
 const SIBLING_CHECK_DESCRIPTORS: usize = 2;
-/// Longest time that a process reports itself as not ready because service discovery has sent no list. After that it
-/// serves with the list it was started with.
+/// Longest time that a process reports itself as not ready because service discovery has sent no list, if it may use the
+/// list that it was started with.
 const READY_TIMEOUT: Span = Span::from_millis(3000);
+/// The same whether it may use that list or not. Danger: a release waits for each of its processes, and would be blocked
+/// for as long as service discovery is unavailable.
+const MAX_READY_TIMEOUT: Span = Span::from_millis(5500);
 
 impl Sidecar {
     pub(super) fn handle_signals(&mut self) {
@@ -93,6 +96,7 @@
         let hear = |complete, list| lists.push((complete, list));
         let failed = self.list.set_address(config.discovery, may, &mut self.turn, hear);
         lists.into_iter().for_each(|(complete, list)| self.apply_list(complete, &list));
+        self.confirm_list();
         let failed = self.retry_list_call() || failed;
         self.handle_list_failure(failed);
         self.servers.update_terms(config.connection_idle, config.connect_timeout, &mut self.turn);
@@ -226,11 +230,17 @@
         match (self.shutdown, self.draining) {
             (Some(_), _) => "400 not ready: leaving",
             (None, Some(_)) => "400 not ready: drained",
-            _ if self.list_received || self.turn.now.since(self.started_at) >= READY_TIMEOUT => "200 ready",
+            _ if self.list_received || self.is_ready_without_list() => "200 ready",
             _ => "400 not ready: list not heard",
         }
     }
 
+    fn is_ready_without_list(&self) -> bool {
+        let now = self.turn.now;
+        let timeout = if self.balancer.may_use_list(now) { READY_TIMEOUT } else { MAX_READY_TIMEOUT };
+        now.since(self.started_at) >= timeout
+    }
+
     /// Checks which other processes serve this address, and divides the allowed connections among them.
     pub(super) fn update_siblings(&mut self) {
         let ready = self.is_ready().starts_with("200");
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -21,6 +21,7 @@
 use std::collections::{HashMap, VecDeque};
 
 use crate::known::{Attempt, Endpoint, Request};
+use crate::list_lease::{FailedCall, StartupLease};
 use crate::reports::AttemptReport;
 use crate::stats::{
     MethodStats, Random, Rate, RollingWindow, Slope, UsualLatencies, half_life_decay, mean, smoothed,
@@ -272,6 +273,8 @@
     subscribe_at: Option<Moment>,
     /// A call to the discovery service is under way.
     subscribing: bool,
+    /// While the list is the one that the instance was started with: until when that may be used.
+    startup_lease: Option<StartupLease>,
 }
 
 fn probes_per_request(terms: &Terms) -> usize {
@@ -651,6 +654,29 @@
         self.recheck_queue = true;
     }
 
+    /// The list is the one that the instance has just been started with, and may be out of date. From then on the host
+    /// has to report `list_confirmed` and `discovery_call_failed`.
+    pub fn list_from_startup(&mut self, now: Moment) {
+        self.startup_lease = StartupLease::new(now, &self.terms);
+    }
+
+    /// Discovery has answered for the first time since the start.
+    pub fn list_confirmed(&mut self) {
+        self.startup_lease = None;
+        self.recheck_queue = true;
+    }
+
+    /// A call to discovery has failed.
+    pub fn discovery_call_failed(&mut self, call: FailedCall) {
+        self.startup_lease.iter_mut().for_each(|lease| lease.call_failed(call));
+        self.recheck_queue = true;
+    }
+
+    /// Whether the list may be used now: it has been confirmed, or the lease on the list of the start runs.
+    pub fn may_use_list(&self, now: Moment) -> bool {
+        self.startup_lease.is_none_or(|lease| lease.allows(now))
+    }
+
     pub fn list_failed(&mut self, now: Moment) {
         self.subscribing = false;
         // Danger: a discovery service that is down or overloaded stays so if all instances retry at once.
@@ -726,19 +752,23 @@
         if retry && (spent || only_once || self.key_fails(now, key, None)) {
             return self.give_up(request, GiveUpReason::NoRetry);
         }
+        // Danger: endpoints of a list that is out of date may be draining or gone for longer than they may be sent to.
+        if !self.may_use_list(now) {
+            return self.enqueue(now, request, GiveUpReason::ListUnconfirmed);
+        }
         self.solve(now);
         if self.waits_for_probes(now, request) {
             return;
         }
         if self.probes == 0 && !nested && self.over_limit(now, method) {
-            return self.enqueue(now, request);
+            return self.enqueue(now, request, GiveUpReason::NoEndpoint);
         }
         // If all are well above the mean in flight, the draw is among these, still by their weights.
         let r = self.requests[request].as_ref().expect("looked up above");
         let (open, above) = self.eligible_endpoints(now, r);
         match self.random.weighted(&open).or_else(|| self.random.weighted(&above)) {
             Some(endpoint) => self.send(now, request, endpoint, retry),
-            None => self.enqueue(now, request),
+            None => self.enqueue(now, request, GiveUpReason::NoEndpoint),
         }
     }
 
@@ -817,9 +847,9 @@
         &mut self.windows[at]
     }
 
-    /// No endpoint can take the request now: it is queued for a short time, ordered by worth, if that is likely to
-    /// help.
-    fn enqueue(&mut self, now: Moment, request: usize) {
+    /// No endpoint can take the request now, for this reason: it is queued for a short time, ordered by worth, if that
+    /// is likely to help.
+    fn enqueue(&mut self, now: Moment, request: usize, reason: GiveUpReason) {
         let r = self.requests[request].as_mut().expect("only open requests are queued");
         r.probed.clear();
         let m = &self.terms.methods[r.method];
@@ -827,7 +857,7 @@
         // If all places that a method is bound to are down, a short wait does not bring them back.
         let all_down = m.has_placement() && !self.ready().any(|(_, e)| m.allows(&e.entry));
         if all_down || now + QUEUE_POLL_INTERVAL >= (arrived + wait).min(deadline) {
-            return self.give_up(request, GiveUpReason::NoEndpoint);
+            return self.give_up(request, reason);
         }
         self.decisions
             .extend(self.queue.is_empty().then_some(Decision::Wake { at: now + QUEUE_POLL_INTERVAL }));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod balancer;
 pub mod ids;
 mod known;
+pub mod list_lease;
 pub mod reports;
 pub mod stats;
 pub mod terms;
@@ -111,17 +112,20 @@
     QueueFull,
     /// Too many reply slots were taken by answers that clients read slowly.
     RepliesFull,
+    /// The list that this instance was started with may be out of date, and discovery has not answered yet.
+    ListUnconfirmed,
 }
 
 impl GiveUpReason {
     /// All reasons, in the order of their values.
-    pub const ALL: [GiveUpReason; 6] = [
+    pub const ALL: [GiveUpReason; 7] = [
         GiveUpReason::Throttled,
         GiveUpReason::TimeOver,
         GiveUpReason::NoRetry,
         GiveUpReason::NoEndpoint,
         GiveUpReason::QueueFull,
         GiveUpReason::RepliesFull,
+        GiveUpReason::ListUnconfirmed,
     ];
 
     /// A short name for logs and metrics.
@@ -133,6 +137,7 @@
             GiveUpReason::NoEndpoint => "no_endpoint",
             GiveUpReason::QueueFull => "queue_full",
             GiveUpReason::RepliesFull => "replies_full",
+            GiveUpReason::ListUnconfirmed => "list_unconfirmed",
         }
     }
 }
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -88,6 +88,8 @@
     /// If changes of the list come only to instances that have subscribed: the time after which an instance counts as
     /// informed even if it has not.
     pub ask_within: Option<Span>,
+    /// Time within which sending to an endpoint must stop once it is draining or gone, if that is stated.
+    pub stop_sending_within: Option<Span>,
     /// The part of its full capacity that an endpoint has when it starts, and the time until it is warm.
     pub cold_capacity: f64,
     pub warm_up_time: Span,
@@ -311,6 +313,8 @@
             may_cancel: p.flag("ceilings.cancel")?,
             max_retry_after: if retry_after { Some(p.span("ceilings.maxRetryAfterNs")?) } else { None },
             ask_within: if subscribes { Some(p.span("rules.askWithinNs")?) } else { None },
+            stop_sending_within: Some(p.span_or_zero("rules.stopSendingWithinNs")?)
+                .filter(|span| *span > Span::ZERO),
             cold_capacity: p.read("rules.startCapacity")?,
             warm_up_time: p.span("rules.coldNs")?,
             overload_window: p.span("rules.overloadForNs")?,
