The list of the start is not used at all before discovery has answered; health checks wait

A change counts as received 6 s after it was made, whether the process was there or not, so an endpoint that began to drain 7.5 s before the start must be left alone at once.

And the price stood at the wrong place: clients that come to a process before it can serve were rejected.

Change: no grace from the start. `GET /healthz` answers 503 until discovery has answered, the lease holds in an outage, or 5.5 s are over, unless another process serves the address (an upgrade), whose traffic a failing check would turn away too.

Tests: startup_list.rs now allows no request at all to the endpoint that has left, and has a test of the health check.

--- a/crates/sidecar/src/net/clients.rs
+++ b/crates/sidecar/src/net/clients.rs
@@ -214,6 +214,8 @@
     accept_paused_since: Option<Moment>,
     /// Health checks fail so that new clients go elsewhere; connections are still served.
     failing_health_checks: bool,
+    /// The process cannot serve yet, so health checks fail for now.
+    starting: bool,
     /// Connections are closed between requests.
     draining: bool,
     last_accept: Moment,
@@ -253,6 +255,7 @@
             accept_retry_at: None,
             accept_paused_since: None,
             failing_health_checks: false,
+            starting: false,
             draining: false,
             last_accept: turn.now,
             input_since: turn.now,
@@ -447,7 +450,7 @@
                     self.respond_directly(key, frame, REPEATED_ID, turn);
                 }
                 Ok(Parsed::Health) => {
-                    let status = if self.failing_health_checks { 503 } else { 200 };
+                    let status = if self.failing_health_checks || self.starting { 503 } else { 200 };
                     self.respond_directly(key, frame, status, turn);
                 }
                 Err(MessageError(status)) => self.respond_directly(key, frame, status, turn),
--- a/crates/sidecar/src/net/clients/draining.rs
+++ b/crates/sidecar/src/net/clients/draining.rs
@@ -10,6 +10,11 @@
         self.failing_health_checks = true;
     }
 
+    /// Sets whether health checks fail for now because the process cannot serve yet.
+    pub fn set_starting(&mut self, starting: bool) {
+        self.starting = starting;
+    }
+
     /// Passes health checks and keeps connections open again.
     pub fn resume(&mut self) {
         (self.failing_health_checks, self.draining) = (false, false);
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -139,6 +139,8 @@
     started_at: Moment,
     /// Service discovery has sent a list since the start.
     list_received: bool,
+    /// The process has been able to serve at some time since the start.
+    has_started: bool,
     /// The balancer knows that service discovery has answered since the start.
     list_confirmed: bool,
     /// Since when this process drains, on an operator's command or for a release; and whether a release asked for it.
@@ -248,6 +250,7 @@
             drain_forced: false,
             started_at: now,
             list_received: false,
+            has_started: false,
             list_confirmed: false,
             draining: None,
             drained_by_release: false,
@@ -335,6 +338,7 @@
             // behind it.
             let waited = self.turn.now.since(self.last_poll) >= BLOCKING_POLL;
             self.clients.input_since = if waited { self.turn.now } else { last };
+            self.update_starting();
             // Danger: operators wait one second at most, so admin connections are served first, however much else a
             // turn brings.
             let ready: Vec<Peer> = self
@@ -527,8 +531,7 @@
         }
         self.list_confirmed = true;
         let after = self.turn.now.since(self.started_at).secs() * 1e3;
-        let usable = if self.balancer.may_use_list(self.turn.now) { "in use" } else { "not used any more" };
-        log::info!("list confirmed {after:.0} ms after the start; the one of the start was {usable}");
+        log::info!("list confirmed {after:.0} ms after the start");
         self.balancer.list_confirmed();
     }
 
--- a/crates/sidecar/src/sidecar/process.rs
+++ b/crates/sidecar/src/sidecar/process.rs
@@ -235,6 +235,18 @@
         }
     }
 
+    /// Fails health checks from the start until the process can serve, unless another process serves this address.
+    /// Danger: traffic that comes before would be rejected, and traffic that stays away from an address of which the other
+    /// process serves would be lost to that one.
+    pub(super) fn update_starting(&mut self) {
+        if self.has_started {
+            return;
+        }
+        let now = self.turn.now;
+        self.has_started = self.balancer.may_use_list(now) || now.since(self.started_at) >= MAX_READY_TIMEOUT;
+        self.clients.set_starting(!self.has_started && self.siblings.ready == 0);
+    }
+
     fn is_ready_without_list(&self) -> bool {
         let now = self.turn.now;
         let timeout = if self.balancer.may_use_list(now) { READY_TIMEOUT } else { MAX_READY_TIMEOUT };
--- a/crates/sidecar/tests/startup_list.rs
+++ b/crates/sidecar/tests/startup_list.rs
@@ -3,6 +3,7 @@
 mod fakes;
 mod stand_ins;
 
+use std::io::Write;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -11,17 +12,16 @@
 
 use fakes::discovery::{Capacity, Discovery, Outcome};
 use fakes::traffic::{Answers, recording_endpoint, send_requests};
-use stand_ins::{Sidecar, configuration, entry, list_of};
+use stand_ins::{Client, Sidecar, configuration, entry, list_of};
 
 /// Number of processes that are started.
 const STARTED: u32 = 20;
 /// Size of the fleet that they belong to; and of one in which a rejected call says little for longer.
 const INSTANCES: u32 = 60;
 const MORE_INSTANCES: u32 = 100;
-/// What has changed longer than 6 s ago counts as known to a process from its start on. Sending must end within this
-/// time from then on, plus the rule's tolerance.
+/// Time within which sending must stop. What changed longer ago than that and the 6 s after which a change counts as known
+/// must be left alone by a process from its start on.
 const STOP_SENDING: Duration = Duration::from_millis(1500);
-const SLACK: Duration = Duration::from_millis(50);
 /// How long the processes run: longer than any of them needs to be heard by discovery.
 const RUN: Duration = Duration::from_secs(14);
 
@@ -89,17 +89,11 @@
     let answers = fleet.run();
 
     let after = |(at, sidecar): &(Instant, usize)| (*sidecar, at.duration_since(fleet.started[*sidecar]));
-    let late: Vec<_> = arrivals
-        .lock()
-        .unwrap()
-        .iter()
-        .map(after)
-        .filter(|(_, after)| *after > STOP_SENDING + SLACK)
-        .collect();
+    let late: Vec<_> = arrivals.lock().unwrap().iter().map(after).collect();
     let calls = discovery.calls();
     let rejected = calls.iter().filter(|call| call.outcome != Outcome::Answered).count();
     println!("{} late requests; of {} calls {rejected} were rejected", late.len(), calls.len());
-    assert!(late.is_empty(), "sent after the grace: {late:?}");
+    assert!(late.is_empty(), "sent to an endpoint that must be left alone: {late:?}");
     assert_all_serve(&answers);
     rejected
 }
@@ -131,6 +125,30 @@
     assert!(play(BUSY, MORE_INSTANCES, false) > 0, "some calls are rejected");
 }
 
+/// Danger: clients that come to a process before it can serve are rejected, so its health check fails until then.
+#[test]
+fn a_process_started_with_a_list_is_healthy_once_discovery_has_answered() {
+    let (steady, _) = recording_endpoint();
+    let known = list_of(1, true, &[entry("steady", steady.at, 0, "up")]);
+    let (discovery, calls) = stand_ins::start_discovery();
+    let sidecar = Sidecar::start(&settings(discovery, &known, INSTANCES, 0));
+    assert_eq!(health(&sidecar), "503");
+    let (_, mut watch) = calls.recv().unwrap();
+    assert_eq!(health(&sidecar), "503");
+    watch.write_all(stand_ins::OPEN).unwrap();
+    stand_ins::watch_line(&mut watch, &known);
+    stand_ins::wait_until("healthy", || health(&sidecar) == "200");
+    // It stays so without discovery.
+    drop(watch);
+    assert_eq!(health(&sidecar), "200");
+}
+
+fn health(sidecar: &Sidecar) -> String {
+    let mut client = Client::connect(sidecar);
+    client.send("GET /healthz HTTP/1.1\r\n\r\n");
+    client.status()
+}
+
 /// Danger: a process that waits for discovery to confirm its list serves nothing for as long as discovery is down.
 #[test]
 fn processes_started_while_discovery_is_down_serve_by_their_list() {
--- a/src/list_lease.rs
+++ b/src/list_lease.rs
@@ -2,9 +2,8 @@
 //!
 //! A process starts with a list of unknown age. A change of the list counts as received a fixed time after it was made,
 //! even if no process was there to receive it, so an endpoint on that list may have to be left alone from the start on.
-//! The list is therefore leased: the lease ends in time for any endpoint that has left the list meanwhile, and the first
-//! answer of service discovery ends the need for it. While discovery is down there is nothing to be received, and the
-//! lease is extended: an outage of discovery must not stop the instance.
+//! The list is therefore not used before the first answer of service discovery, which ends the need for a lease. While
+//! discovery is down there is nothing to be received, and the list is leased: an outage must not stop the instance.
 
 use crate::terms::Terms;
 use crate::units::{Moment, Span};
@@ -32,7 +31,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct StartupLease {
     started: Moment,
-    /// How long a send may follow the time at which a change counts as received.
+    /// How long a decision to send may follow the time at which a change counts as received.
     grace: Span,
     overload_time: Span,
     /// The starts of the last call that was refused, and of the last one that failed in any way.
@@ -67,12 +66,11 @@
         }
     }
 
-    /// Whether the instance may send by its list now.
+    /// Whether the instance may use its list now.
     pub fn allows(&self, now: Moment) -> bool {
         let may_be_overload = now.since(self.started) < self.overload_time;
         let outage = if may_be_overload { self.last_refused } else { self.last_failed };
-        // Discovery was down during that call, so what it has counts as received `NOTIFIED_AFTER` later at the earliest.
-        let extended = outage.is_some_and(|call| now <= call + NOTIFIED_AFTER + self.grace);
-        now <= self.started + self.grace || extended
+        // Discovery was down during that call: what it has counts as received `NOTIFIED_AFTER` later at the earliest.
+        outage.is_some_and(|call| now <= call + NOTIFIED_AFTER + self.grace)
     }
 }
--- a/tests/startup_lease.rs
+++ b/tests/startup_lease.rs
@@ -104,13 +104,11 @@
     }
 }
 
-/// Danger: an endpoint that began to drain while the process was down may be sent to for the grace alone, counted from
-/// the start.
+/// Danger: an endpoint that began to drain while the process was down may have to be left alone from the start on.
 #[test]
-fn the_list_of_the_start_is_used_for_the_grace_and_again_once_discovery_has_answered() {
+fn the_list_of_the_start_is_not_used_before_discovery_has_answered() {
     let mut instance = Instance::start(60, &[]);
-    assert!(instance.sends(GRACE));
-    assert!(!instance.sends(GRACE + 1));
+    assert!(!instance.sends(0));
     assert!(!instance.sends(60_000));
     instance.list(60_200, EndpointState::Ready);
     instance.balancer.list_confirmed();
@@ -160,15 +158,14 @@
     // 0.1 s for each instance, 8 s at most; none where lists are pushed.
     let pushed: &[_] = &[("discovery", "automatic")];
     for (instances, changes, overload) in
-        [(1, &[][..], 100), (9, &[], 900), (60, &[], 6000), (900, &[], 8000), (900, pushed, 0)]
+        [(1, &[][..], 100_u64), (9, &[], 900), (60, &[], 6000), (900, &[], 8000), (900, pushed, 0)]
     {
         let mut instance = Instance::start(instances, changes);
         instance.call_failed(50, false);
-        assert!(instance.sends(GRACE));
-        let from = overload.max(GRACE + 1);
         // A request may be queued for some of its time, but not up to the end of the overload.
-        let before = from - 100;
-        assert_eq!(instance.sends(before), before <= GRACE, "{instances}");
+        let before = overload.saturating_sub(100);
+        assert_eq!(instance.sends(before), overload == 0, "{instances}");
+        let from = overload.max(51);
         assert_eq!(instance.sends(from), from <= 50 + NOTIFIED_AFTER + GRACE, "{instances}");
         instance.call_failed(from, false);
         assert!(instance.sends(from + NOTIFIED_AFTER + GRACE), "{instances}");
@@ -185,8 +182,9 @@
 
 /// Danger: a connect may take all of the time in which sending must stop, and its request is written at its end.
 #[test]
-fn a_time_to_stop_that_a_connect_may_use_up_leaves_no_grace() {
+fn a_time_to_stop_that_a_connect_may_use_up_is_not_counted_in() {
     let mut instance = Instance::start(60, &[("rules.stopSendingWithinNs", "250000000")]);
-    assert!(instance.sends(0));
-    assert!(!instance.sends(1));
+    instance.call_failed(2000, true);
+    assert!(instance.sends(2000 + NOTIFIED_AFTER));
+    assert!(!instance.sends(2000 + NOTIFIED_AFTER + 1));
 }
