Callers that discovery rejects together come back spread out

What callers saw: after an outage of discovery that ends all watches of a fleet at once, some sidecars heard of a drain later than the time in which sending must stop. In virtual time, a service that can answer a call of each within 5 s: 9 in 100 of 60, 120 and 240 sidecars, 4 in 100 of 900, after 4 s down, and 1 to 3 in 100 of 60 to 240 after 12 s.

Cause: the first delays after a rejection are a half to one of 0.4, 0.8 and 1.6 s, so callers that were rejected together return together, are rejected again at the return, and only then wait for long.

Change: the first four delays are drawn evenly from 0.2 s to 0.4 of the maximum (0.1 s for each instance, 0.8 to 5 s), or to the backoff, if that is longer. Up to eight instances the first is as before. Later delays and all bounds are as they were.

The other tests of the schedule pass unchanged.

--- a/crates/sidecar/src/net/discovery/schedule.rs
+++ b/crates/sidecar/src/net/discovery/schedule.rs
@@ -49,6 +49,13 @@
 pub const REJECTED_DELAY_MIN: Span = Span::from_millis(800);
 pub const REJECTED_DELAY_MAX: Span = Span::from_millis(5000);
 const REJECTED_DELAY_PER_INSTANCE: Span = Span::from_millis(100);
+/// The first delays after rejections are drawn from this one on, up to at least this share of the maximum. Danger: the
+/// watches of a fleet end together, and callers that are rejected together with similar delays come back in step, in
+/// numbers that the service rejects again.
+const FIRST_REJECTED_DELAY: Span = Span::from_millis(200);
+const FIRST_REJECTED_SHARE: f64 = 0.4;
+/// How many failures in a row count as the first ones.
+const FIRST_FAILURES: i32 = 4;
 /// The longest delay from the end of a call that took longer than the delay above to the next call, multiplied by a random
 /// factor of 0.1 to 1: as wide as the bound allows, since calls made together with equal delays would stay synchronized.
 const MAX_RETRY_AFTER_END: Span = Span::from_millis(700);
@@ -212,6 +219,7 @@
         let next = match end {
             CallEnd::Truncated if self.failures == 0 => now + MAX_DELAY_AFTER_TRUNCATION * factor,
             _ if self.callers.pushed => now + backoff.min(MAX_AGENT_RETRY) * factor,
+            CallEnd::Rejected if self.failures < FIRST_FAILURES => now + self.first_rejected_delay(backoff),
             CallEnd::Rejected => now + backoff.min(self.max_rejected_delay()) * factor,
             // The silence itself has used up most of the time allowed.
             _ if self.failures == 1 && self.fell_silent => now + FIRST_RETRY * factor,
@@ -225,6 +233,13 @@
         next
     }
 
+    /// A random delay after one of the first rejections.
+    fn first_rejected_delay(&mut self, backoff: Span) -> Span {
+        let max = self.max_rejected_delay();
+        let longest = backoff.max(max * FIRST_REJECTED_SHARE).min(max);
+        FIRST_REJECTED_DELAY + longest.less(FIRST_REJECTED_DELAY) * self.random.rand_float()
+    }
+
     fn max_rejected_delay(&self) -> Span {
         let delay = REJECTED_DELAY_PER_INSTANCE * self.callers.instances;
         delay.max(REJECTED_DELAY_MIN).min(REJECTED_DELAY_MAX)
--- a/crates/sidecar/tests/discovery_schedule.rs
+++ b/crates/sidecar/tests/discovery_schedule.rs
@@ -309,3 +309,41 @@
     println!("{late} of {} hear it over 7 s after its return", 20 * callers);
     assert!(late <= callers * 20 / 100, "{late}");
 }
+
+/// Danger: a fleet whose watches all end at once is rejected together for as long as the service is down, and came back
+/// in step: most were rejected once more at its return, and then waited for long. The service can handle a call of each
+/// within 5 s.
+#[test]
+fn a_fleet_whose_watches_ended_together_is_heard_in_time_at_the_return() {
+    let (grace, seeds) = (millis(1500), 20);
+    let mut all_late = Vec::new();
+    for (callers, call_time) in [(60, 80), (120, 40), (240, 20), (900, 5)] {
+        for outage in [4, 6, 8, 12] {
+            let capacity = Capacity { call_time: millis(call_time), queue_most: 1000 };
+            let mut late = 0;
+            for seed in 0..seeds {
+                let mut chance = Rand64::new(u128::from(seed));
+                let down = Moment::default() + millis(8_000);
+                let back = down + millis(1000 * outage);
+                let mut world = World::new(callers, callers as f64, capacity, back, seed);
+                world.down_at = down;
+                for caller in 0..callers {
+                    world.put_off(caller, Moment::default() + millis(5000) * chance.rand_float());
+                    world.at(down, Event::Break(caller));
+                }
+                world.run(back + millis(60_000));
+                let in_time =
+                    |caller: &&Caller| caller.heard.is_some_and(|at| at.since(back) <= TOLD_AFTER + grace);
+                late += callers - world.callers.iter().filter(in_time).count();
+            }
+            println!(
+                "{callers} callers, {call_time} ms a call, down for {outage} s: {late} of {} late",
+                callers * 20
+            );
+            if late > 0 {
+                all_late.push((callers, call_time, outage, late));
+            }
+        }
+    }
+    assert!(all_late.is_empty(), "{all_late:?}");
+}
