The lease in an outage counts from the end of a failed call

Cause: counted from its start, the lease of a large fleet's process ran out between two calls that hang and are rejected, up to 3 s of every 8 s of a long outage, in which it rejected all it got.

Change: `FailedCall::at` is when the call failed: discovery was down then, so what it has counts as received 6 s later at the earliest. By the schedule two failures are at most 7 s apart where calls hang for 2 s, which the lease covers with a grace of 1 s or more.

--- a/crates/sidecar/src/net/discovery.rs
+++ b/crates/sidecar/src/net/discovery.rs
@@ -331,7 +331,7 @@
             CallEnd::Truncated => self.call_counts.truncated += 1,
             CallEnd::Refused | CallEnd::Lost => self.call_counts.lost += 1,
         }
-        self.last_failed = Some(FailedCall { started: since, refused: end == CallEnd::Refused });
+        self.last_failed = Some(FailedCall { at: turn.now, refused: end == CallEnd::Refused });
         let next = self.schedule.call_failed(since, turn.now, end);
         let took = turn.now.since(open_since).secs() * 1e3;
         let wait = next.since(turn.now).secs() * 1e3;
--- a/src/list_lease.rs
+++ b/src/list_lease.rs
@@ -23,7 +23,8 @@
 /// A call to service discovery that has failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct FailedCall {
-    pub started: Moment,
+    /// When it failed.
+    pub at: Moment,
     /// Nobody listened at the address: discovery is down. Any other failure may be due to an overload as well.
     pub refused: bool,
 }
@@ -35,7 +36,7 @@
     /// How long a decision to send may follow the time at which a change counts as received.
     grace: Span,
     overload_time: Span,
-    /// The starts of the last call that was refused, and of the last one that failed in any way.
+    /// When the last call was refused, and when the last one failed in any way.
     last_refused: Option<Moment>,
     last_failed: Option<Moment>,
 }
@@ -63,9 +64,9 @@
 
     /// Records a failed call.
     pub fn call_failed(&mut self, call: FailedCall) {
-        self.last_failed = self.last_failed.max(Some(call.started));
+        self.last_failed = self.last_failed.max(Some(call.at));
         if call.refused {
-            self.last_refused = self.last_refused.max(Some(call.started));
+            self.last_refused = self.last_refused.max(Some(call.at));
         }
     }
 
@@ -73,7 +74,7 @@
     pub fn allows(&self, now: Moment) -> bool {
         let may_be_overload = now.since(self.started) < self.overload_time;
         let outage = if may_be_overload { self.last_refused } else { self.last_failed };
-        // Discovery was down during that call: what it has counts as received `NOTIFIED_AFTER` later at the earliest.
-        outage.is_some_and(|call| now <= call + NOTIFIED_AFTER + self.grace)
+        // Discovery was down then: what it has counts as received `NOTIFIED_AFTER` later at the earliest.
+        outage.is_some_and(|at| now <= at + NOTIFIED_AFTER + self.grace)
     }
 }
--- a/tests/startup_lease.rs
+++ b/tests/startup_lease.rs
@@ -58,8 +58,8 @@
         self.balancer.list_end(at(millis));
     }
 
-    fn call_failed(&mut self, started: u64, refused: bool) {
-        self.balancer.discovery_call_failed(FailedCall { started: at(started), refused });
+    fn call_failed(&mut self, millis: u64, refused: bool) {
+        self.balancer.discovery_call_failed(FailedCall { at: at(millis), refused });
     }
 
     /// A request that arrives then, woken as it asks to be until it is decided. What is sent is served at once.
