A connect to discovery that is refused at once counts as refused too

Cause: whether a connect was refused was kept with the open call, and one that fails as it is made has none: it passed for a call that may have met an overload, so a process that starts in an outage would have waited for 3 to 8 s. Found by reading; on loopback refusals arrive later.

Change: the client keeps it for its current call. A unit test tells refused connects from calls that hang.

--- a/crates/sidecar/src/net/discovery.rs
+++ b/crates/sidecar/src/net/discovery.rs
@@ -4,7 +4,7 @@
 pub mod schedule;
 mod watch;
 
-use std::io::ErrorKind;
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 
 use appledyke::list_lease::FailedCall;
@@ -25,6 +25,11 @@
 use super::{DESCRIPTOR_RETRY, Turn};
 use crate::metrics::DiscoveryMetrics;
 
+/// Whether a connect failed because nobody listens at the address.
+fn is_refusal(error: &io::Error) -> bool {
+    error.kind() == ErrorKind::ConnectionRefused
+}
+
 /// The calls to service discovery, one at a time, and what is known of the list.
 pub struct DiscoveryClient {
     at: SocketAddr,
@@ -47,6 +52,8 @@
     call_counts: DiscoveryMetrics,
     /// When a list or a heartbeat last arrived; before the first one, when a watch was first wanted.
     last_heard: Option<Moment>,
+    /// The connect of the current call was refused.
+    connect_refused: bool,
     /// The last call that failed, or watch that ended.
     last_failed: Option<FailedCall>,
     /// A list or a heartbeat has been received from any address: what is known of the list is up to date.
@@ -72,6 +79,7 @@
             schedule: Schedule::new(callers, seed),
             call_counts: DiscoveryMetrics::default(),
             last_heard: None,
+            connect_refused: false,
             last_failed: None,
             answered: false,
             version,
@@ -222,12 +230,13 @@
         let lacked_before = std::mem::take(&mut self.lacks_descriptor);
         let (at, call) = (self.at, http::watch_request(self.at, self.version));
         let since = turn.now;
+        self.connect_refused = false;
         self.calls_made += 1;
         self.schedule.call_started();
         let opened = self.watches.insert_with(|key| {
             let mut connection = Connection::open(at, &turn.registry, Peer::Discovery(key).token())?;
             connection.queue(&[&call], 0);
-            Ok::<_, std::io::Error>(Watch::new(connection, since))
+            Ok::<_, io::Error>(Watch::new(connection, since))
         });
         match opened {
             Ok(key) => {
@@ -258,7 +267,10 @@
                 );
                 false
             }
-            Err(e) => self.fail(&e.to_string(), turn),
+            Err(e) => {
+                self.connect_refused = is_refusal(&e);
+                self.fail(&e.to_string(), turn)
+            }
         }
     }
 
@@ -272,7 +284,7 @@
         let end = match open {
             _ if partial_list.is_some() => CallEnd::Truncated,
             Some(watch) if watch.turned_away => CallEnd::Rejected,
-            Some(watch) if watch.refused => CallEnd::Refused,
+            _ if self.connect_refused => CallEnd::Refused,
             _ => CallEnd::Lost,
         };
         let open_since = open.map_or(turn.now, |watch| watch.since);
@@ -345,10 +357,10 @@
         let Some(watch) = self.watches.get(key) else { return Ok(()) };
         let answer_by = self.schedule.answer_deadline(watch.since, turn.now);
         let Some(watch) = self.watches.get_mut(key) else { return Ok(()) };
-        let broken = |e: std::io::Error| e.to_string();
+        let broken = |e: io::Error| e.to_string();
         if !watch.up {
             let connected = watch.connection.is_up();
-            watch.refused = connected.as_ref().is_err_and(|e| e.kind() == ErrorKind::ConnectionRefused);
+            self.connect_refused = connected.as_ref().is_err_and(is_refusal);
             watch.up = connected.map_err(broken)?;
             if !watch.up {
                 return Ok(());
--- a/crates/sidecar/src/net/discovery/tests.rs
+++ b/crates/sidecar/src/net/discovery/tests.rs
@@ -114,3 +114,34 @@
         );
     }
 }
+
+/// Danger: only a refused connect shows that the service is down; a call that is rejected or hangs may have met an
+/// overload.
+#[test]
+fn a_refused_connect_is_told_from_other_failures() {
+    let mut poll = mio::Poll::new().unwrap();
+    let registry = poll.registry().try_clone().unwrap();
+    let now = Moment::from_nanos(0);
+    let mut turn = Turn { now, registry, deadlines: Default::default(), free_connections: 0 };
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = listener.local_addr().unwrap();
+
+    let mut hanging = DiscoveryClient::new(at, 0, 1, callers(false));
+    hanging.start_watch(|| true, &mut turn);
+    await_connect(&mut hanging, &mut turn, &mut poll);
+    turn.now = turn.deadlines.next().unwrap();
+    assert!(hanging.timed_out(|| true, &mut turn));
+    assert_eq!(hanging.last_failed(), Some(FailedCall { at: turn.now, refused: false }));
+
+    drop(listener);
+    let mut refused = DiscoveryClient::new(at, 0, 2, callers(false));
+    let mut failed = refused.start_watch(|| true, &mut turn);
+    let mut events = mio::Events::with_capacity(8);
+    while !failed {
+        poll.poll(&mut events, None).unwrap();
+        let key = refused.open.unwrap();
+        failed = refused.ready(key, &mut turn, |_, _| {});
+    }
+    assert_eq!(refused.last_failed(), Some(FailedCall { at: turn.now, refused: true }));
+    assert!(!refused.has_answered());
+}
--- a/crates/sidecar/src/net/discovery/watch.rs
+++ b/crates/sidecar/src/net/discovery/watch.rs
@@ -22,8 +22,6 @@
     pub received: bool,
     /// The service ended it without a list: by another response, or by a reset.
     pub turned_away: bool,
-    /// Its connect was refused.
-    pub refused: bool,
     /// The received data that is not a complete list yet, and the scanner that finds where a list ends in it.
     pub text: Vec<u8>,
     pub scanner: ListScanner,
@@ -42,7 +40,6 @@
             any_received: false,
             received: false,
             turned_away: false,
-            refused: false,
             text: Vec::new(),
             scanner: ListScanner::default(),
             partial_since: None,
